Workspace, types, state charts and pure decisions

Cause: nothing existed. The decisions come first as state machines without I/O, because every later promise rests on them.

Trial: a follower that ignored the gap made the fold test run without end; the test's loop is now bounded.

--- /dev/null
+++ b/crates/lentilhitch_chart/tests/charts.rs
@@ -0,0 +1,190 @@
+//! The embedded charts load, and a walk of each shows what its subject may never do.
+
+use std::fmt::Debug;
+
+use lentilhitch_chart::{
+    Chart, Defect, Vocabulary,
+    charts::{call, lease, peer, process, stream, upstream},
+};
+
+/// Visits every path of a chart up to `depth` events and hands each to `check` as `(state, event, next state)` steps.
+fn walk<S: Vocabulary, E: Vocabulary, A: Vocabulary>(
+    chart: &Chart<S, E, A>,
+    depth: usize,
+    check: &mut impl FnMut(&[(S, E, S, Vec<A>)]),
+) {
+    fn go<S: Vocabulary, E: Vocabulary, A: Vocabulary>(
+        chart: &Chart<S, E, A>,
+        depth: usize,
+        path: &mut Vec<(S, E, S, Vec<A>)>,
+        check: &mut impl FnMut(&[(S, E, S, Vec<A>)]),
+    ) {
+        check(path);
+        let state = path.last().map_or(chart.initial(), |it| it.2);
+        if depth == 0 || chart.is_final(state) {
+            return;
+        }
+        for event in E::ALL {
+            let step = chart.step(state, *event);
+            if step.to == state && step.actions.is_empty() {
+                continue;
+            }
+            path.push((state, *event, step.to, step.actions));
+            go(chart, depth - 1, path, check);
+            path.pop();
+        }
+    }
+    go(chart, depth, &mut Vec::new(), check);
+}
+
+#[test]
+fn a_call_is_sent_only_after_its_own_claim_was_read_first() {
+    walk(&call::CHART, 8, &mut |path| {
+        let sends = path.iter().filter(|it| it.3.contains(&call::Action::Send)).count();
+        assert!(sends <= 1, "{path:?}");
+        for step in path.iter().filter(|it| it.3.contains(&call::Action::Send)) {
+            assert_eq!(step.1, call::Event::OwnClaimFirst, "{path:?}");
+        }
+        let dispatched = path.iter().any(|it| it.1 == call::Event::Dispatched);
+        let connected = !path.iter().any(|it| it.1 == call::Event::ConnectFailed);
+        if let Some((_, _, call::State::NotRun, _)) = path.last() {
+            assert!(
+                !dispatched || !connected,
+                "a call that reached an upstream is never not_run: {path:?}"
+            );
+        }
+    });
+}
+
+#[test]
+fn a_claim_that_was_won_and_not_used_is_released() {
+    walk(&call::CHART, 8, &mut |path| {
+        let won = path.iter().any(|it| it.2 == call::State::Won);
+        if let Some((_, _, call::State::NotRun, actions)) = path.last() {
+            assert_eq!(won, actions.contains(&call::Action::Release), "{path:?}");
+        }
+    });
+}
+
+#[test]
+fn a_stream_ends_once_and_tokens_are_forwarded_only_while_running() {
+    walk(&stream::CHART, 6, &mut |path| {
+        for step in path.iter().filter(|it| it.3.contains(&stream::Action::Forward)) {
+            assert_eq!(step.0, stream::State::Running, "{path:?}");
+        }
+        assert!(path.iter().filter(|it| it.3.contains(&stream::Action::Finish)).count() <= 1);
+    });
+}
+
+#[test]
+fn a_leaving_upstream_stays_so_within_its_incarnation() {
+    walk(&upstream::CHART, 6, &mut |path| {
+        for step in path
+            .iter()
+            .filter(|it| it.0 == upstream::State::Leaving && it.2 != upstream::State::Leaving)
+        {
+            assert_eq!(step.1, upstream::Event::NewIncarnation, "{path:?}");
+        }
+    });
+}
+
+#[test]
+fn a_process_announces_before_it_closes() {
+    walk(&process::CHART, 8, &mut |path| {
+        let served = path.iter().any(|it| it.2 == process::State::Serving);
+        let announced = path.iter().any(|it| it.3.contains(&process::Action::AnnounceLeaving));
+        if path.last().is_some_and(|it| it.2 == process::State::Stopped) {
+            assert_eq!(served, announced, "{path:?}");
+        }
+    });
+}
+
+#[test]
+fn orders_are_given_only_while_the_lease_is_held() {
+    walk(&lease::CHART, 7, &mut |path| {
+        let mut giving = false;
+        for (_, _, to, actions) in path {
+            giving |= actions.contains(&lease::Action::BeginOrders);
+            giving &= !actions.contains(&lease::Action::EndOrders);
+            let held = matches!(to, lease::State::Held | lease::State::Renewing);
+            assert_eq!(giving, held, "{path:?}");
+        }
+    });
+}
+
+#[test]
+fn a_peer_is_dead_only_after_suspicion_or_leaving() {
+    walk(&peer::CHART, 6, &mut |path| {
+        for step in path.iter().filter(|it| it.2 == peer::State::Dead && it.0 != peer::State::Dead)
+        {
+            assert!(matches!(step.0, peer::State::Suspect | peer::State::Leaving), "{path:?}");
+        }
+    });
+}
+
+struct DefectCase {
+    name: &'static str,
+    json: String,
+    expected: Vec<Defect>,
+}
+
+fn good() -> serde_json::Value {
+    serde_json::from_str(upstream::SOURCE).unwrap()
+}
+
+fn edited(edit: impl FnOnce(&mut serde_json::Value)) -> String {
+    let mut json = good();
+    edit(&mut json);
+    json.to_string()
+}
+
+fn text(value: impl Debug) -> String {
+    format!("{value:?}")
+}
+
+#[test]
+fn defects_are_reported_together() {
+    let cases = [
+        DefectCase { name: "good", json: good().to_string(), expected: vec![] },
+        DefectCase {
+            name: "unhandled event and unknown name",
+            json: edited(|it| {
+                it["states"]["leaving"]["ignore"] = serde_json::json!(["report", "flood"])
+            }),
+            expected: vec![
+                Defect::UnknownName { kind: "event", name: "flood".into() },
+                Defect::Unhandled {
+                    state: text(upstream::State::Leaving),
+                    event: text(upstream::Event::ConnectFailed),
+                },
+                Defect::Unhandled {
+                    state: text(upstream::State::Leaving),
+                    event: text(upstream::Event::ReportOverdue),
+                },
+                Defect::Unhandled {
+                    state: text(upstream::State::Leaving),
+                    event: text(upstream::Event::Notice),
+                },
+            ],
+        },
+        DefectCase {
+            name: "unreachable",
+            json: edited(|it| {
+                for state in ["untried", "available", "unreachable"] {
+                    it["states"][state]["on"]["notice"] = serde_json::json!({"to": state});
+                }
+            }),
+            expected: vec![Defect::Unreachable(text(upstream::State::Leaving))],
+        },
+        DefectCase {
+            name: "final state with events",
+            json: edited(|it| it["final"] = serde_json::json!(["leaving"])),
+            expected: vec![Defect::FinalHandles(text(upstream::State::Leaving))],
+        },
+    ];
+    for case in cases {
+        let res = Chart::<upstream::State, upstream::Event, upstream::Action>::load(&case.json);
+        let found = res.err().map(|it| it.0).unwrap_or_default();
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/lentilhitch_policy/src/fold.rs
@@ -0,0 +1,219 @@
+//! State that every process computes from the same log stream.
+//!
+//! A [`Fold`] is a pure function of a prefix of the stream, so any two processes at the same offset hold the same state.
+//! That makes a [`Snapshot`] exchangeable: one that a peer sends, or one that a checkpoint record carries, is exactly the
+//! state that reading every earlier record would have given. A [`Follower`] only ever moves to a higher offset; a stale
+//! snapshot, whoever wrote it and whenever it arrives, is therefore without effect.
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use lentilhitch_types::LogOffset;
+
+/// A state that is computed from the records of a log stream, in order.
+pub trait Fold: Clone + Default + Serialize + DeserializeOwned {
+    /// What the stream carries.
+    type Record: Clone + Serialize + DeserializeOwned;
+
+    /// Takes one record into the state. Must depend on nothing but the state and the arguments.
+    fn apply(&mut self, at: RecordMeta, record: &Self::Record);
+}
+
+/// What the log service says of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordMeta {
+    pub offset: LogOffset,
+    /// The log service's own time of the append, which never decreases along a stream.
+    pub appended_ms: u64,
+}
+
+/// A state after every record before `next`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot<F> {
+    pub next: LogOffset,
+    pub state: F,
+}
+
+/// The payload of one record of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Payload<R, F> {
+    Record(R),
+    Checkpoint(Snapshot<F>),
+}
+
+/// Part of a stream as the log service returned it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The oldest offset that the service still keeps.
+    pub oldest: LogOffset,
+    /// The offset that the next append will get.
+    pub end: LogOffset,
+    pub records: Vec<RawRecord>,
+}
+
+/// One record of a page, not yet understood.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawRecord {
+    pub offset: LogOffset,
+    pub appended_ms: u64,
+    pub payload: String,
+}
+
+/// What one page did to a follower.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadReport {
+    pub n_applied: usize,
+    /// Offsets of records that could not be understood; they are passed over.
+    pub unreadable: Vec<LogOffset>,
+}
+
+/// How complete a follower's state is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// No page was read and no snapshot adopted yet.
+    Unread,
+    /// Every record before the end of the last page is applied.
+    Current,
+    /// More records are known to exist.
+    Reading,
+    /// Records that are needed have expired, and neither a checkpoint nor a peer has filled the gap yet.
+    Gap,
+    /// The log ends before what this follower has already applied.
+    LogTruncated,
+}
+
+/// A reader of one stream and the state that it has computed.
+#[derive(Clone, Debug)]
+pub struct Follower<F> {
+    state: F,
+    next: LogOffset,
+    /// While there is a gap: where the search for a checkpoint goes on.
+    search_next: LogOffset,
+    standing: Standing,
+    checkpoint_next: LogOffset,
+    checkpoint_appended_ms: u64,
+    seen_appended_ms: u64,
+}
+
+impl<F: Fold> Default for Follower<F> {
+    fn default() -> Self {
+        Self {
+            state: F::default(),
+            next: LogOffset::default(),
+            search_next: LogOffset::default(),
+            standing: Standing::Unread,
+            checkpoint_next: LogOffset::default(),
+            checkpoint_appended_ms: 0,
+            seen_appended_ms: 0,
+        }
+    }
+}
+
+impl<F: Fold> Follower<F> {
+    /// The state after every record before [`Follower::next`].
+    pub fn state(&self) -> &F {
+        &self.state
+    }
+
+    /// The first offset that is not applied.
+    pub fn next(&self) -> LogOffset {
+        self.next
+    }
+
+    /// How complete the state is.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// The offset from which the next page should be asked for.
+    pub fn read_from(&self) -> LogOffset {
+        if self.standing == Standing::Gap { self.search_next } else { self.next }
+    }
+
+    /// Takes a page that was asked for at [`Follower::read_from`].
+    pub fn read(&mut self, page: &Page) -> ReadReport {
+        let mut report = ReadReport::default();
+        if page.end < self.next {
+            self.standing = Standing::LogTruncated;
+            return report;
+        }
+        if self.next < page.oldest {
+            self.search_checkpoint(page, &mut report);
+            return report;
+        }
+        self.standing = Standing::Reading;
+        for record in &page.records {
+            if self.next == record.offset {
+                self.apply(record, &mut report);
+            }
+        }
+        if self.next == page.end {
+            self.standing = Standing::Current;
+        }
+        report
+    }
+
+    /// Takes a snapshot of a peer if it is further along; says whether it was taken.
+    pub fn adopt(&mut self, snapshot: Snapshot<F>) -> bool {
+        if snapshot.next <= self.next {
+            return false;
+        }
+        self.next = snapshot.next;
+        self.state = snapshot.state;
+        self.standing = Standing::Reading;
+        true
+    }
+
+    /// What a peer may adopt.
+    pub fn snapshot(&self) -> Snapshot<F> {
+        Snapshot { next: self.next, state: self.state.clone() }
+    }
+
+    /// Whether a checkpoint should be written: enough records or enough log time since the last one that was read.
+    pub fn is_checkpoint_due(&self, records: u64, age_ms: u64) -> bool {
+        let n_since = self.next.0 - self.checkpoint_next.0;
+        let age = self.seen_appended_ms.saturating_sub(self.checkpoint_appended_ms);
+        self.standing == Standing::Current && n_since > 1 && (n_since >= records || age >= age_ms)
+    }
+
+    fn apply(&mut self, raw: &RawRecord, report: &mut ReadReport) {
+        self.seen_appended_ms = raw.appended_ms;
+        match serde_json::from_str::<Payload<F::Record, F>>(&raw.payload) {
+            Ok(Payload::Record(record)) => {
+                self.state.apply(
+                    RecordMeta { offset: raw.offset, appended_ms: raw.appended_ms },
+                    &record,
+                );
+                report.n_applied += 1;
+            }
+            Ok(Payload::Checkpoint(snapshot)) => {
+                self.checkpoint_next = self.checkpoint_next.max(snapshot.next);
+                self.checkpoint_appended_ms = raw.appended_ms;
+            }
+            Err(_) => report.unreadable.push(raw.offset),
+        }
+        self.next = raw.offset.next();
+    }
+
+    /// Looks for a checkpoint that is further along; one that lies before the oldest record narrows the gap.
+    fn search_checkpoint(&mut self, page: &Page, report: &mut ReadReport) {
+        self.standing = Standing::Gap;
+        self.search_next = self.search_next.max(page.oldest);
+        for raw in &page.records {
+            if raw.offset < self.search_next {
+                continue;
+            }
+            self.search_next = raw.offset.next();
+            let Ok(Payload::Checkpoint(snapshot)) =
+                serde_json::from_str::<Payload<F::Record, F>>(&raw.payload)
+            else {
+                continue;
+            };
+            if snapshot.next <= raw.offset && self.adopt(snapshot) {
+                report.n_applied += 1;
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/lease.rs
@@ -0,0 +1,238 @@
+//! Leases through the log.
+//!
+//! The offset of the record that grants a lease is its fencing number. Grants are decided from the log service's times
+//! alone, so every reader decides alike. The holder counts the validity from before its append was sent, on its own
+//! clock; the record was written later, and a successor is granted the lease only when the log's time has passed the
+//! validity and a margin. So the holder's view ends first as long as clocks run at the same rate within the margin.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use lentilhitch_chart::charts::lease::{Action, CHART, Event, State};
+use lentilhitch_types::{AttemptId, InstanceName, LogOffset};
+
+use crate::fold::{Fold, RecordMeta};
+
+/// What a lease covers, for example `capacity/catania-1`.
+pub type LeaseName = String;
+
+/// One record of the lease stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeaseRecord {
+    Request {
+        lease: LeaseName,
+        holder: InstanceName,
+        attempt: AttemptId,
+        term: AttemptId,
+        ttl_ms: u64,
+        margin_ms: u64,
+    },
+    Release {
+        lease: LeaseName,
+        term: AttemptId,
+    },
+}
+
+/// A lease that was granted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    pub holder: InstanceName,
+    /// Drawn anew by each candidate process for each term, so that a restarted process is not taken for its former self.
+    pub term: AttemptId,
+    /// The offset of the first grant of this term.
+    pub fencing: LogOffset,
+    /// The append that granted or renewed last.
+    pub attempt: AttemptId,
+    /// In the log service's time; a successor is granted the lease from here on.
+    pub free_from_ms: u64,
+    pub is_released: bool,
+}
+
+/// Every lease that was ever granted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leases(BTreeMap<LeaseName, Grant>);
+
+impl Fold for Leases {
+    type Record = LeaseRecord;
+
+    fn apply(&mut self, at: RecordMeta, record: &LeaseRecord) {
+        match record {
+            LeaseRecord::Request { lease, holder, attempt, term, ttl_ms, margin_ms } => {
+                let free_from_ms =
+                    at.appended_ms.saturating_add(*ttl_ms).saturating_add(*margin_ms);
+                let current = self.0.get(lease);
+                let renewed = current.filter(|it| it.term == *term && !it.is_released);
+                let is_free =
+                    current.is_none_or(|it| it.is_released || it.free_from_ms <= at.appended_ms);
+                let fencing = match renewed {
+                    Some(grant) if at.appended_ms < grant.free_from_ms => grant.fencing,
+                    _ if is_free => at.offset,
+                    _ => return,
+                };
+                let (holder, term, attempt) = (holder.clone(), *term, *attempt);
+                let grant =
+                    Grant { holder, term, fencing, attempt, free_from_ms, is_released: false };
+                self.0.insert(lease.clone(), grant);
+            }
+            LeaseRecord::Release { lease, term } => {
+                if let Some(grant) = self.0.get_mut(lease).filter(|it| it.term == *term) {
+                    grant.is_released = true;
+                }
+            }
+        }
+    }
+}
+
+impl Leases {
+    /// The last grant of a lease, whether or not it still runs.
+    pub fn grant(&self, lease: &str) -> Option<&Grant> {
+        self.0.get(lease)
+    }
+}
+
+/// Durations of a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    pub ttl_ms: u64,
+    /// Covers clocks that run at different rates and the longest order in flight.
+    pub margin_ms: u64,
+    pub renew_after_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { ttl_ms: 6_000, margin_ms: 2_000, renew_after_ms: 2_000 }
+    }
+}
+
+/// A process that holds a lease or wants to.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    pub lease: LeaseName,
+    holder: InstanceName,
+    term: AttemptId,
+    settings: Settings,
+    state: State,
+    /// The append whose result is awaited, and the local time just before it was sent.
+    pending: Option<(AttemptId, u64)>,
+    valid_until_ms: u64,
+    fencing: Option<LogOffset>,
+}
+
+/// Permission to send one order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderPermit {
+    pub fencing: LogOffset,
+    /// How long the upstream may still begin the order, from when it was sent.
+    pub not_after_ms: u64,
+}
+
+impl Candidate {
+    /// A candidate that has asked for nothing yet. `term` must be a fresh random id.
+    pub fn new(
+        lease: LeaseName,
+        holder: InstanceName,
+        term: AttemptId,
+        settings: Settings,
+    ) -> Self {
+        let state = CHART.initial();
+        Self {
+            lease,
+            holder,
+            term,
+            settings,
+            state,
+            pending: None,
+            valid_until_ms: 0,
+            fencing: None,
+        }
+    }
+
+    /// Where the candidate stands.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Decides what follows from the time and from the leases as they were last read. `log_now_ms` is the reader's
+    /// estimate of the log service's time, `now_ms` its own monotonic clock.
+    pub fn tick(&mut self, now_ms: u64, log_now_ms: u64, leases: &Leases) -> Vec<Action> {
+        let grant = leases.grant(&self.lease);
+        let is_mine = grant.is_some_and(|it| it.term == self.term && !it.is_released);
+        self.take_grant(grant.filter(|_| is_mine));
+        let gives_orders = matches!(self.state, State::Held | State::Renewing);
+        let event = if gives_orders && self.valid_until_ms <= now_ms {
+            Event::Expired
+        } else if gives_orders && !is_mine {
+            Event::Denied
+        } else {
+            match self.state {
+                State::Idle
+                    if grant.is_none_or(|it| it.is_released || it.free_from_ms <= log_now_ms) =>
+                {
+                    Event::Free
+                }
+                State::Requesting | State::Renewing if is_mine && self.pending.is_none() => {
+                    Event::Granted
+                }
+                State::Requesting
+                    if grant.is_some_and(|it| !is_mine && log_now_ms < it.free_from_ms) =>
+                {
+                    Event::Denied
+                }
+                State::Requesting if self.is_pending_overdue(now_ms) => Event::Expired,
+                State::Held if self.is_renewal_due(now_ms) => Event::RenewalDue,
+                _ => return Vec::new(),
+            }
+        };
+        self.step(event)
+    }
+
+    /// The append failed for certain, or the process stops.
+    pub fn step(&mut self, event: Event) -> Vec<Action> {
+        let step = CHART.step(self.state, event);
+        self.state = step.to;
+        if matches!(event, Event::AppendFailed | Event::Denied | Event::Expired) {
+            self.pending = None;
+        }
+        step.actions
+    }
+
+    /// The record to append for [`Action::AppendRequest`]; `now_ms` must be read before the append is sent.
+    pub fn request(&mut self, attempt: AttemptId, now_ms: u64) -> LeaseRecord {
+        self.pending = Some((attempt, now_ms));
+        let Settings { ttl_ms, margin_ms, .. } = self.settings;
+        let (lease, holder) = (self.lease.clone(), self.holder.clone());
+        LeaseRecord::Request { lease, holder, attempt, term: self.term, ttl_ms, margin_ms }
+    }
+
+    /// The record to append for [`Action::AppendRelease`].
+    pub fn release(&self) -> LeaseRecord {
+        LeaseRecord::Release { lease: self.lease.clone(), term: self.term }
+    }
+
+    /// Permission for an order that is sent now, if the lease is valid now.
+    pub fn permit(&self, now_ms: u64) -> Option<OrderPermit> {
+        let is_held = matches!(self.state, State::Held | State::Renewing);
+        let fencing = self.fencing.filter(|_| is_held && now_ms < self.valid_until_ms)?;
+        Some(OrderPermit { fencing, not_after_ms: self.valid_until_ms - now_ms })
+    }
+
+    fn take_grant(&mut self, mine: Option<&Grant>) {
+        let Some(grant) = mine else { return };
+        if let Some((_, sent_ms)) = self.pending.filter(|it| it.0 == grant.attempt) {
+            self.valid_until_ms = sent_ms + self.settings.ttl_ms;
+            self.fencing = Some(grant.fencing);
+            self.pending = None;
+        }
+    }
+
+    fn is_renewal_due(&self, now_ms: u64) -> bool {
+        self.valid_until_ms - self.settings.ttl_ms + self.settings.renew_after_ms <= now_ms
+    }
+
+    fn is_pending_overdue(&self, now_ms: u64) -> bool {
+        self.pending.is_some_and(|(_, sent_ms)| sent_ms + self.settings.ttl_ms <= now_ms)
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -0,0 +1,16 @@
+//! The decisions of the system, as state machines without I/O.
+//!
+//! Nothing here knows of sockets, clocks, tasks or global state. Each decision takes typed events and the time in
+//! milliseconds as arguments and returns typed actions, so that it can be compared with a naive version, replayed and
+//! measured without a network.
+
+pub mod fold;
+pub mod lease;
+pub mod limits;
+pub mod membership;
+pub mod notice;
+pub mod once;
+pub mod quarantine;
+pub mod retry;
+pub mod routing;
+pub mod streams;
--- /dev/null
+++ b/crates/lentilhitch_policy/src/once.rs
@@ -0,0 +1,187 @@
+//! Calls that must not be repeated.
+//!
+//! The first claim for a key in log order wins. Only the writer of that claim may send the call, and only after it has
+//! read its own claim back. A claim without an outcome stays open: whoever asks again is told that the outcome is
+//! unknown, and nothing is sent. The fold below gives every process the same answer to "who won"; [`Call`] walks one call
+//! through the chart `call.json`.
+
+use std::collections::VecDeque;
+
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+use lentilhitch_chart::charts::call::{Action, CHART, Event, State};
+use lentilhitch_types::{AttemptId, Fingerprint};
+
+use crate::fold::{Fold, RecordMeta};
+
+/// How long a key is remembered after its claim, in the log service's time.
+pub const KEY_WINDOW_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// Identifies a call: the hash of team, service and idempotency key.
+pub type ClaimKey = Fingerprint;
+
+/// One entry of a claim batch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimRecord {
+    Claim { key: ClaimKey, body: Fingerprint, attempt: AttemptId },
+    Outcome { key: ClaimKey, attempt: AttemptId, answer: KeptAnswer },
+    Released { key: ClaimKey, attempt: AttemptId },
+}
+
+/// The answer of a call as it is kept for repeats.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    pub status: u16,
+    pub content_type: Option<String>,
+    /// The body, unless it was too large or not text.
+    pub body: Option<String>,
+}
+
+/// What is known of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lookup {
+    Free,
+    /// Claimed by this attempt, outcome not known.
+    Open(AttemptId),
+    Answered(KeptAnswer),
+    /// Claimed for a request with another body.
+    Mismatch,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Claim {
+    attempt: AttemptId,
+    body: Fingerprint,
+    answer: Option<KeptAnswer>,
+}
+
+/// Every claim of the window.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claims {
+    claims: FxHashMap<ClaimKey, Claim>,
+    /// Claims in the order of the log, for expiry.
+    order: VecDeque<(u64, ClaimKey, AttemptId)>,
+}
+
+impl Fold for Claims {
+    type Record = Vec<ClaimRecord>;
+
+    fn apply(&mut self, at: RecordMeta, batch: &Vec<ClaimRecord>) {
+        self.expire(at.appended_ms);
+        for record in batch {
+            self.apply_one(at.appended_ms, record);
+        }
+    }
+}
+
+impl Claims {
+    /// What is known of a key for a request with this body.
+    pub fn lookup(&self, key: ClaimKey, body: Fingerprint) -> Lookup {
+        match self.claims.get(&key) {
+            None => Lookup::Free,
+            Some(claim) if claim.body != body => Lookup::Mismatch,
+            Some(Claim { answer: Some(answer), .. }) => Lookup::Answered(answer.clone()),
+            Some(claim) => Lookup::Open(claim.attempt),
+        }
+    }
+
+    /// Which attempt holds the key.
+    pub fn winner(&self, key: ClaimKey) -> Option<AttemptId> {
+        self.claims.get(&key).map(|it| it.attempt)
+    }
+
+    /// The number of keys remembered.
+    pub fn n_keys(&self) -> usize {
+        self.claims.len()
+    }
+
+    fn apply_one(&mut self, appended_ms: u64, record: &ClaimRecord) {
+        match record {
+            ClaimRecord::Claim { key, body, attempt } => {
+                if !self.claims.contains_key(key) {
+                    self.claims
+                        .insert(*key, Claim { attempt: *attempt, body: *body, answer: None });
+                    self.order.push_back((appended_ms, *key, *attempt));
+                }
+            }
+            ClaimRecord::Outcome { key, attempt, answer } => {
+                if let Some(claim) = self.claims.get_mut(key).filter(|it| it.attempt == *attempt) {
+                    claim.answer.get_or_insert_with(|| answer.clone());
+                }
+            }
+            ClaimRecord::Released { key, attempt } => {
+                if self
+                    .claims
+                    .get(key)
+                    .is_some_and(|it| it.attempt == *attempt && it.answer.is_none())
+                {
+                    self.claims.remove(key);
+                }
+            }
+        }
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        while let Some((claimed_ms, key, attempt)) = self.order.front().copied() {
+            if now_ms < claimed_ms + KEY_WINDOW_MS {
+                break;
+            }
+            self.order.pop_front();
+            if self.winner(key) == Some(attempt) {
+                self.claims.remove(&key);
+            }
+        }
+    }
+}
+
+/// One call at one entry process.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub key: ClaimKey,
+    pub body: Fingerprint,
+    pub attempt: AttemptId,
+    state: State,
+}
+
+impl Call {
+    /// A call for which nothing has been done.
+    pub fn new(key: ClaimKey, body: Fingerprint, attempt: AttemptId) -> Self {
+        Self { key, body, attempt, state: CHART.initial() }
+    }
+
+    /// Where the call stands.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Whether the caller can be answered.
+    pub fn is_final(&self) -> bool {
+        CHART.is_final(self.state)
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn step(&mut self, event: Event) -> Vec<Action> {
+        let step = CHART.step(self.state, event);
+        self.state = step.to;
+        step.actions
+    }
+
+    /// Looks the key up in the claims and takes the event that follows from it, if one does.
+    pub fn consult(&mut self, claims: &Claims) -> Vec<Action> {
+        let event = match (self.state, claims.lookup(self.key, self.body)) {
+            (State::New, Lookup::Free) => Event::KeyFree,
+            (State::New, Lookup::Open(_)) => Event::KeyOpen,
+            (State::New, Lookup::Answered(_)) => Event::KeyAnswered,
+            (State::New, Lookup::Mismatch) => Event::KeyMismatch,
+            (State::Claiming | State::Settling, _) => match claims.winner(self.key) {
+                Some(winner) if winner == self.attempt => Event::OwnClaimFirst,
+                Some(_) => Event::OtherClaimFirst,
+                None => return Vec::new(),
+            },
+            _ => return Vec::new(),
+        };
+        self.step(event)
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/routing/prefix.rs
@@ -0,0 +1,75 @@
+//! Which prompt prefixes an upstream probably has cached.
+//!
+//! Prompts are cut into blocks of text and each block is hashed together with all before it, so one hash stands for a
+//! whole prefix. What was routed to an upstream is assumed to be cached there, oldest forgotten first; cache events of the
+//! upstream correct that when they arrive, and may arrive late or not at all without doing harm.
+
+use indexmap::IndexSet;
+use rustc_hash::{FxBuildHasher, FxHashMap};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use lentilhitch_types::UpstreamName;
+
+/// The hash of a block of prompt text and of every block before it.
+pub type BlockHash = u64;
+
+const BLOCK_BYTES: usize = 256;
+
+/// The hashes of the whole blocks of a prompt.
+pub fn block_hashes(prompt: &[u8]) -> Vec<BlockHash> {
+    let mut hash = 0;
+    let blocks = prompt.chunks_exact(BLOCK_BYTES);
+    blocks
+        .map(|it| {
+            hash = xxh3_64_with_seed(it, hash);
+            hash
+        })
+        .collect()
+}
+
+/// Bounded knowledge of the caches of all upstreams.
+#[derive(Clone, Debug)]
+pub struct PrefixIndex {
+    blocks_max: usize,
+    by_upstream: FxHashMap<UpstreamName, IndexSet<BlockHash, FxBuildHasher>>,
+}
+
+impl PrefixIndex {
+    /// An empty index that remembers at most `blocks_max` blocks of each upstream.
+    pub fn new(blocks_max: usize) -> Self {
+        Self { blocks_max, by_upstream: FxHashMap::default() }
+    }
+
+    /// The share of a prompt's blocks, counted from its start, that the upstream probably has; from 0 to 1.
+    pub fn cached_share(&self, upstream: &UpstreamName, blocks: &[BlockHash]) -> f64 {
+        let Some(known) = self.by_upstream.get(upstream) else { return 0.0 };
+        if blocks.is_empty() {
+            return 0.0;
+        }
+        let n_cached = blocks.iter().take_while(|it| known.contains(*it)).count();
+        n_cached as f64 / blocks.len() as f64
+    }
+
+    /// A prompt was routed to the upstream, or the upstream said that it stored these blocks.
+    pub fn insert(&mut self, upstream: &UpstreamName, blocks: &[BlockHash]) {
+        let known = self.by_upstream.entry(upstream.clone()).or_default();
+        for block in blocks {
+            known.shift_remove(block);
+            known.insert(*block);
+        }
+        let n_over = known.len().saturating_sub(self.blocks_max);
+        known.drain(..n_over);
+    }
+
+    /// The upstream said that it dropped these blocks.
+    pub fn remove(&mut self, upstream: &UpstreamName, blocks: &[BlockHash]) {
+        if let Some(known) = self.by_upstream.get_mut(upstream) {
+            known.retain(|it| !blocks.contains(it));
+        }
+    }
+
+    /// The upstream was replaced or restarted.
+    pub fn forget(&mut self, upstream: &UpstreamName) {
+        self.by_upstream.remove(upstream);
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/routing/random.rs
@@ -0,0 +1,15 @@
+//! Baseline: any upstream.
+
+use rand::{Rng, RngExt};
+
+use crate::routing::{Job, Strategy, View};
+
+/// Chooses uniformly at random.
+#[derive(Debug)]
+pub struct Random<R>(pub R);
+
+impl<R: Rng> Strategy for Random<R> {
+    fn choose(&mut self, _: &Job, views: &[View]) -> Option<usize> {
+        (!views.is_empty()).then(|| self.0.random_range(0..views.len()))
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/routing/round_robin.rs
@@ -0,0 +1,16 @@
+//! Baseline: each upstream in turn.
+
+use crate::routing::{Job, Strategy, View};
+
+/// Chooses the next upstream of the list.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    n_chosen: usize,
+}
+
+impl Strategy for RoundRobin {
+    fn choose(&mut self, _: &Job, views: &[View]) -> Option<usize> {
+        self.n_chosen = self.n_chosen.wrapping_add(1);
+        (!views.is_empty()).then(|| self.n_chosen % views.len())
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/fold.rs
@@ -0,0 +1,151 @@
+//! A follower agrees with a naive fold of the whole log, whatever expires, and never goes back.
+
+use lentilhitch_policy::fold::{
+    Fold, Follower, Page, Payload, RawRecord, RecordMeta, Snapshot, Standing,
+};
+use lentilhitch_types::LogOffset;
+use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest};
+use serde::{Deserialize, Serialize};
+
+/// Depends on the order of all records and on their offsets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Digest(u64);
+
+impl Fold for Digest {
+    type Record = u64;
+
+    fn apply(&mut self, at: RecordMeta, record: &u64) {
+        self.0 = self
+            .0
+            .wrapping_mul(31)
+            .wrapping_add(at.offset.0)
+            .wrapping_mul(31)
+            .wrapping_add(*record);
+    }
+}
+
+/// A log that expires its oldest records.
+#[derive(Default)]
+struct Log {
+    records: Vec<RawRecord>,
+    oldest: u64,
+}
+
+impl Log {
+    fn append(&mut self, payload: String) {
+        let offset = LogOffset(self.records.len() as u64);
+        self.records.push(RawRecord { offset, appended_ms: offset.0 * 10, payload });
+    }
+
+    fn read(&self, from: LogOffset, max: usize) -> Page {
+        let from = from.0.max(self.oldest) as usize;
+        let kept = self.records.iter().skip(from).take(max).cloned().collect();
+        Page {
+            oldest: LogOffset(self.oldest),
+            end: LogOffset(self.records.len() as u64),
+            records: kept,
+        }
+    }
+
+    /// The naive version: every record from the first, whether or not it has expired.
+    fn state_at(&self, next: LogOffset) -> Digest {
+        let mut state = Digest::default();
+        for raw in &self.records[..next.0 as usize] {
+            if let Ok(Payload::<u64, Digest>::Record(record)) = serde_json::from_str(&raw.payload) {
+                state.apply(
+                    RecordMeta { offset: raw.offset, appended_ms: raw.appended_ms },
+                    &record,
+                );
+            }
+        }
+        state
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    Append(u64),
+    AppendGarbage,
+    /// A checkpoint as some process would have written it this many records ago.
+    Checkpoint(u64),
+    Expire(u64),
+    Read(usize),
+    /// A peer offers its snapshot of this many records ago.
+    Offer(u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        4 => any::<u64>().prop_map(Act::Append),
+        1 => Just(Act::AppendGarbage),
+        2 => (0..12_u64).prop_map(Act::Checkpoint),
+        2 => (0..8_u64).prop_map(Act::Expire),
+        3 => (1..6_usize).prop_map(Act::Read),
+        1 => (0..12_u64).prop_map(Act::Offer),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn follower_agrees_with_naive_fold(acts in proptest::collection::vec(act(), 1..120)) {
+        let mut log = Log::default();
+        let mut follower = Follower::<Digest>::default();
+        for act in acts {
+            let before = follower.next();
+            let end = log.records.len() as u64;
+            let past = |age: u64| Snapshot { next: LogOffset(end.saturating_sub(age)), state: log.state_at(LogOffset(end.saturating_sub(age))) };
+            match act {
+                Act::Append(value) => log.append(serde_json::to_string(&Payload::<u64, Digest>::Record(value)).unwrap()),
+                Act::AppendGarbage => log.append("{\"flood\": 1}".to_owned()),
+                Act::Checkpoint(age) => {
+                    let snapshot = past(age);
+                    log.append(serde_json::to_string(&Payload::<u64, Digest>::Checkpoint(snapshot)).unwrap());
+                }
+                Act::Expire(n) => log.oldest = (log.oldest + n).min(end),
+                Act::Read(max) => {
+                    let page = log.read(follower.read_from(), max);
+                    follower.read(&page);
+                }
+                Act::Offer(age) => {
+                    follower.adopt(past(age));
+                }
+            }
+            prop_assert!(before <= follower.next(), "went back from {before} to {}", follower.next());
+            prop_assert_eq!(follower.state(), &log.state_at(follower.next()));
+        }
+    }
+
+    #[test]
+    fn any_checkpoint_after_the_oldest_record_closes_the_gap(n in 1..40_u64, expired in 1..40_u64, age in 0..6_u64) {
+        let mut log = Log::default();
+        for value in 0..n {
+            log.append(serde_json::to_string(&Payload::<u64, Digest>::Record(value)).unwrap());
+        }
+        log.oldest = expired.min(n);
+        let next = LogOffset(n.saturating_sub(age).max(log.oldest));
+        let snapshot = Snapshot { next, state: log.state_at(next) };
+        log.append(serde_json::to_string(&Payload::<u64, Digest>::Checkpoint(snapshot)).unwrap());
+        let mut follower = Follower::<Digest>::default();
+        for _ in 0..2 * n + 4 {
+            let page = log.read(follower.read_from(), 3);
+            follower.read(&page);
+        }
+        prop_assert_eq!(follower.standing(), Standing::Current);
+        prop_assert_eq!(follower.state(), &log.state_at(LogOffset(n + 1)));
+    }
+}
+
+#[test]
+fn a_log_that_lost_its_end_changes_nothing() {
+    let mut log = Log::default();
+    for value in 0..5 {
+        log.append(serde_json::to_string(&Payload::<u64, Digest>::Record(value)).unwrap());
+    }
+    let mut follower = Follower::<Digest>::default();
+    follower.read(&log.read(follower.read_from(), 10));
+    let state = follower.state().clone();
+    log.records.truncate(2);
+    follower.read(&log.read(follower.read_from(), 10));
+    assert_eq!(follower.standing(), Standing::LogTruncated);
+    assert_eq!(follower.state(), &state);
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/lease.rs
@@ -0,0 +1,131 @@
+//! Two candidates never hold permits at the same time, whatever is frozen, lost or late.
+
+use lentilhitch_chart::charts::lease::{Action, Event, State};
+use lentilhitch_policy::{
+    fold::{Fold, RecordMeta},
+    lease::{Candidate, LeaseRecord, Leases, Settings},
+};
+use lentilhitch_types::{AttemptId, LogOffset};
+use proptest::prelude::{Strategy, prop_assert, prop_oneof, proptest};
+
+const N: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Act {
+    Pass(u64),
+    Tick(usize),
+    Land(usize),
+    Lose(usize),
+    Read(usize),
+    Stop(usize),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        3 => (1..1500_u64).prop_map(Act::Pass),
+        4 => (0..N).prop_map(Act::Tick),
+        4 => (0..N).prop_map(Act::Land),
+        1 => (0..N).prop_map(Act::Lose),
+        4 => (0..N).prop_map(Act::Read),
+        1 => (0..N).prop_map(Act::Stop),
+    ]
+}
+
+struct Process {
+    candidate: Candidate,
+    leases: Leases,
+    n_read: usize,
+    in_flight: Vec<LeaseRecord>,
+    /// The difference between this process's clock and the log's.
+    offset_ms: u64,
+}
+
+fn process(idx: usize) -> Process {
+    let holder = format!("entry-{idx}").parse().unwrap();
+    let candidate = Candidate::new(
+        "capacity".to_owned(),
+        holder,
+        AttemptId::from_random(idx as u128),
+        Settings::default(),
+    );
+    Process {
+        candidate,
+        leases: Leases::default(),
+        n_read: 0,
+        in_flight: Vec::new(),
+        offset_ms: idx as u64 * 100_000,
+    }
+}
+
+proptest! {
+    #[test]
+    fn one_holder_at_a_time(acts in proptest::collection::vec(act(), 1..300)) {
+        let mut now_ms = 1_000_000;
+        let mut log: Vec<(u64, LeaseRecord)> = Vec::new();
+        let mut processes: Vec<_> = (0..N).map(process).collect();
+        let mut n_attempts = 100;
+        let mut fencing_max = None;
+        for act in acts {
+            match act {
+                Act::Pass(ms) => now_ms += ms,
+                Act::Tick(idx) => {
+                    let it = &mut processes[idx];
+                    let local_ms = now_ms + it.offset_ms;
+                    for action in it.candidate.tick(local_ms, now_ms, &it.leases) {
+                        if action == Action::AppendRequest {
+                            n_attempts += 1;
+                            let record = it.candidate.request(AttemptId::from_random(n_attempts), local_ms);
+                            it.in_flight.push(record);
+                        }
+                    }
+                }
+                Act::Land(idx) => log.extend(processes[idx].in_flight.drain(..).map(|it| (now_ms, it))),
+                Act::Lose(idx) => processes[idx].in_flight.clear(),
+                Act::Read(idx) => {
+                    let it = &mut processes[idx];
+                    for (offset, (appended_ms, record)) in log.iter().enumerate().skip(it.n_read) {
+                        it.leases.apply(RecordMeta { offset: LogOffset(offset as u64), appended_ms: *appended_ms }, record);
+                    }
+                    it.n_read = log.len();
+                }
+                Act::Stop(idx) => {
+                    let it = &mut processes[idx];
+                    if matches!(it.candidate.state(), State::Held | State::Renewing) {
+                        it.candidate.step(Event::Terminate);
+                        let record = it.candidate.release();
+                        it.in_flight.push(record);
+                    }
+                }
+            }
+            let permits: Vec<_> = processes.iter().filter_map(|it| it.candidate.permit(now_ms + it.offset_ms)).collect();
+            prop_assert!(permits.len() <= 1, "{} holders at {now_ms}", permits.len());
+            if let Some(permit) = permits.first() {
+                prop_assert!(fencing_max <= Some(permit.fencing), "fencing number went back");
+                fencing_max = Some(permit.fencing);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_uncontended_candidate_gets_and_keeps_the_lease() {
+    let mut it = process(0);
+    let mut n_records = 0;
+    let mut held_ms = 0;
+    for now_ms in (0..30_000).step_by(100) {
+        for action in it.candidate.tick(now_ms, now_ms, &it.leases) {
+            if action == Action::AppendRequest {
+                let record =
+                    it.candidate.request(AttemptId::from_random(u128::from(now_ms)), now_ms);
+                it.leases.apply(
+                    RecordMeta { offset: LogOffset(n_records), appended_ms: now_ms },
+                    &record,
+                );
+                n_records += 1;
+            }
+        }
+        held_ms += u64::from(it.candidate.permit(now_ms).is_some()) * 100;
+    }
+    assert!(29_000 <= held_ms, "held for {held_ms} ms of 30000");
+    assert!(n_records <= 16, "{n_records} appends in 30 s");
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/limits.rs
@@ -0,0 +1,37 @@
+//! Shares never add up to more than the rate, and buckets admit what a naive count allows.
+
+use lentilhitch_policy::limits::{Bucket, TeamLimit, demand_share, fixed_share};
+use proptest::prelude::{prop_assert, proptest};
+
+proptest! {
+    #[test]
+    fn shares_add_up_to_the_rate(demands in proptest::collection::vec(0.0..500.0_f64, 1..12), rate in 0.1..1000.0_f64) {
+        let shares: Vec<_> = (0..demands.len()).map(|it| demand_share(rate, &demands, it)).collect();
+        let total: f64 = shares.iter().sum();
+        prop_assert!((total - rate).abs() < 1e-6 * rate, "{total} of {rate}");
+        let floor = fixed_share(rate, demands.len()) / 2.0;
+        prop_assert!(shares.iter().all(|it| floor * 0.999 <= *it));
+    }
+
+    #[test]
+    fn a_bucket_admits_at_most_rate_and_burst(rate in 0.5..50.0_f64, burst in 1.0..20.0_f64, gaps_ms in proptest::collection::vec(0..400_u64, 1..200)) {
+        let limit = TeamLimit { rate_per_s: rate, burst };
+        let mut bucket = Bucket::new(limit, 0);
+        let mut admitted_ms = Vec::new();
+        let mut now_ms = 0;
+        for gap_ms in gaps_ms {
+            now_ms += gap_ms;
+            match bucket.take(now_ms) {
+                Ok(()) => admitted_ms.push(now_ms),
+                Err(wait_ms) => prop_assert!(bucket.clone().take(now_ms + wait_ms).is_ok(), "told to wait {wait_ms} ms"),
+            }
+        }
+        // Naively: in each interval between two admissions.
+        for (idx, from_ms) in admitted_ms.iter().enumerate() {
+            for (n, to_ms) in admitted_ms[idx..].iter().enumerate() {
+                let allowed = burst + rate * (to_ms - from_ms) as f64 / 1000.0;
+                prop_assert!((n + 1) as f64 <= allowed + 1e-6);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/streams.rs
@@ -0,0 +1,85 @@
+//! The journal puts any arrival order right and drops what is not its own.
+
+use bytes::Bytes;
+use lentilhitch_chart::charts::stream::{Event, State};
+use lentilhitch_policy::streams::{Journal, Received, Record};
+use lentilhitch_types::{AttemptId, Fingerprint, RequestId};
+use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, proptest};
+
+fn journal() -> Journal {
+    Journal::new(Record {
+        request_id: RequestId::from_random(1),
+        team: "ausonia".parse().unwrap(),
+        service: "review".parse().unwrap(),
+        fingerprint: Fingerprint(1),
+        body: Bytes::new(),
+        path: String::new(),
+        tokens: Vec::new(),
+        finish_reason: None,
+    })
+}
+
+fn attempt(idx: u128) -> AttemptId {
+    AttemptId::from_random(idx)
+}
+
+fn text(position: usize) -> String {
+    format!("t{position}")
+}
+
+fn deliveries() -> impl Strategy<Value = Vec<(usize, u128)>> {
+    let own = (0..30_usize).map(|it| (it, 2)).collect::<Vec<_>>();
+    let noise = proptest::collection::vec((0..40_usize, 1..4_u128), 0..30);
+    noise.prop_flat_map(move |noise| Just([own.clone(), noise].concat()).prop_shuffle())
+}
+
+proptest! {
+    #[test]
+    fn answer_is_whole_and_in_order(deliveries in deliveries()) {
+        let mut journal = journal();
+        journal.place(attempt(1));
+        journal.step(Event::Started);
+        journal.step(Event::UpstreamLost);
+        journal.place(attempt(2));
+        journal.step(Event::Started);
+        for (position, from) in deliveries {
+            let known = journal.position();
+            // A wrong attempt sends other text, which must never show.
+            let body = if from == 2 { text(position) } else { "stale".to_owned() };
+            if from == 2 && 30 <= position {
+                continue;
+            }
+            match journal.token(attempt(from), position, body) {
+                Received::Stale => prop_assert!(from != 2),
+                Received::Appended(n) => prop_assert_eq!(journal.position(), known + n),
+                Received::Early | Received::Repeated => prop_assert_eq!(journal.position(), known),
+            }
+        }
+        let naive: Vec<_> = (0..30).map(text).collect();
+        prop_assert_eq!(&journal.record.tokens, &naive);
+        prop_assert!(journal.end(attempt(2), 30, "stop".to_owned()));
+        prop_assert_eq!(journal.state(), State::Done);
+    }
+
+    #[test]
+    fn an_answer_with_a_gap_is_not_whole(missing in 0..10_usize, n_claimed in 10..12_usize) {
+        let mut journal = journal();
+        journal.place(attempt(1));
+        journal.step(Event::Started);
+        for position in (0..10).filter(|it| *it != missing) {
+            journal.token(attempt(1), position, text(position));
+        }
+        prop_assert!(!journal.end(attempt(1), n_claimed, "stop".to_owned()));
+        prop_assert_eq!(journal.state(), State::Moving);
+        prop_assert_eq!(journal.position(), missing);
+    }
+
+    #[test]
+    fn after_the_end_nothing_is_taken(position in any::<usize>()) {
+        let mut journal = journal();
+        journal.place(attempt(1));
+        journal.step(Event::Started);
+        prop_assert!(journal.end(attempt(1), 0, "stop".to_owned()));
+        prop_assert_eq!(journal.token(attempt(1), position, "x".to_owned()), Received::Stale);
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_types/src/name.rs
@@ -0,0 +1,102 @@
+//! Names that operators write: instances, zones, teams, upstreams and services.
+
+use std::{fmt, str::FromStr};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+const NAME_BYTES_MAX: usize = 63;
+
+/// Why a text is not a name.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NameError {
+    #[error("the name is empty")]
+    Empty,
+    #[error("the name is {0} bytes long, more than {NAME_BYTES_MAX}")]
+    TooLong(usize),
+    #[error("the name holds {0:?}; only a-z, 0-9, '-', '_' and '.' are allowed")]
+    BadCharacter(char),
+}
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > NAME_BYTES_MAX {
+        return Err(NameError::TooLong(text.len()));
+    }
+    let allowed =
+        |it: char| it.is_ascii_lowercase() || it.is_ascii_digit() || matches!(it, '-' | '_' | '.');
+    match text.chars().find(|it| !allowed(*it)) {
+        Some(bad) => Err(NameError::BadCharacter(bad)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize, JsonSchema)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(#[schemars(regex(pattern = r"^[a-z0-9._-]{1,63}$"))] String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                check_name(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// An entry instance, that is, one process of this system.
+    InstanceName
+);
+name_type!(
+    /// A data centre, which is also the unit of price and of reclaim.
+    Zone
+);
+name_type!(
+    /// A customer of an operator, known by its bearer token.
+    TeamName
+);
+name_type!(
+    /// A model engine or plain service that requests are routed to.
+    UpstreamName
+);
+name_type!(
+    /// A service that an operator declares.
+    ServiceName
+);
