At most once, not run means not run, whole answers: proofs on processes

Cause of each change, found by a proof that failed first: - A call to an application that had just died was told 'unknown' although nothing could have run: it was written to a kept connection that the other side had closed. Calls that may not be repeated now open a connection of their own. Ruled out: taking hyper's 'connection closed' for 'not sent'; it does not tell the two cases apart. - A process cut off from the log refused a call that a peer could have claimed: a closed connection is a lost answer, not a refusal, and only refusals went on to a peer. Every record is now made to be harmless when it is in the log twice, so a peer may append after a lost answer too. For claims this needed the fold to remember released attempts: a release now also stops a claim of the same attempt that lands later, and waiting to see a late claim before releasing it is gone.

--- /dev/null
+++ b/crates/lentilhitch/tests/once.rs
@@ -0,0 +1,212 @@
+//! A call that may not be repeated runs at most once; the application's own count decides.
+
+use futures_util::future::join_all;
+use lentilhitch_standin::harness::{Cluster, Options, until};
+use serde_json::{Value, json};
+
+async fn cluster(timing: Value) -> Cluster {
+    Cluster::start_ready(Options { n_engines: 0, timing, ..Options::default() }).await.unwrap()
+}
+
+async fn n_runs(cluster: &Cluster, key: &str) -> usize {
+    cluster.runs(0).await.iter().filter(|it| it.key.as_deref() == Some(key)).count()
+}
+
+/// Calls until the call is answered; returns the number of tries.
+async fn call_until_answered(cluster: &Cluster, entry: usize, key: &str) -> usize {
+    let mut n_tries = 0;
+    let what = format!("{key} is answered");
+    until(&what, || {
+        n_tries += 1;
+        async {
+            cluster
+                .commission(&cluster.entries[entry], key, "b")
+                .send()
+                .await
+                .is_ok_and(|it| it.status() == 201)
+        }
+    })
+    .await
+    .unwrap();
+    n_tries
+}
+
+async fn outcome(request: reqwest::RequestBuilder) -> (u16, String, String) {
+    let response = request.send().await.unwrap();
+    let status = response.status().as_u16();
+    let problem: Value = response.json().await.unwrap();
+    let text = |it: &Value| it.as_str().unwrap_or_default().to_owned();
+    (status, text(&problem["type"]), text(&problem["outcome"]))
+}
+
+#[tokio::test]
+async fn racing_callers_run_a_call_once() {
+    let cluster = cluster(json!({})).await;
+    let keys: Vec<_> = (0..20).map(|it| format!("race-{it}")).collect();
+    let calls = keys.iter().flat_map(|key| (0..4).map(move |it| (key, it % 2)));
+    let calls =
+        calls.map(|(key, entry)| cluster.commission(&cluster.entries[entry], key, "b").send());
+    let answers = join_all(calls).await;
+    let mut bodies = Vec::new();
+    for answer in answers {
+        let answer = answer.unwrap();
+        assert_eq!(answer.status(), 201, "every caller gets the one answer");
+        bodies.push(answer.text().await.unwrap());
+    }
+    for (idx, key) in keys.iter().enumerate() {
+        assert_eq!(n_runs(&cluster, key).await, 1, "{key}");
+        let own = &bodies[idx * 4..idx * 4 + 4];
+        assert!(own.iter().all(|it| it == &own[0]), "{own:?}");
+    }
+    let n_appends = cluster.n_appends("claims").await;
+    assert!(n_appends < 2 * 80, "{n_appends} appends: claims are committed in groups");
+    let mismatch = outcome(cluster.commission(&cluster.entries[0], "race-0", "another body")).await;
+    assert_eq!(mismatch, (409, "key-mismatch".to_owned(), "not_run".to_owned()));
+}
+
+#[tokio::test]
+async fn a_lost_append_answer_is_settled_by_reading() {
+    let cluster = cluster(json!({})).await;
+    for key in ["lost-1", "lost-2"] {
+        cluster
+            .set_faults(cluster.platform_address, &json!({ "lose_append_answers": 1 }))
+            .await
+            .unwrap();
+        let answer = cluster.commission(&cluster.entries[0], key, "b").send().await.unwrap();
+        assert_eq!(answer.status(), 201);
+        assert_eq!(n_runs(&cluster, key).await, 1);
+    }
+}
+
+#[tokio::test]
+async fn a_process_killed_between_claim_and_send_leaves_the_call_unknown() {
+    let mut cluster = cluster(json!({})).await;
+    cluster.set_faults(cluster.platform_address, &json!({ "slow_ms": 600 })).await.unwrap();
+    let call = tokio::spawn(cluster.commission(&cluster.entries[0], "killed", "b").send());
+    until("the claim is in the log", || async { cluster.n_appends("claims").await == 1 })
+        .await
+        .unwrap();
+    cluster.entries[0].process.kill();
+    assert!(call.await.unwrap().is_err());
+    cluster.set_faults(cluster.platform_address, &json!({ "slow_ms": 0 })).await.unwrap();
+    for _ in 0..2 {
+        let repeated = outcome(cluster.commission(&cluster.entries[1], "killed", "b")).await;
+        assert_eq!(repeated, (409, "key-unknown".to_owned(), "unknown".to_owned()));
+    }
+    cluster.restart_entry(0).unwrap();
+    cluster.until_ready().await.unwrap();
+    let repeated = outcome(cluster.commission(&cluster.entries[0], "killed", "b")).await;
+    assert_eq!(repeated.2, "unknown");
+    assert_eq!(n_runs(&cluster, "killed").await, 0);
+}
+
+#[tokio::test]
+async fn a_process_killed_between_send_and_answer_leaves_the_call_unknown() {
+    let mut cluster = cluster(json!({})).await;
+    cluster
+        .set_faults(cluster.applications[0].address, &json!({ "answer_delay_ms": 3_000 }))
+        .await
+        .unwrap();
+    let call = tokio::spawn(cluster.commission(&cluster.entries[0], "half", "b").send());
+    until("the application runs it", || async { n_runs(&cluster, "half").await == 1 })
+        .await
+        .unwrap();
+    cluster.entries[0].process.kill();
+    assert!(call.await.unwrap().is_err());
+    let repeated = outcome(cluster.commission(&cluster.entries[1], "half", "b")).await;
+    assert_eq!(repeated, (409, "key-unknown".to_owned(), "unknown".to_owned()));
+    assert_eq!(n_runs(&cluster, "half").await, 1);
+}
+
+#[tokio::test]
+async fn a_frozen_process_that_thaws_does_no_harm() {
+    let mut cluster = cluster(json!({ "claim_timeout_ms": 1_500 })).await;
+    cluster.set_faults(cluster.platform_address, &json!({ "slow_ms": 300 })).await.unwrap();
+    let call = tokio::spawn(cluster.commission(&cluster.entries[0], "frozen", "b").send());
+    until("the claim is in the log", || async { cluster.n_appends("claims").await == 1 })
+        .await
+        .unwrap();
+    cluster.entries[0].process.freeze();
+    cluster.set_faults(cluster.platform_address, &json!({ "slow_ms": 0 })).await.unwrap();
+    // Longer than the deadline of the call, 5 s: each of these waits for the claimant, until it is taken for dead.
+    for _ in 0..5 {
+        let repeated = outcome(cluster.commission(&cluster.entries[1], "frozen", "b")).await;
+        assert_eq!(repeated.2, "unknown");
+        assert_eq!(n_runs(&cluster, "frozen").await, 0);
+    }
+    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    cluster.entries[0].process.thaw();
+    let thawed = call.await.unwrap().unwrap();
+    let is_run = thawed.status() == 201;
+    call_until_answered(&cluster, 1, "frozen").await;
+    assert_eq!(n_runs(&cluster, "frozen").await, 1, "run before: {is_run}");
+}
+
+#[tokio::test]
+async fn a_call_is_refused_as_not_run_while_the_log_is_down() {
+    let cluster = cluster(json!({ "claim_timeout_ms": 1_000 })).await;
+    cluster.set_faults(cluster.platform_address, &json!({ "outage": true })).await.unwrap();
+    for entry in &cluster.entries {
+        let refused = outcome(cluster.commission(entry, "outage", "b")).await;
+        assert_eq!(refused, (503, "log-unreachable".to_owned(), "not_run".to_owned()));
+    }
+    assert_eq!(n_runs(&cluster, "outage").await, 0);
+    cluster
+        .set_faults(cluster.platform_address, &json!({ "outage": false, "slow_ms": 150 }))
+        .await
+        .unwrap();
+    call_until_answered(&cluster, 0, "outage").await;
+    let again = cluster.commission(&cluster.entries[1], "outage", "b").send().await.unwrap();
+    assert_eq!(again.status(), 201);
+    assert_eq!(n_runs(&cluster, "outage").await, 1);
+}
+
+#[tokio::test]
+async fn a_process_cut_off_from_the_log_claims_through_its_peer() {
+    let cluster = cluster(json!({})).await;
+    cluster.entries[0].platform_link.cut();
+    let answer = cluster.commission(&cluster.entries[0], "cut", "b").send().await.unwrap();
+    assert_eq!(answer.status(), 201);
+    let again = cluster.commission(&cluster.entries[1], "cut", "b").send().await.unwrap();
+    assert_eq!(again.headers()["idempotency-replayed"], "true");
+    assert_eq!(n_runs(&cluster, "cut").await, 1);
+}
+
+#[tokio::test]
+async fn a_key_outlives_the_retention_of_its_records() {
+    let timing = json!({ "checkpoint_records": 4, "checkpoint_ms": 3_600_000 });
+    let mut cluster = cluster(timing).await;
+    cluster
+        .set_faults(cluster.platform_address, &json!({ "retention_records": 12 }))
+        .await
+        .unwrap();
+    for idx in 0..20 {
+        assert_eq!(call_until_answered(&cluster, idx % 2, &format!("old-{idx}")).await, 1);
+    }
+    let what = "a checkpoint covers what has expired";
+    until(what, || async {
+        let page = cluster
+            .get_json(&format!(
+                "http://{}/v1/streams/claims/records?from=0&wait_ms=0",
+                cluster.platform_address
+            ))
+            .await
+            .unwrap();
+        let records = page["records"].as_array().unwrap().clone();
+        records.iter().any(|it| it["payload"].as_str().unwrap().contains("checkpoint"))
+    })
+    .await
+    .unwrap();
+    for idx in 0..2 {
+        cluster.entries[idx].process.kill();
+    }
+    for idx in 0..2 {
+        cluster.restart_entry(idx).unwrap();
+    }
+    cluster.until_ready().await.unwrap();
+    for idx in 0..20 {
+        let key = format!("old-{idx}");
+        call_until_answered(&cluster, idx % 2, &key).await;
+        assert_eq!(n_runs(&cluster, &key).await, 1, "{key}");
+    }
+}
--- a/crates/lentilhitch_chart/src/charts.rs
+++ b/crates/lentilhitch_chart/src/charts.rs
@@ -53,7 +53,7 @@
     );
     vocabulary!(
         /// What the process does about it.
-        Action { AppendClaim, ReadLog, Send, RecordOutcome, Release, ReleaseWhenSeen }
+        Action { AppendClaim, ReadLog, Send, RecordOutcome, Release }
     );
     embedded_chart!("charts/call.json");
 }
--- a/crates/lentilhitch_entry/src/application.rs
+++ b/crates/lentilhitch_entry/src/application.rs
@@ -220,7 +220,7 @@
     entry.retries.lock().record_first_try();
     while let Some(upstream) = choose(entry, service, &failed) {
         n_tries += 1;
-        let request = build(entry, call, &upstream);
+        let request = build(entry, call, &upstream, repeatable);
         let sent = timeout_at(deadline, send_and_read(request)).await;
         let connected = match sent {
             Err(_) => return Forwarded::Late,
@@ -267,11 +267,17 @@
     open.first().map(|it| (*it).clone())
 }
 
-fn build(entry: &Entry, call: &Call, upstream: &Upstream) -> RequestBuilder {
+fn build(
+    entry: &Entry,
+    call: &Call,
+    upstream: &Upstream,
+    repeatable: Repeatable,
+) -> RequestBuilder {
+    let http = if repeatable == Repeatable::Yes { &entry.http } else { &entry.http_unkept };
     let url = format!("http://{}{}", upstream.address, call.path);
     let method = reqwest::Method::from_bytes(call.method.as_str().as_bytes())
         .unwrap_or(reqwest::Method::GET);
-    let mut request = entry.http.request(method, url);
+    let mut request = http.request(method, url);
     for (name, value) in call.headers.iter().filter(|it| !NOT_FORWARDED.contains(&it.0.as_str())) {
         request = request.header(name, value);
     }
--- a/crates/lentilhitch_entry/src/claims.rs
+++ b/crates/lentilhitch_entry/src/claims.rs
@@ -5,7 +5,7 @@
 use backon::{BackoffBuilder, ExponentialBuilder};
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, sleep, sleep_until, timeout_at},
+    time::{Instant, sleep, sleep_until},
 };
 
 use lentilhitch_chart::charts::{
@@ -26,8 +26,6 @@
 const QUEUE_MAX: usize = 4_096;
 /// Between two looks at whether the holder of a key is still there.
 const CLAIMANT_LOOK: Duration = Duration::from_millis(100);
-/// How long a claim that was given up on is watched for, so that it can be released.
-const LATE_CLAIM_MS: u64 = 600_000;
 
 /// How a claim ended.
 #[derive(Debug)]
@@ -134,8 +132,8 @@
             let event = next_event(&mut changes, &mut appended, deadline).await;
             let Some(event) = event else { continue };
             let actions = call.step(event);
-            if actions.contains(&Action::ReleaseWhenSeen) {
-                tokio::spawn(self.clone().release_when_seen(key, attempt));
+            if actions.contains(&Action::Release) {
+                self.record(ClaimRecord::Released { key, attempt });
             }
         }
         self.claimed(call)
@@ -184,17 +182,6 @@
             }
         });
     }
-
-    async fn release_when_seen(self: Arc<Self>, key: ClaimKey, attempt: AttemptId) {
-        let mut changes = self.claims().followed.subscribe();
-        let deadline = Instant::now() + Duration::from_millis(LATE_CLAIM_MS);
-        while self.claims().followed.with(|it| it.winner(key)) != Some(attempt) {
-            if !matches!(timeout_at(deadline, changes.changed()).await, Ok(Ok(()))) {
-                return;
-            }
-        }
-        self.record(ClaimRecord::Released { key, attempt });
-    }
 }
 
 /// Waits for whatever comes first: news from the log, the result of the append, or the deadline.
--- a/crates/lentilhitch_entry/src/dispatch.rs
+++ b/crates/lentilhitch_entry/src/dispatch.rs
@@ -39,9 +39,18 @@
     }
 }
 
+/// Whether connections are kept for later requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Connections {
+    Kept,
+    Unkept,
+}
+
 /// A client for upstreams. It follows no redirects, uses no proxy and never sends a request again by itself.
-pub(crate) fn client(connect_timeout_ms: u64) -> reqwest::Result<Client> {
+pub(crate) fn client(connect_timeout_ms: u64, connections: Connections) -> reqwest::Result<Client> {
+    let idle_max = if connections == Connections::Kept { usize::MAX } else { 0 };
     Client::builder()
+        .pool_max_idle_per_host(idle_max)
         .connect_timeout(Duration::from_millis(connect_timeout_ms))
         .redirect(reqwest::redirect::Policy::none())
         .retry(reqwest::retry::never())
--- a/crates/lentilhitch_entry/src/entry.rs
+++ b/crates/lentilhitch_entry/src/entry.rs
@@ -26,7 +26,7 @@
     clock::{Clock, incarnation},
     copies::Copies,
     directory::Directory,
-    dispatch,
+    dispatch::{self, Connections},
     follow::Followed,
     journals::Journals,
     log_access::LogAccess,
@@ -45,6 +45,9 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) http: Client,
+    /// Opens a connection for each request. A request that is written to a kept connection which the other side has
+    /// closed may or may not have been received; on a new connection it is known not to have been sent.
+    pub(crate) http_unkept: Client,
     pub(crate) cloud: CloudClient,
     pub(crate) config: Followed<Published>,
     pub(crate) copies: Copies,
@@ -84,7 +87,9 @@
 
 impl Entry {
     pub(crate) fn new(settings: Settings) -> anyhow::Result<(Arc<Self>, Committer)> {
-        let http = dispatch::client(settings.timing.connect_timeout_ms)?;
+        let http = dispatch::client(settings.timing.connect_timeout_ms, Connections::Kept)?;
+        let http_unkept =
+            dispatch::client(settings.timing.connect_timeout_ms, Connections::Unkept)?;
         let (claims, committer) = ClaimDesk::new();
         let (platform, timeout_ms) =
             (settings.platform_address, settings.timing.platform_timeout_ms);
@@ -109,6 +114,7 @@
             state: Mutex::new(CHART.initial()),
             teams: Mutex::default(),
             http,
+            http_unkept,
             settings,
         };
         Ok((Arc::new(entry), committer))
--- a/crates/lentilhitch_entry/src/log_access.rs
+++ b/crates/lentilhitch_entry/src/log_access.rs
@@ -14,18 +14,21 @@
 }
 
 impl LogAccess<'_> {
-    /// Appends a record. When the direct way refused it, nothing is in the log yet, so a peer may try.
+    /// Appends a record, through a peer if the direct way fails. Every record is made so that it has no further effect
+    /// when it is in the log twice, so a peer may try even when the first append may have taken effect.
     pub(crate) async fn append(
         self,
         stream: Stream,
         payload: &str,
     ) -> Result<LogOffset, AppendError> {
-        match self.direct.append(stream, payload).await {
-            Err(AppendError::Rejected(reason)) => {
-                let through_peer = self.peers.log_append(stream, payload).await;
-                through_peer.unwrap_or(Err(AppendError::Rejected(reason)))
-            }
-            settled => settled,
+        let direct = match self.direct.append(stream, payload).await {
+            Err(failed) => failed,
+            appended => return appended,
+        };
+        match (direct, self.peers.log_append(stream, payload).await) {
+            (_, Some(Ok(offset))) => Ok(offset),
+            (AppendError::Rejected(_), Some(Err(through_peer))) => Err(through_peer),
+            (direct, _) => Err(direct),
         }
     }
 
--- a/crates/lentilhitch_policy/src/once.rs
+++ b/crates/lentilhitch_policy/src/once.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 
 use lentilhitch_chart::charts::call::{Action, CHART, Event, State};
@@ -62,7 +62,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claims {
     claims: FxHashMap<ClaimKey, Claim>,
-    /// Claims in the order of the log, for expiry.
+    /// Attempts that were given up; a claim of one that lands later has no effect.
+    released: FxHashSet<AttemptId>,
+    /// Claims and releases in the order of the log, for expiry.
     order: VecDeque<(u64, ClaimKey, AttemptId)>,
 }
 
@@ -101,7 +103,7 @@
     fn apply_one(&mut self, appended_ms: u64, record: &ClaimRecord) {
         match record {
             ClaimRecord::Claim { key, body, attempt, claimant } => {
-                if !self.claims.contains_key(key) {
+                if !self.claims.contains_key(key) && !self.released.contains(attempt) {
                     let (attempt, body, claimant) = (*attempt, *body, claimant.clone());
                     self.claims.insert(*key, Claim { attempt, claimant, body, answer: None });
                     self.order.push_back((appended_ms, *key, attempt));
@@ -113,13 +115,16 @@
                 }
             }
             ClaimRecord::Released { key, attempt } => {
-                if self
-                    .claims
-                    .get(key)
-                    .is_some_and(|it| it.attempt == *attempt && it.answer.is_none())
-                {
+                let held = self.claims.get(key).filter(|it| it.attempt == *attempt);
+                if held.is_some_and(|it| it.answer.is_some()) {
+                    return;
+                }
+                if held.is_some() {
                     self.claims.remove(key);
                 }
+                if self.released.insert(*attempt) {
+                    self.order.push_back((appended_ms, *key, *attempt));
+                }
             }
         }
     }
@@ -130,6 +135,7 @@
                 break;
             }
             self.order.pop_front();
+            self.released.remove(&attempt);
             if self.winner(key) == Some(attempt) {
                 self.claims.remove(&key);
             }
--- a/crates/lentilhitch_standin/src/harness.rs
+++ b/crates/lentilhitch_standin/src/harness.rs
@@ -23,7 +23,7 @@
 
 use lentilhitch_config::token_digest;
 
-use crate::relay::Relay;
+use crate::{application::Run, engine::Report, relay::Relay};
 
 /// Longest wait for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -169,6 +169,8 @@
     pub bounds: Value,
     /// Requests a second of the team.
     pub requests_per_s: f64,
+    /// Upstreams are declared under their own addresses, not those of their links.
+    pub is_direct: bool,
 }
 
 impl Default for Options {
@@ -182,6 +184,7 @@
             timing: json!({}),
             bounds: json!({}),
             requests_per_s: 10_000.0,
+            is_direct: false,
         }
     }
 }
@@ -189,7 +192,6 @@
 /// The whole system on one machine.
 #[derive(Debug)]
 pub struct Cluster {
-    pub folder: TempDir,
     pub platform_address: SocketAddr,
     pub platform: Process,
     pub engines: Vec<Upstream>,
@@ -197,6 +199,8 @@
     pub entries: Vec<Entry>,
     pub http: reqwest::Client,
     options: Options,
+    /// Settings, declarations and logs; dropped after the processes that write there.
+    pub folder: TempDir,
 }
 
 impl Cluster {
@@ -278,7 +282,10 @@
         let folder = self.folder.path().join("declarations");
         fs::create_dir_all(&folder)?;
         let upstreams = |of: &[Upstream]| -> Vec<Value> {
-            let declare = |it: &Upstream| json!({ "upstream": it.name, "address": it.link.address().to_string(), "zone": it.zone });
+            let declare = |it: &Upstream| {
+                let address = if self.options.is_direct { it.address } else { it.link.address() };
+                json!({ "upstream": it.name, "address": address.to_string(), "zone": it.zone })
+            };
             of.iter().map(declare).collect()
         };
         let language = |service: &str, model: &str, is_durable: bool| {
@@ -340,6 +347,16 @@
         Ok(())
     }
 
+    /// Starts an application again, under its name and address; what it had counted is lost.
+    pub fn restart_application(&mut self, idx: usize) -> anyhow::Result<()> {
+        let application = &mut self.applications[idx];
+        application.process.kill();
+        let (name, args) = (&application.name, &application.args);
+        application.process =
+            Process::start(name, self.folder.path(), "lentilhitch_standin", args)?;
+        Ok(())
+    }
+
     /// Starts an engine again, under its name and address, as a later incarnation.
     pub fn restart_engine(&mut self, idx: usize) -> anyhow::Result<()> {
         let engine = &mut self.engines[idx];
@@ -411,6 +428,36 @@
         request.header("idempotency-key", key).body(body.to_owned())
     }
 
+    /// Asks for the rest of an answer, from after the event with this id; not yet sent.
+    pub fn resume(
+        &self,
+        entry: &Entry,
+        request_id: &str,
+        last_id: usize,
+    ) -> reqwest::RequestBuilder {
+        let url = format!("http://{}/v1/requests/{request_id}/events", entry.front);
+        self.http.get(url).bearer_auth(TOKEN).header("last-event-id", last_id.to_string())
+    }
+
+    /// The calls that an application ran, by its own count.
+    pub async fn runs(&self, application: usize) -> Vec<Run> {
+        let url = format!("http://{}/counts", self.applications[application].address);
+        let runs = self.get_json(&url).await.unwrap_or_default();
+        serde_json::from_value(runs).unwrap_or_default()
+    }
+
+    /// What an engine did, by its own count.
+    pub async fn report(&self, engine: usize) -> anyhow::Result<Report> {
+        let url = format!("http://{}/counts", self.engines[engine].address);
+        Ok(serde_json::from_value(self.get_json(&url).await?)?)
+    }
+
+    /// The number of appends to a stream of the log.
+    pub async fn n_appends(&self, stream: &str) -> u64 {
+        let counts = self.get_json(&format!("http://{}/counts", self.platform_address)).await;
+        counts.unwrap_or_default()[stream].as_u64().unwrap_or_default()
+    }
+
     /// The path of the settings file of an entry process.
     pub fn settings_file(&self, name: &str) -> PathBuf {
         self.folder.path().join(format!("{name}.json"))
