--- a/crates/lentilhitch/src/commands/publish.rs
+++ b/crates/lentilhitch/src/commands/publish.rs
@@ -34,7 +34,8 @@
     let http = reqwest::Client::builder().no_proxy().build()?;
     let log = LogClient::new(http, args.platform, PLATFORM_TIMEOUT_MS);
     let mut reader = Reader { log: &log, follower: Follower::default() };
-    reader.read_to_end().await?;
+    let deadline = Instant::now() + Duration::from_secs(args.wait_s);
+    reader.read_to_end(deadline).await?;
     let changes = changes(declared, reader.follower.state());
     if changes.is_empty() {
         println!("nothing to publish: every declaration is in force as it stands");
@@ -47,7 +48,6 @@
         .unwrap_or_else(|| "unknown".to_owned());
     let attempt = AttemptId::from_random(rand::random());
     let publish = Publish { attempt, operator, changes };
-    let deadline = Instant::now() + Duration::from_secs(args.wait_s);
     let verdicts = append_and_settle(&log, &mut reader, &publish, deadline).await?;
     let mut exit = Exit::Done;
     let mut newest = None;
@@ -78,13 +78,15 @@
 }
 
 impl Reader<'_> {
-    async fn read_to_end(&mut self) -> anyhow::Result<()> {
+    /// Reads to the end. Where old records have expired, waits for the checkpoint that an entry process will write.
+    async fn read_to_end(&mut self, deadline: Instant) -> anyhow::Result<()> {
         loop {
             let page = self.log.read(Stream::Config, self.follower.read_from(), 0).await?;
             let is_at_end = page.records.is_empty();
             self.follower.read(&page.into());
             match self.follower.standing() {
                 Standing::Current => return Ok(()),
+                Standing::Gap if is_at_end && Instant::now() < deadline => sleep(LOOK).await,
                 Standing::Gap if is_at_end => {
                     bail!(
                         "the log has dropped old versions and holds no checkpoint; publish when an entry process runs"
--- a/crates/lentilhitch_entry/src/entry.rs
+++ b/crates/lentilhitch_entry/src/entry.rs
@@ -15,7 +15,7 @@
 use lentilhitch_policy::{
     limits::{Bucket, TeamLimit, demand_share, fixed_share},
     notice::Notices,
-    quarantine::{Evidence, Quarantine},
+    quarantine::{Evidence, Quarantine, Trial},
     retry::{Budget, Settings as RetrySettings},
     routing::PrefixIndex,
 };
@@ -247,6 +247,21 @@
         }
     }
 
+    /// Lets a suspect begin its trial unless another is on trial there, and tells the peers. Only for the arbiter.
+    pub(crate) fn grant_trial(&self, trial: &Trial) -> bool {
+        let is_granted = self.quarantine.lock().grant_trial(trial);
+        if is_granted {
+            self.peers.broadcast(&Message::Trial(trial.clone()));
+        }
+        is_granted
+    }
+
+    /// Ends a trial here and tells the peers.
+    pub(crate) fn announce_trial(&self, trial: Trial) {
+        self.quarantine.lock().take_trial(&trial);
+        self.peers.broadcast(&Message::Trial(trial));
+    }
+
     pub(crate) fn evidence(&self) -> Vec<Evidence> {
         self.quarantine.lock().iter().collect()
     }
--- a/crates/lentilhitch_entry/src/peers.rs
+++ b/crates/lentilhitch_entry/src/peers.rs
@@ -15,8 +15,11 @@
 use lentilhitch_policy::{
     fold::{Fold, Snapshot},
     membership::{Membership, Settings as MembershipSettings},
+    quarantine::Trial,
+};
+use lentilhitch_types::{
+    Fingerprint, Incarnation, InstanceName, LogOffset, RequestId, TeamName, UpstreamName,
 };
-use lentilhitch_types::{Incarnation, InstanceName, LogOffset, RequestId, TeamName};
 
 use crate::{
     copies::CopyChange,
@@ -169,6 +172,31 @@
         })
     }
 
+    /// The process that arbitrates for an upstream, the same for all that see the same peers alive; `None` for this one.
+    fn arbiter(&self, upstream: &UpstreamName) -> Option<InstanceName> {
+        let weight = |it: &InstanceName| {
+            Fingerprint::of(&[upstream.as_str().as_bytes(), it.as_str().as_bytes()])
+        };
+        let alive = self.membership.lock().alive();
+        let best = alive.into_iter().max_by_key(weight)?;
+        (weight(&self.own) < weight(&best)).then_some(best)
+    }
+
+    /// Asks whether a suspect may begin its trial.
+    pub(crate) async fn ask_trial(&self, entry: &Entry, trial: &Trial) -> bool {
+        match self.arbiter(&trial.place.0) {
+            None => entry.grant_trial(trial),
+            Some(peer) => {
+                let is_granted = self.ask(&peer, Message::TrialAsk(trial.clone())).await
+                    == Some(Message::TrialGranted(true));
+                if is_granted {
+                    entry.quarantine.lock().take_trial(trial);
+                }
+                is_granted
+            }
+        }
+    }
+
     /// A living peer to keep copies for a request, in another zone if there is one; always the same one for a request
     /// while the same peers live (highest random weight, Thaler and Ravishankar 1998).
     pub(crate) fn copy_holder(
@@ -184,7 +212,7 @@
             .filter(|it| alive.contains(&it.instance) && !not.contains(&it.instance));
         let weight = |it: &Peer| {
             let text = format!("{request_id} {}", it.instance);
-            (it.zone != own.zone, lentilhitch_types::Fingerprint::of(&[text.as_bytes()]))
+            (it.zone != own.zone, Fingerprint::of(&[text.as_bytes()]))
         };
         eligible.max_by_key(|it| weight(it)).map(|it| it.instance.clone())
     }
@@ -299,6 +327,7 @@
             Message::Heartbeat(heartbeat) => entry.peers().hear_heartbeat(entry, peer, heartbeat),
             Message::Notices(notices) => entry.take_notices(&notices),
             Message::Evidence(evidence) => entry.take_evidence(&evidence),
+            Message::Trial(trial) => entry.quarantine.lock().take_trial(&trial),
             Message::CopyDrop(request_id) => entry.copies.remove(request_id),
             _ => log::warn!(peer:% = peer; "unexpected message"),
         }
@@ -307,6 +336,7 @@
     async fn answer(&self, peer: &InstanceName, message: Message) -> Message {
         let entry = &self.0;
         match message {
+            Message::TrialAsk(trial) => Message::TrialGranted(entry.grant_trial(&trial)),
             Message::LogAppend { stream, payload } => {
                 Message::LogAppended(entry.log_client().append(stream, &payload).await)
             }
--- a/crates/lentilhitch_entry/src/protocol.rs
+++ b/crates/lentilhitch_entry/src/protocol.rs
@@ -4,7 +4,11 @@
 use serde::{Deserialize, Serialize};
 
 use lentilhitch_platform::{AppendError, LogPage, Stream};
-use lentilhitch_policy::{notice::Notice, quarantine::Evidence, streams::Record};
+use lentilhitch_policy::{
+    notice::Notice,
+    quarantine::{Evidence, Trial},
+    streams::Record,
+};
 use lentilhitch_types::{Incarnation, InstanceName, LogOffset, RequestId, TeamName};
 
 /// Sent to each peer at a fixed interval.
@@ -26,6 +30,11 @@
     Heartbeat(Heartbeat),
     Notices(Vec<Notice>),
     Evidence(Vec<Evidence>),
+    Trial(Trial),
+
+    /// Let a suspect begin its trial; asked of the process that arbitrates for the upstream.
+    TrialAsk(Trial),
+    TrialGranted(bool),
 
     /// Append to the log for a process that can't reach it.
     LogAppend {
--- a/crates/lentilhitch_entry/src/runner.rs
+++ b/crates/lentilhitch_entry/src/runner.rs
@@ -12,12 +12,12 @@
 use lentilhitch_chart::charts::stream::{Event, State};
 use lentilhitch_config::{Language, Service, Upstream};
 use lentilhitch_policy::{
-    quarantine::Verdict,
+    quarantine::{TRIAL_TOKENS, Trial, TrialStep, Verdict},
     retry::Repeatable,
     routing::{BlockHash, ExpectedCost, Job, Strategy as _, Weights, block_hashes},
     streams::{Received, Record},
 };
-use lentilhitch_types::{AttemptId, Incarnation, Problem, UpstreamName};
+use lentilhitch_types::{AttemptId, Fingerprint, Incarnation, Outcome, Problem, UpstreamName};
 
 use crate::{
     directory::language,
@@ -84,6 +84,8 @@
     /// Present until a byte was sent to any upstream.
     ticket: Option<Ticket>,
     last_failed: Option<UpstreamName>,
+    /// The trial that this request stands, and the position at which it began.
+    trial: Option<(Trial, usize)>,
 }
 
 /// Runs a request to its end.
@@ -96,8 +98,17 @@
     let deadline = Instant::now() + Duration::from_millis(language.deadline_ms);
     let ticket = is_new.then(Ticket::new);
     entry.retries.lock().record_first_try();
-    let mut runner =
-        Runner { entry, active, service, language, blocks, deadline, ticket, last_failed: None };
+    let mut runner = Runner {
+        entry,
+        active,
+        service,
+        language,
+        blocks,
+        deadline,
+        ticket,
+        last_failed: None,
+        trial: None,
+    };
     let problem = runner.run_to_end().await;
     runner.finish(problem);
 }
@@ -107,6 +118,7 @@
         loop {
             let Some(upstream) = self.place().await else { return self.give_up() };
             let ended = self.attempt(&upstream).await;
+            self.end_trial(TrialStep::Aborted);
             match ended {
                 Ended::Whole => return None,
                 Ended::Lost => {
@@ -144,7 +156,7 @@
         let verdict = self.entry.quarantine.lock().verdict(journal.record.fingerprint);
         Some(match self.ticket.take() {
             _ if verdict == Verdict::Quarantined && n_tries > 0 => Problem {
-                outcome: lentilhitch_types::Outcome::Failed,
+                outcome: Outcome::Failed,
                 ..problems::QUARANTINED.with("two upstreams crashed while they ran it")
             },
             Some(_unsent) => {
@@ -193,7 +205,7 @@
     }
 
     /// Chooses an upstream; waits for one as long as that makes sense.
-    async fn place(&self) -> Option<Upstream> {
+    async fn place(&mut self) -> Option<Upstream> {
         let is_accepted = self.active.is_durable || self.ticket.is_none();
         let wait = Instant::now() + Duration::from_millis(PLACE_WAIT_MS);
         let until = if is_accepted { self.deadline } else { wait.min(self.deadline) };
@@ -206,7 +218,10 @@
             if verdict == Verdict::Quarantined {
                 return None;
             }
-            if let Some(upstream) = self.choose(verdict) {
+            let chosen = self.choose(verdict);
+            if let Some(upstream) = chosen
+                && (verdict == Verdict::Clear || self.begin_trial(fingerprint, &upstream).await)
+            {
                 return Some(upstream);
             }
             if until <= Instant::now() {
@@ -216,6 +231,16 @@
         }
     }
 
+    /// A suspect may run on an upstream only alone among suspects, which an arbiter sees to.
+    async fn begin_trial(&mut self, fingerprint: Fingerprint, upstream: &Upstream) -> bool {
+        let place = self.entry.upstreams.life(&upstream.upstream);
+        let trial = Trial { fingerprint, place, step: TrialStep::Begun };
+        let is_granted = self.entry.peers().ask_trial(&self.entry, &trial).await;
+        let position = self.active.journal.lock().position();
+        self.trial = is_granted.then_some((trial, position));
+        is_granted
+    }
+
     fn choose(&self, verdict: Verdict) -> Option<Upstream> {
         let entry = &self.entry;
         let fingerprint = self.active.journal.lock().record.fingerprint;
@@ -226,11 +251,18 @@
         let declared =
             self.service.upstreams.iter().filter_map(|it| directory.upstreams.get(&it.upstream));
         let open = declared.filter(|it| entry.upstreams.is_open(&it.upstream));
-        let fit = open.filter(|it| verdict == Verdict::Clear || !self.runs_suspect(&it.upstream));
-        let mut candidates: Vec<_> = fit.collect();
-        if 1 < candidates.len() {
-            candidates.retain(|it| Some(&it.upstream) != self.last_failed.as_ref());
+        let mut candidates: Vec<_> = open.collect();
+        let has_trial =
+            |it: &Upstream| entry.quarantine.lock().has_trial(&entry.upstreams.life(&it.upstream));
+        if verdict == Verdict::Suspect {
+            candidates.retain(|it| !has_trial(it));
+            let quietest = candidates
+                .into_iter()
+                .min_by_key(|it| entry.upstreams.view(it, &entry.settings.zone).n_requests());
+            return quietest.cloned();
         }
+        prefer(&mut candidates, |it| Some(&it.upstream) != self.last_failed.as_ref());
+        prefer(&mut candidates, |it| !has_trial(it));
         let journal = self.active.journal.lock();
         let prompt_tokens = journal.record.body.len() as u64 / PROMPT_BYTES_PER_TOKEN;
         drop(journal);
@@ -258,12 +290,6 @@
         Some(candidates[chosen].clone())
     }
 
-    fn runs_suspect(&self, upstream: &UpstreamName) -> bool {
-        let quarantine = self.entry.quarantine.lock();
-        let running = self.entry.upstreams.running(upstream);
-        running.iter().any(|it| quarantine.verdict(*it) != Verdict::Clear)
-    }
-
     async fn attempt(&mut self, upstream: &Upstream) -> Ended {
         let attempt = AttemptId::from_random(rand::random());
         let (record, fingerprint) = {
@@ -320,7 +346,7 @@
     }
 
     /// An attempt was lost. If the upstream has crashed, whoever ran there is suspected; `running` must still be held.
-    async fn lost(&self, upstream: &Upstream, running: &Running) -> Ended {
+    async fn lost(&mut self, upstream: &Upstream, running: &Running) -> Ended {
         self.entry.metrics.upstream_try("lost");
         let life = (upstream.upstream.clone(), running.incarnation);
         let on_board = self.entry.upstreams.running(&upstream.upstream);
@@ -331,12 +357,14 @@
             log::warn!(upstream:% = upstream.upstream, n_running = on_board.len(); "upstream crashed");
             self.entry.take_evidence(&evidence);
             self.entry.upstream_refused(&upstream.upstream);
+            // The trial stays on record, so that other processes blame the suspect alone as well.
+            self.trial = None;
         }
         Ended::Lost
     }
 
     async fn receive(
-        &self,
+        &mut self,
         response: Response,
         attempt: AttemptId,
         upstream: &Upstream,
@@ -391,7 +419,7 @@
         others.clone().any(|it| self.entry.upstreams.is_open(&it.upstream))
     }
 
-    fn take(&self, chunk: Chunk, attempt: AttemptId, upstream: &Upstream) -> Option<Ended> {
+    fn take(&mut self, chunk: Chunk, attempt: AttemptId, upstream: &Upstream) -> Option<Ended> {
         let choice = chunk.choices.into_iter().next()?;
         let from = chunk.attempt.unwrap_or(attempt);
         let mut journal = self.active.journal.lock();
@@ -408,10 +436,10 @@
             if !journal.end(from, n_tokens, reason) {
                 return Some(Ended::Lost);
             }
-            let (n_tokens, fingerprint) = (journal.position(), journal.record.fingerprint);
+            let n_tokens = journal.position();
             drop(journal);
             self.entry.prefixes.lock().insert(&upstream.upstream, &self.blocks);
-            self.entry.quarantine.lock().clear(fingerprint);
+            self.end_trial(TrialStep::Passed);
             self.entry.metrics.upstream_try("whole");
             self.received(n_tokens, true);
             return Some(Ended::Whole);
@@ -420,6 +448,9 @@
         let received = journal.token(from, position, text);
         let n_tokens = journal.position();
         drop(journal);
+        if self.trial.as_ref().is_some_and(|it| it.1 + TRIAL_TOKENS <= n_tokens) {
+            self.end_trial(TrialStep::Passed);
+        }
         if let Received::Appended(n_new) = received {
             self.entry.metrics.tokens(n_new as u64);
             if is_first {
@@ -431,6 +462,12 @@
         None
     }
 
+    fn end_trial(&mut self, step: TrialStep) {
+        if let Some((trial, _)) = self.trial.take() {
+            self.entry.announce_trial(Trial { step, ..trial });
+        }
+    }
+
     /// Shows new tokens to the callers, or to the copier first.
     fn received(&self, n_tokens: usize, is_all: bool) {
         self.active.received.send_replace((n_tokens, is_all));
@@ -440,6 +477,13 @@
     }
 }
 
+/// Keeps only those that fulfil a wish, if there are any.
+fn prefer<T>(candidates: &mut Vec<T>, wish: impl Fn(&T) -> bool) {
+    if candidates.iter().any(&wish) {
+        candidates.retain(wish);
+    }
+}
+
 /// The next event that can be understood; `None` when there is none any more.
 async fn next_chunk<S, E>(events: &mut S) -> Option<Chunk>
 where
--- a/crates/lentilhitch_entry/src/upstreams.rs
+++ b/crates/lentilhitch_entry/src/upstreams.rs
@@ -6,7 +6,10 @@
 use reqwest::Client;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
-use tokio::{sync::watch, time::interval};
+use tokio::{
+    sync::watch,
+    time::{interval, sleep},
+};
 
 use lentilhitch_chart::charts::upstream::{Action, CHART, Event, State};
 use lentilhitch_config::Upstream;
@@ -22,6 +25,9 @@
 
 /// Missed reports after which an upstream counts as unreachable.
 const REPORTS_MISSED_MAX: u32 = 4;
+/// How often a lost upstream is looked at before it counts as out of reach.
+const CRASH_LOOKS: usize = 5;
+const CRASH_LOOK_MS: u64 = 30;
 
 /// The load report of an upstream.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
@@ -112,6 +118,11 @@
         })
     }
 
+    /// The present life of an upstream.
+    pub(crate) fn life(&self, upstream: &UpstreamName) -> UpstreamLife {
+        (upstream.clone(), self.change(upstream, |it| it.incarnation))
+    }
+
     /// What runs on an upstream for this process.
     pub(crate) fn running(&self, upstream: &UpstreamName) -> Vec<Fingerprint> {
         self.change(upstream, |it| it.running.clone())
@@ -244,13 +255,34 @@
         }
     }
 
-    /// Whether an upstream's life has ended: nothing answers at its address, or something newer does.
+    /// Whether an upstream's life has ended: its connections are refused, or something newer answers. An upstream that
+    /// is only out of reach has not crashed as far as can be known.
     pub(crate) async fn has_crashed(&self, upstream: &Upstream, life: &UpstreamLife) -> bool {
-        match fetch_report(&self.http, upstream, self.settings.timing.connect_timeout_ms).await {
-            Ok(report) => Incarnation(report.incarnation) != life.1,
-            Err(err) => err.is_connect(),
+        for _ in 0..CRASH_LOOKS {
+            match fetch_report(&self.http_unkept, upstream, self.settings.timing.connect_timeout_ms)
+                .await
+            {
+                Ok(report) => return Incarnation(report.incarnation) != life.1,
+                Err(err) if is_refused(&err) => return true,
+                // A process that is just ending may still accept a connection.
+                Err(_) => sleep(Duration::from_millis(CRASH_LOOK_MS)).await,
+            }
+        }
+        false
+    }
+}
+
+/// Whether the connection was refused, which a host does that runs and has nobody listening.
+fn is_refused(err: &reqwest::Error) -> bool {
+    let mut source: Option<&dyn std::error::Error> = Some(err);
+    while let Some(it) = source {
+        let kind = it.downcast_ref::<std::io::Error>().map(std::io::Error::kind);
+        if kind == Some(std::io::ErrorKind::ConnectionRefused) {
+            return true;
         }
+        source = it.source();
     }
+    false
 }
 
 async fn fetch_report(
--- a/crates/lentilhitch_policy/src/quarantine.rs
+++ b/crates/lentilhitch_policy/src/quarantine.rs
@@ -1,17 +1,23 @@
 //! Requests that crash the upstreams that run them.
 //!
 //! The evidence is a set of pairs (fingerprint, crashed life of an upstream) that only grows, so processes that exchange
-//! it agree. One crash makes every request that was running there a suspect, unless one of them already was: then that
-//! one alone is blamed. Two crashes quarantine a fingerprint. A suspect shares an upstream with no other suspect, so a
-//! second crash has one culprit.
+//! it agree. One crash makes every request that was running there a suspect. A suspect runs on trial: it shares an
+//! upstream with no other trial, and every process is told where, so that a crash during a trial is blamed on the suspect
+//! alone and not on what else was running there. A trial ends well after a few tokens past the point of the crash, so
+//! that many suspects of one crash are soon through. Two crashes quarantine a fingerprint.
 
-use rustc_hash::{FxHashMap, FxHashSet};
+use indexmap::IndexMap;
+use rustc_hash::{FxBuildHasher, FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 
 use lentilhitch_types::{Fingerprint, Incarnation, UpstreamName};
 
 /// The number of crashes after which a request is refused.
 pub const CRASHES_MAX: usize = 2;
+/// New tokens after which a suspect has stood its trial.
+pub const TRIAL_TOKENS: usize = 4;
+/// Lives of upstreams whose trials are remembered.
+const TRIALS_MAX: usize = 1_024;
 
 /// One life of an upstream.
 pub type UpstreamLife = (UpstreamName, Incarnation);
@@ -23,11 +29,29 @@
     pub crashed: UpstreamLife,
 }
 
+/// A step in the trial of a suspect at an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trial {
+    pub fingerprint: Fingerprint,
+    pub place: UpstreamLife,
+    pub step: TrialStep,
+}
+
+/// What happened to a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TrialStep {
+    Begun,
+    /// The suspect did no harm.
+    Passed,
+    /// The upstream was lost, but did not crash.
+    Aborted,
+}
+
 /// What is held against a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     Clear,
-    /// May run, but with no other suspect on the same upstream.
+    /// May run on trial.
     Suspect,
     Quarantined,
 }
@@ -35,49 +59,86 @@
 /// All evidence, and the requests that have since proved harmless.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    crashes: FxHashMap<Fingerprint, FxHashSet<UpstreamLife>>,
-    cleared: FxHashSet<Fingerprint>,
+    /// The crashes that each request saw, and whether it has since been cleared of them.
+    crashes: FxHashMap<Fingerprint, FxHashMap<UpstreamLife, bool>>,
+    trials: IndexMap<UpstreamLife, FxHashSet<Fingerprint>, FxBuildHasher>,
 }
 
 impl Quarantine {
     /// What is held against a request.
     pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
-        match self.crashes.get(&fingerprint).map_or(0, FxHashSet::len) {
+        let held = self.crashes.get(&fingerprint);
+        match held.map_or(0, |it| it.values().filter(|is_cleared| !**is_cleared).count()) {
+            0 => Verdict::Clear,
             CRASHES_MAX.. => Verdict::Quarantined,
-            1.. if !self.cleared.contains(&fingerprint) => Verdict::Suspect,
-            _ => Verdict::Clear,
+            _ => Verdict::Suspect,
         }
     }
 
     /// Takes evidence, one's own or a peer's; says whether it was new.
     pub fn insert(&mut self, evidence: &Evidence) -> bool {
-        let is_new =
-            self.crashes.entry(evidence.fingerprint).or_default().insert(evidence.crashed.clone());
-        if is_new {
-            self.cleared.remove(&evidence.fingerprint);
-        }
+        let held = self.crashes.entry(evidence.fingerprint).or_default();
+        let is_new = !held.contains_key(&evidence.crashed);
+        held.entry(evidence.crashed.clone()).or_insert(false);
         is_new
     }
 
-    /// Whom to blame for a crash, from the requests that were running there.
+    /// Takes a step of a trial, one's own or a peer's.
+    pub fn take_trial(&mut self, trial: &Trial) {
+        let on_trial = self.trials.entry(trial.place.clone()).or_default();
+        if trial.step == TrialStep::Begun {
+            on_trial.insert(trial.fingerprint);
+        } else {
+            on_trial.remove(&trial.fingerprint);
+        }
+        if on_trial.is_empty() {
+            self.trials.shift_remove(&trial.place);
+        }
+        let n_over = self.trials.len().saturating_sub(TRIALS_MAX);
+        self.trials.drain(..n_over);
+        if trial.step == TrialStep::Passed {
+            self.clear(trial.fingerprint);
+        }
+    }
+
+    /// Whether any suspect is on trial at an upstream.
+    pub fn has_trial(&self, place: &UpstreamLife) -> bool {
+        self.trials.contains_key(place)
+    }
+
+    /// Begins a trial unless another suspect is on trial there; says whether it may begin.
+    pub fn grant_trial(&mut self, trial: &Trial) -> bool {
+        let on_trial = self.trials.get(&trial.place);
+        let is_free = on_trial.is_none_or(|it| it.iter().all(|it| *it == trial.fingerprint));
+        if is_free {
+            self.take_trial(trial);
+        }
+        is_free
+    }
+
+    /// Whom to blame for a crash: those on trial there, else all that was running.
     pub fn blame(&self, crashed: &UpstreamLife, running: &[Fingerprint]) -> Vec<Evidence> {
-        let suspects = running.iter().filter(|it| self.verdict(**it) != Verdict::Clear);
-        let suspects: Vec<_> = suspects.copied().collect();
-        let blamed = if suspects.is_empty() { running } else { &suspects };
+        let on_trial: Option<Vec<_>> =
+            self.trials.get(crashed).map(|it| it.iter().copied().collect());
+        let blamed = on_trial.as_deref().unwrap_or(running);
         blamed.iter().map(|it| Evidence { fingerprint: *it, crashed: crashed.clone() }).collect()
     }
 
-    /// A suspect was answered whole, so it was not the cause of the one crash that it saw.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        if self.verdict(fingerprint) == Verdict::Suspect {
-            self.cleared.insert(fingerprint);
+    /// A suspect has stood its trial, so it was not the cause of the one crash that it saw.
+    fn clear(&mut self, fingerprint: Fingerprint) {
+        if self.verdict(fingerprint) == Verdict::Suspect
+            && let Some(held) = self.crashes.get_mut(&fingerprint)
+        {
+            for is_cleared in held.values_mut() {
+                *is_cleared = true;
+            }
         }
     }
 
     /// Every piece of evidence, for a peer that has just come into reach.
     pub fn iter(&self) -> impl Iterator<Item = Evidence> {
         self.crashes.iter().flat_map(|(fingerprint, lives)| {
-            lives.iter().map(|it| Evidence { fingerprint: *fingerprint, crashed: it.clone() })
+            lives.keys().map(|it| Evidence { fingerprint: *fingerprint, crashed: it.clone() })
         })
     }
 }
--- a/crates/lentilhitch_policy/tests/sets.rs
+++ b/crates/lentilhitch_policy/tests/sets.rs
@@ -2,7 +2,7 @@
 
 use lentilhitch_policy::{
     notice::{Notice, Notices},
-    quarantine::{Evidence, Quarantine, UpstreamLife, Verdict},
+    quarantine::{Evidence, Quarantine, Trial, TrialStep, UpstreamLife, Verdict},
 };
 use lentilhitch_types::{Fingerprint, Incarnation, UpstreamName};
 use proptest::prelude::{Strategy, prop_assert, prop_assert_eq, proptest};
@@ -47,32 +47,79 @@
         }
     }
 
-    /// One bad request among others, sent until it is refused: two upstreams crash, and no other request is quarantined.
+    /// One bad request among others at two processes, sent until it is refused: two upstreams crash, nobody else is stopped.
     #[test]
-    fn two_crashes_and_only_the_culprit_is_stopped(bystanders in proptest::collection::vec(1..20_u128, 0..8)) {
+    fn two_crashes_and_only_the_culprit_is_stopped(bystanders in proptest::collection::vec((1..20_u128, 0..2_usize), 0..8)) {
         let bad = Fingerprint(0);
-        let mut quarantine = Quarantine::default();
+        let mut processes = [Quarantine::default(), Quarantine::default()];
         let mut n_crashes = 0;
-        while quarantine.verdict(bad) != Verdict::Quarantined {
+        while processes[0].verdict(bad) != Verdict::Quarantined {
             n_crashes += 1;
-            let is_suspect = quarantine.verdict(bad) == Verdict::Suspect;
-            let shares = |it: &Fingerprint| !is_suspect || quarantine.verdict(*it) == Verdict::Clear;
-            let newcomer = Fingerprint(100 + u128::from(n_crashes));
-            let mut running: Vec<_> = bystanders.iter().copied().map(Fingerprint).filter(shares).collect();
-            running.extend([newcomer, bad]);
-            for piece in quarantine.blame(&(upstream(0), Incarnation(n_crashes)), &running) {
-                quarantine.insert(&piece);
-            }
             prop_assert!(n_crashes <= 2);
-            let blamed_with_suspect = is_suspect && quarantine.verdict(newcomer) != Verdict::Clear;
-            prop_assert!(!blamed_with_suspect, "blamed although a suspect ran beside it");
+            let place = (upstream(0), Incarnation(n_crashes));
+            if processes[0].verdict(bad) == Verdict::Suspect {
+                let trial = Trial { fingerprint: bad, place: place.clone(), step: TrialStep::Begun };
+                for process in &mut processes {
+                    process.take_trial(&trial);
+                }
+            }
+            for idx in 0..2 {
+                // Bystanders of the first crash have stood their trials elsewhere and run here again.
+                let running = bystanders.iter().filter(|it| it.1 == idx).map(|it| Fingerprint(it.0));
+                let mut running: Vec<_> = running.collect();
+                running.extend((idx == 0).then_some(bad));
+                for piece in processes[idx].blame(&place, &running) {
+                    for process in &mut processes {
+                        process.insert(&piece);
+                    }
+                }
+            }
+            for other in bystanders.iter().map(|it| Fingerprint(it.0)) {
+                let place = (upstream(1), Incarnation(1));
+                for process in &mut processes {
+                    process.take_trial(&Trial { fingerprint: other, place: place.clone(), step: TrialStep::Passed });
+                }
+            }
+        }
+        for process in &processes {
+            prop_assert_eq!(process.verdict(bad), Verdict::Quarantined);
+            for other in bystanders.iter().map(|it| Fingerprint(it.0)) {
+                prop_assert_eq!(process.verdict(other), Verdict::Clear);
+            }
+        }
+    }
+
+    #[test]
+    fn one_trial_at_a_time_is_granted(asks in proptest::collection::vec((0..4_u128, proptest::bool::ANY), 0..30)) {
+        let mut quarantine = Quarantine::default();
+        let place = (upstream(0), Incarnation(1));
+        let mut holder = None;
+        for (it, is_ask) in asks {
+            let trial = |step| Trial { fingerprint: Fingerprint(it), place: place.clone(), step };
+            if is_ask {
+                let is_granted = quarantine.grant_trial(&trial(TrialStep::Begun));
+                prop_assert_eq!(is_granted, holder.is_none() || holder == Some(it));
+                holder = holder.or(Some(it));
+            } else {
+                quarantine.take_trial(&trial(TrialStep::Passed));
+                holder = holder.filter(|held| *held != it);
+            }
+        }
+    }
+
+    #[test]
+    fn a_trial_that_ended_well_is_forgotten(fingerprints in proptest::collection::vec(0..4_u128, 0..10)) {
+        let mut quarantine = Quarantine::default();
+        let place = (upstream(0), Incarnation(1));
+        let trial = |it: u128, step| Trial { fingerprint: Fingerprint(it), place: place.clone(), step };
+        for it in &fingerprints {
+            quarantine.take_trial(&trial(*it, TrialStep::Begun));
+            prop_assert!(quarantine.has_trial(&place));
         }
-        for other in bystanders.into_iter().map(Fingerprint) {
-            prop_assert!(quarantine.verdict(other) != Verdict::Quarantined);
-            quarantine.clear(other);
-            prop_assert_eq!(quarantine.verdict(other), Verdict::Clear);
+        for it in &fingerprints {
+            quarantine.take_trial(&trial(*it, TrialStep::Aborted));
         }
-        quarantine.clear(bad);
-        prop_assert_eq!(quarantine.verdict(bad), Verdict::Quarantined);
+        prop_assert!(!quarantine.has_trial(&place));
+        prop_assert_eq!(quarantine.blame(&place, &[Fingerprint(9)]).len(), 1);
     }
 }
