Orders under a lease through the log; load and slopes commands

Cause: upstreams take orders, and nothing said who may give them.

The holder still counts from before its append. A not-after time as a duration would count from the receipt of an order that a frozen sender sends late; it is given in the upstream's own clock, which its load report tells.

--- a/crates/lentilhitch_config/src/service.rs
+++ b/crates/lentilhitch_config/src/service.rs
@@ -36,6 +36,8 @@
     /// Values of `model` by which callers ask for the service.
     #[schemars(length(min = 1))]
     models: Vec<String>,
+    /// The model version that every upstream should have loaded; none is ordered when absent.
+    version: Option<String>,
     /// Whether an accepted request goes on when its caller or its entry instance is gone. Default: false.
     durable: Option<bool>,
     /// Latency target of the first token in milliseconds. Default: 710.
@@ -126,6 +128,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Language {
     pub models: Vec<String>,
+    pub version: Option<String>,
     pub durable: bool,
     pub first_token_ms: u64,
     pub between_tokens_ms: u64,
@@ -205,6 +208,7 @@
     fn resolve(self) -> Language {
         Language {
             models: self.models,
+            version: self.version,
             durable: self.durable.unwrap_or(false),
             first_token_ms: self.first_token_ms.unwrap_or(FIRST_TOKEN_MS_DEFAULT),
             between_tokens_ms: self.between_tokens_ms.unwrap_or(BETWEEN_TOKENS_MS_DEFAULT),
--- a/crates/lentilhitch_entry/src/admin.rs
+++ b/crates/lentilhitch_entry/src/admin.rs
@@ -70,6 +70,7 @@
         "incarnation": entry.incarnation,
         "settings": entry.settings,
         "peers": peers,
+        "peer_sent_bytes": entry.peers().sent_bytes(),
         "upstreams": upstreams,
         "notices": entry.notices(),
         "journals": entry.journals.all().iter().map(journal).collect::<Vec<_>>(),
@@ -82,6 +83,7 @@
         },
         "demand": entry.demand(),
         "evidence": entry.evidence(),
+        "lease": entry.orders.dump(entry.clock.now_ms()),
     }))
 }
 
--- a/crates/lentilhitch_entry/src/drain.rs
+++ b/crates/lentilhitch_entry/src/drain.rs
@@ -6,7 +6,7 @@
 
 use lentilhitch_chart::charts::process::Event;
 
-use crate::entry::Entry;
+use crate::{entry::Entry, orders};
 
 const LOOK_MS: u64 = 50;
 /// How long callers get to take in that their request has moved.
@@ -16,6 +16,7 @@
 pub(crate) async fn drain(entry: &Arc<Entry>) {
     let timing = entry.settings.timing;
     entry.step(Event::Terminate);
+    orders::give_back(entry).await;
     let until = Instant::now() + Duration::from_millis(timing.drain_ms);
     sleep(Duration::from_millis(timing.balancer_ms)).await;
     entry.step(Event::BalancerInformed);
--- a/crates/lentilhitch_entry/src/lib.rs
+++ b/crates/lentilhitch_entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod language;
 mod log_access;
 mod metrics;
+mod orders;
 mod peers;
 mod problems;
 mod protocol;
--- a/crates/lentilhitch_entry/src/peers.rs
+++ b/crates/lentilhitch_entry/src/peers.rs
@@ -73,6 +73,11 @@
         self.membership.lock().state(peer)
     }
 
+    /// Bytes sent over the links that are open now.
+    pub(crate) fn sent_bytes(&self) -> u64 {
+        self.links.lock().values().map(Link::sent_bytes).sum()
+    }
+
     /// The number of entry processes, this one included.
     pub(crate) fn n_processes(&self) -> usize {
         self.peers.len() + 1
@@ -364,7 +369,7 @@
     match stream {
         Stream::Config => to_bytes(&entry.config.snapshot_if_after(next)?),
         Stream::Claims => to_bytes(&entry.claims().followed.snapshot_if_after(next)?),
-        Stream::Leases => None,
+        Stream::Leases => to_bytes(&entry.orders.followed.snapshot_if_after(next)?),
     }
 }
 
--- a/crates/lentilhitch_entry/src/serve.rs
+++ b/crates/lentilhitch_entry/src/serve.rs
@@ -23,6 +23,7 @@
     entry::Entry,
     follow::follow,
     front::{Front, respond_problem},
+    orders,
     peers::{self, PeerHandler},
     problems, upstreams,
 };
@@ -58,6 +59,12 @@
         follow(following.clone(), Stream::Claims, &following.claims().followed, |_| {}).await;
     });
 
+    let following = entry.clone();
+    tokio::spawn(async move {
+        follow(following.clone(), Stream::Leases, &following.orders.followed, |_| {}).await;
+    });
+    tokio::spawn(orders::run(entry.clone()));
+
     let front = server(settings.front_address, entry.clone())
         .mount("/", Front(entry.clone()).routes())
         .mount("/lentilhitch", routes![admin::health, admin::ready])
--- a/crates/lentilhitch_entry/src/upstreams.rs
+++ b/crates/lentilhitch_entry/src/upstreams.rs
@@ -39,6 +39,10 @@
     queued_prompt_tokens: u64,
     prefill_tokens_per_s: f64,
     slots: u32,
+    /// The model version that is loaded.
+    version: Option<String>,
+    /// The upstream's own clock, in which orders state until when they may begin.
+    now_ms: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -51,6 +55,9 @@
     prompt_tokens_sent_since: u64,
     /// What runs there now for this process.
     running: Vec<Fingerprint>,
+    version: Option<String>,
+    /// The upstream's clock, and this process's when the report had been read.
+    clock_ms: Option<(u64, u64)>,
     /// Changes when the upstream is known to leave.
     leaving: watch::Sender<Incarnation>,
 }
@@ -65,6 +72,8 @@
             n_sent_since: 0,
             prompt_tokens_sent_since: 0,
             running: Vec::new(),
+            version: None,
+            clock_ms: None,
             leaving: watch::Sender::default(),
         }
     }
@@ -123,6 +132,11 @@
         (upstream.clone(), self.change(upstream, |it| it.incarnation))
     }
 
+    /// The loaded version and the clock of an upstream, as last reported.
+    pub(crate) fn version(&self, upstream: &UpstreamName) -> (Option<String>, Option<(u64, u64)>) {
+        self.change(upstream, |it| (it.version.clone(), it.clock_ms))
+    }
+
     /// What runs on an upstream for this process.
     pub(crate) fn running(&self, upstream: &UpstreamName) -> Vec<Fingerprint> {
         self.change(upstream, |it| it.running.clone())
@@ -172,10 +186,12 @@
         states
     }
 
-    fn take_report(&self, upstream: &UpstreamName, report: &LoadReport) -> bool {
+    fn take_report(&self, upstream: &UpstreamName, report: &LoadReport, now_ms: u64) -> bool {
         let incarnation = Incarnation(report.incarnation);
         self.change(upstream, |it| {
             it.n_missed = 0;
+            it.version.clone_from(&report.version);
+            it.clock_ms = report.now_ms.map(|it| (it, now_ms));
             it.n_sent_since = 0;
             it.prompt_tokens_sent_since = 0;
             it.load = Load {
@@ -230,7 +246,7 @@
     }
 
     fn take_load_report(&self, upstream: &UpstreamName, report: &LoadReport) {
-        let is_new = self.upstreams.take_report(upstream, report);
+        let is_new = self.upstreams.take_report(upstream, report, self.clock.now_ms());
         if is_new {
             let (actions, _) = self.upstreams.step(upstream, Event::NewIncarnation);
             if actions.contains(&Action::ForgetCache) {
--- a/crates/lentilhitch_peer/src/link.rs
+++ b/crates/lentilhitch_peer/src/link.rs
@@ -73,20 +73,24 @@
     queue: mpsc::Sender<Bytes>,
     waiting: Waiting<M>,
     n_asked: Arc<AtomicU64>,
+    sent_bytes: Arc<AtomicU64>,
 }
 
 impl<M> Clone for Link<M> {
     fn clone(&self) -> Self {
-        let (queue, waiting, n_asked) =
-            (self.queue.clone(), self.waiting.clone(), self.n_asked.clone());
-        Self { queue, waiting, n_asked }
+        Self {
+            queue: self.queue.clone(),
+            waiting: self.waiting.clone(),
+            n_asked: self.n_asked.clone(),
+            sent_bytes: self.sent_bytes.clone(),
+        }
     }
 }
 
 impl<M: Serialize + DeserializeOwned + Send + 'static> Link<M> {
     /// Sends a message that needs no answer; says whether it could be queued.
     pub fn say(&self, message: M) -> bool {
-        encode(&Frame::Say(message)).is_ok_and(|it| self.queue.try_send(it).is_ok())
+        encode(&Frame::Say(message)).is_ok_and(|it| self.queue(it))
     }
 
     /// Sends a message and waits for its answer.
@@ -95,7 +99,7 @@
         let frame = encode(&Frame::Ask(number, message)).map_err(|_| CallError::NotSent)?;
         let (sender, receiver) = oneshot::channel();
         self.waiting.lock().insert(number, sender);
-        let is_queued = self.queue.try_send(frame).is_ok();
+        let is_queued = self.queue(frame);
         let answer =
             if is_queued { timeout(wait, receiver).await.ok().and_then(Result::ok) } else { None };
         self.waiting.lock().remove(&number);
@@ -106,6 +110,16 @@
         }
     }
 
+    /// Bytes of all frames queued so far, without the transport's own headers.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    fn queue(&self, frame: Bytes) -> bool {
+        self.sent_bytes.fetch_add(frame.len() as u64, Ordering::Relaxed);
+        self.queue.try_send(frame).is_ok()
+    }
+
     /// Resolves when the link is closed.
     pub async fn closed(&self) {
         self.queue.closed().await;
@@ -123,7 +137,7 @@
     let (queue, frames) = mpsc::channel(QUEUE_FRAMES_MAX);
     let waiting = Waiting::default();
     tokio::spawn(run(socket, frames, waiting.clone()));
-    Ok(Link { queue, waiting, n_asked: Arc::default() })
+    Ok(Link { queue, waiting, n_asked: Arc::default(), sent_bytes: Arc::default() })
 }
 
 async fn open(
--- a/crates/lentilhitch_policy/src/lease.rs
+++ b/crates/lentilhitch_policy/src/lease.rs
@@ -168,11 +168,7 @@
             Event::Denied
         } else {
             match self.state {
-                State::Idle
-                    if grant.is_none_or(|it| it.is_released || it.free_from_ms <= log_now_ms) =>
-                {
-                    Event::Free
-                }
+                State::Idle if is_mine || is_free(grant, log_now_ms) => Event::Free,
                 State::Requesting | State::Renewing if is_mine && self.pending.is_none() => {
                     Event::Granted
                 }
@@ -189,7 +185,8 @@
         self.step(event)
     }
 
-    /// The append failed for certain, or the process stops.
+    /// Takes an event that the time and the log do not tell: the append failed or its answer was lost, or the process
+    /// stops. A request whose answer was lost may still be granted; asking again under the same term does no harm.
     pub fn step(&mut self, event: Event) -> Vec<Action> {
         let step = CHART.step(self.state, event);
         self.state = step.to;
@@ -236,3 +233,7 @@
         self.pending.is_some_and(|(_, sent_ms)| sent_ms + self.settings.ttl_ms <= now_ms)
     }
 }
+
+fn is_free(grant: Option<&Grant>, log_now_ms: u64) -> bool {
+    grant.is_none_or(|it| it.is_released || it.free_from_ms <= log_now_ms)
+}
--- a/crates/lentilhitch_standin/src/engine.rs
+++ b/crates/lentilhitch_standin/src/engine.rs
@@ -8,5 +8,5 @@
 mod tokens;
 
 pub use http::{Faults, Report, run};
-pub use run::Settings;
+pub use run::{Order, Settings};
 pub use tokens::expected_answer;
--- a/crates/lentilhitch_standin/src/engine/http.rs
+++ b/crates/lentilhitch_standin/src/engine/http.rs
@@ -7,7 +7,9 @@
 };
 
 use rocket::{
-    Request, State, get, post,
+    Request, State, get,
+    http::Status,
+    post,
     request::{FromRequest, Outcome},
     response::stream::{Event, EventStream},
     routes,
@@ -18,7 +20,7 @@
 use tokio::{sync::mpsc, time::sleep};
 
 use crate::{
-    engine::run::{Ask, Attempt, Engine, Settings},
+    engine::run::{Ask, Attempt, Engine, Order, Settings},
     server::server,
 };
 
@@ -58,6 +60,7 @@
 pub struct Report {
     pub incarnation: u64,
     pub attempts: Vec<Attempt>,
+    pub orders: Vec<Order>,
 }
 
 struct RequestId(Option<String>);
@@ -105,9 +108,16 @@
         "queued_prompt_tokens": queued_prompt_tokens,
         "prefill_tokens_per_s": engine.settings.prefill_tokens_per_s,
         "slots": engine.settings.slots,
+        "version": engine.version(),
+        "now_ms": engine.now_ms(),
     }))
 }
 
+#[post("/v1/orders", data = "<order>")]
+fn order(order: Json<Order>, engine: &State<Arc<Engine>>) -> Status {
+    if engine.order(order.into_inner()) { Status::Ok } else { Status::Conflict }
+}
+
 #[post("/faults", data = "<faults>")]
 fn set_faults(faults: Json<Faults>, engine: &State<Arc<Engine>>) {
     if let Some(ms) = faults.exit_in_ms {
@@ -121,14 +131,18 @@
 
 #[get("/counts")]
 fn counts(engine: &State<Arc<Engine>>) -> Json<Report> {
-    Json(Report { incarnation: engine.incarnation, attempts: engine.attempts.lock().clone() })
+    Json(Report {
+        incarnation: engine.incarnation,
+        attempts: engine.attempts.lock().clone(),
+        orders: engine.orders.lock().clone(),
+    })
 }
 
 /// Runs the engine until the process is stopped.
 pub async fn run(address: SocketAddr, settings: Settings) -> anyhow::Result<()> {
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
     let engine = Arc::new(Engine::new(settings, incarnation));
-    let routes = routes![completions, chat, load, set_faults, counts];
+    let routes = routes![completions, chat, load, order, set_faults, counts];
     server(address).manage(engine).mount("/", routes).launch().await?;
     Ok(())
 }
--- a/crates/lentilhitch_standin/src/engine/run.rs
+++ b/crates/lentilhitch_standin/src/engine/run.rs
@@ -1,6 +1,9 @@
 //! Running one attempt: waiting for a slot, prefill, decode.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -21,6 +24,8 @@
     pub decode_ms: u64,
     pub slots: usize,
     pub cache_blocks_max: usize,
+    /// Orders with an old fencing number, or after their time, are refused.
+    pub checks_fencing: bool,
 }
 
 /// What a caller of the engine asks for.
@@ -58,12 +63,25 @@
     pub resumed_at: usize,
 }
 
+/// An order, and whether the engine followed it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Order {
+    pub version: String,
+    pub fencing: u64,
+    /// In the engine's clock.
+    pub not_after_ms: u64,
+    #[serde(default)]
+    pub is_followed: bool,
+}
+
 /// The engine's state.
 pub(crate) struct Engine {
     pub(crate) settings: Settings,
     pub(crate) incarnation: u64,
     pub(crate) faults: Mutex<Faults>,
     pub(crate) attempts: Mutex<Vec<Attempt>>,
+    pub(crate) orders: Mutex<Vec<Order>>,
+    pub(crate) begun: Instant,
     cache: Mutex<Cache>,
     slots: Semaphore,
     prefill: FairLock<()>,
@@ -77,6 +95,8 @@
             incarnation,
             faults: Mutex::default(),
             attempts: Mutex::default(),
+            orders: Mutex::default(),
+            begun: Instant::now(),
             cache: Mutex::new(Cache::new(settings.cache_blocks_max)),
             slots: Semaphore::new(settings.slots),
             prefill: FairLock::new(()),
@@ -89,6 +109,27 @@
         *self.in_progress.lock()
     }
 
+    /// Takes an order; says whether it is followed.
+    pub(crate) fn order(&self, mut order: Order) -> bool {
+        let mut orders = self.orders.lock();
+        let newest = orders.iter().filter(|it| it.is_followed).map(|it| it.fencing).max();
+        let is_old =
+            newest.is_some_and(|it| order.fencing < it) || order.not_after_ms < self.now_ms();
+        order.is_followed = !(self.settings.checks_fencing && is_old);
+        let is_followed = order.is_followed;
+        orders.push(order);
+        is_followed
+    }
+
+    /// The version that is loaded.
+    pub(crate) fn version(&self) -> Option<String> {
+        self.orders.lock().iter().rev().find(|it| it.is_followed).map(|it| it.version.clone())
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64
+    }
+
     /// Runs an attempt and sends the data of its server-sent events. Stops when the receiver is gone.
     pub(crate) async fn run(
         self: Arc<Self>,
--- a/crates/lentilhitch_standin/src/harness.rs
+++ b/crates/lentilhitch_standin/src/harness.rs
@@ -110,6 +110,22 @@
         bail!("{} did not end in time", self.name)
     }
 
+    /// Processor time used so far, in milliseconds.
+    pub fn cpu_ms(&self) -> u64 {
+        let stat =
+            fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let fields: Vec<_> =
+            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks =
+            |idx: usize| fields.get(idx).and_then(|it| it.parse::<u64>().ok()).unwrap_or_default();
+        (ticks(11) + ticks(12)) * 10
+    }
+
+    /// Memory in use, in KiB.
+    pub fn resident_kib(&self) -> u64 {
+        resident_kib(&format!("/proc/{}/status", self.child.id()))
+    }
+
     /// What the process has logged.
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
@@ -171,6 +187,10 @@
     pub requests_per_s: f64,
     /// Upstreams are declared under their own addresses, not those of their links.
     pub is_direct: bool,
+    /// Zones that processes and upstreams are spread over, in turns.
+    pub n_zones: usize,
+    /// The model version of the durable service.
+    pub version: Option<&'static str>,
 }
 
 impl Default for Options {
@@ -185,6 +205,8 @@
             bounds: json!({}),
             requests_per_s: 10_000.0,
             is_direct: false,
+            n_zones: usize::MAX,
+            version: None,
         }
     }
 }
@@ -292,7 +314,7 @@
             json!({
                 "service": service,
                 "teams": ["ausonia"],
-                "language": { "models": [model], "durable": is_durable },
+                "language": { "models": [model], "durable": is_durable, "version": if is_durable { self.options.version } else { None } },
                 "upstreams": upstreams(&self.engines),
             })
         };
@@ -327,6 +349,12 @@
         Ok(folder)
     }
 
+    /// Publishes the default declarations with another model version.
+    pub fn publish_version(&mut self, version: &'static str) -> anyhow::Result<(bool, String)> {
+        self.options.version = Some(version);
+        self.publish(&self.declarations()?)
+    }
+
     /// Runs `lentilhitch publish`; returns whether it succeeded and what it printed.
     pub fn publish(&self, folder: &Path) -> anyhow::Result<(bool, String)> {
         let mut args = vec!["publish".to_owned(), folder.display().to_string()];
@@ -463,11 +491,17 @@
         self.folder.path().join(format!("{name}.json"))
     }
 
+    fn zone(&self, idx: usize) -> String {
+        format!("zone-{}", idx % self.options.n_zones + 1)
+    }
+
     fn start_upstream(&self, kind: &str, idx: usize) -> anyhow::Result<Upstream> {
         let name = format!("{kind}-{}", idx + 1);
         let address = free_address()?;
         let mut args = vec![kind.to_owned(), "--address".to_owned(), address.to_string()];
         if kind == "engine" {
+            // Half of the engines, the first among them, check fencing numbers.
+            args.extend(idx.is_multiple_of(2).then(|| "--checks-fencing".to_owned()));
             args.extend(["--decode-ms".to_owned(), self.options.decode_ms.to_string()]);
             args.extend([
                 "--prefill-tokens-per-s".to_owned(),
@@ -476,7 +510,7 @@
         }
         let process = Process::start(&name, self.folder.path(), "lentilhitch_standin", &args)?;
         let link = Relay::start(address.ip(), address)?;
-        Ok(Upstream { name, zone: zone(idx), address, link, process, args })
+        Ok(Upstream { name, zone: self.zone(idx), address, link, process, args })
     }
 
     fn start_entries(&mut self) -> anyhow::Result<()> {
@@ -492,12 +526,12 @@
             for (other, (_, _, address)) in addresses.iter().enumerate().filter(|it| it.0 != idx) {
                 let link = Relay::start(front.ip(), *address)?;
                 let instance = format!("entry-{}", other + 1);
-                peers.push(json!({ "instance": instance, "zone": zone(other), "address": link.address().to_string() }));
+                peers.push(json!({ "instance": instance, "zone": self.zone(other), "address": link.address().to_string() }));
                 peer_links.push(link);
             }
             let settings = json!({
                 "instance": name,
-                "zone": zone(idx),
+                "zone": self.zone(idx),
                 "front_address": front.to_string(),
                 "admin_address": admin.to_string(),
                 "peer_address": peer.to_string(),
@@ -513,7 +547,7 @@
                 Process::start(&name, self.folder.path(), "lentilhitch", &serve_args(&file))?;
             self.entries.push(Entry {
                 name,
-                zone: zone(idx),
+                zone: self.zone(idx),
                 front,
                 admin,
                 peer,
@@ -598,6 +632,13 @@
     read
 }
 
+/// The resident memory that a status file of the kernel tells, in KiB.
+pub fn resident_kib(status_file: &str) -> u64 {
+    let status = fs::read_to_string(status_file).unwrap_or_default();
+    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+    line.and_then(|it| it.split_whitespace().next()?.parse().ok()).unwrap_or_default()
+}
+
 /// Runs a `lentilhitch` command; returns whether it succeeded and what it printed.
 pub fn run_to_end(args: &[String]) -> anyhow::Result<(bool, String)> {
     let output =
@@ -611,10 +652,6 @@
     vec!["serve".to_owned(), settings.display().to_string()]
 }
 
-fn zone(idx: usize) -> String {
-    format!("zone-{}", idx + 1)
-}
-
 /// A loopback address of its own, with a port that the system chose.
 fn free_address() -> io::Result<SocketAddr> {
     let pid = std::process::id().to_le_bytes();
--- a/crates/lentilhitch_standin/src/lib.rs
+++ b/crates/lentilhitch_standin/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod demo;
 pub mod engine;
 pub mod harness;
+pub mod load;
 pub mod platform;
 pub mod relay;
 mod server;
+pub mod slopes;
--- a/crates/lentilhitch_standin/src/main.rs
+++ b/crates/lentilhitch_standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 
-use lentilhitch_standin::{application, demo, engine, platform};
+use lentilhitch_standin::{application, demo, engine, load, platform, slopes};
 
 /// Stand-ins of what lentilhitch meets, and a demonstration. For development only.
 #[derive(FromArgs)]
@@ -20,6 +20,8 @@
     Application(ApplicationArgs),
     Engine(EngineArgs),
     Demo(DemoArgs),
+    Load(LoadArgs),
+    Slopes(SlopesArgs),
 }
 
 /// Run the platform: log, instance list.
@@ -59,6 +61,9 @@
     /// blocks of 16 tokens that the prefix cache holds
     #[argh(option, default = "4096")]
     cache_blocks_max: usize,
+    /// refuse orders with an old fencing number
+    #[argh(switch)]
+    checks_fencing: bool,
 }
 
 /// Start the whole system on this machine, use it, disturb it, and show what happens.
@@ -66,6 +71,27 @@
 #[argh(subcommand, name = "demo")]
 struct DemoArgs {}
 
+/// Measure what an entry process adds to direct calls, in one run.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+struct LoadArgs {
+    /// streams at once
+    #[argh(option, default = "16")]
+    streams: usize,
+    /// streams in all, for each of the two ways
+    #[argh(option, default = "400")]
+    requests: usize,
+}
+
+/// Measure how the costs of a process grow, for docs/CAPACITY.md.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct SlopesArgs {
+    /// seconds for each measurement on processes
+    #[argh(option, default = "10")]
+    seconds: u64,
+}
+
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let args: Args = argh::from_env();
@@ -78,9 +104,12 @@
                 decode_ms: it.decode_ms,
                 slots: it.slots,
                 cache_blocks_max: it.cache_blocks_max,
+                checks_fencing: it.checks_fencing,
             };
             engine::run(it.address, settings).await
         }
         Command::Demo(DemoArgs {}) => demo::run().await,
+        Command::Load(it) => load::run(it.streams, it.requests).await,
+        Command::Slopes(it) => slopes::run(it.seconds).await,
     }
 }
--- /dev/null
+++ b/crates/lentilhitch_standin/src/slopes.rs
@@ -0,0 +1,332 @@
+//! How the costs of a process grow with what it has to do with; the figures of `docs/CAPACITY.md`.
+
+use std::{fs, hint::black_box, time::Instant};
+
+use serde_json::json;
+
+use lentilhitch_config::{Change, Declaration, Publish, Published};
+use lentilhitch_entry::{Heartbeat, Message};
+use lentilhitch_peer::{decode, encode};
+use lentilhitch_policy::{
+    fold::{Fold, RecordMeta},
+    once::{ClaimRecord, Claims, KeptAnswer},
+    routing::{ExpectedCost, Job, Load, PrefixIndex, Strategy, View},
+    streams::Record,
+};
+use lentilhitch_types::{
+    AttemptId, Findings, Fingerprint, Incarnation, InstanceName, LogOffset, RequestId,
+};
+
+use crate::harness::{Cluster, Options, resident_kib};
+
+/// A straight line through measured points, by least squares.
+struct Line {
+    base: f64,
+    slope: f64,
+}
+
+impl Line {
+    fn through(points: &[(f64, f64)]) -> Self {
+        let n = points.len() as f64;
+        let (mean_x, mean_y) = (
+            points.iter().map(|it| it.0).sum::<f64>() / n,
+            points.iter().map(|it| it.1).sum::<f64>() / n,
+        );
+        let covariance: f64 = points.iter().map(|it| (it.0 - mean_x) * (it.1 - mean_y)).sum();
+        let variance: f64 = points.iter().map(|it| (it.0 - mean_x).powi(2)).sum();
+        let slope = covariance / variance;
+        Self { base: mean_y - slope * mean_x, slope }
+    }
+}
+
+fn print(what: &str, unit: &str, per: &str, points: &[(f64, f64)]) {
+    let line = Line::through(points);
+    let shown: Vec<_> = points.iter().map(|(x, y)| format!("{x:.0}: {y:.1}")).collect();
+    println!(
+        "{what}: {:.2} {unit} + {:.4} {unit} a {per}   ({})",
+        line.base,
+        line.slope,
+        shown.join(", ")
+    );
+}
+
+/// Measures and prints every slope.
+pub async fn run(seconds: u64) -> anyhow::Result<()> {
+    heartbeats()?;
+    claims();
+    configuration()?;
+    routing();
+    prefixes();
+    journals()?;
+    processes_by_peers(seconds).await?;
+    processes_by_upstreams(seconds).await
+}
+
+/// The time of one run in microseconds, from as many as fit into a tenth of a second.
+fn time_us(mut run: impl FnMut()) -> f64 {
+    let begun = Instant::now();
+    let mut n = 0_u32;
+    while begun.elapsed().as_millis() < 100 {
+        run();
+        n += 1;
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(n)
+}
+
+fn heartbeats() -> anyhow::Result<()> {
+    let (mut bytes, mut times) = (Vec::new(), Vec::new());
+    for n_peers in [0, 10, 30, 100, 340] {
+        let heard = (0..n_peers)
+            .map(|it| Ok((format!("entry-{it}").parse()?, Incarnation(1_700_000_000_000))));
+        let message = Message::Heartbeat(Heartbeat {
+            incarnation: Incarnation(1_700_000_000_000),
+            is_leaving: false,
+            config_next: LogOffset(100_000),
+            claims_next: LogOffset(100_000),
+            heard: heard.collect::<anyhow::Result<_>>()?,
+            demand: (0..5)
+                .map(|it| Ok((format!("team-{it}").parse()?, 10.5)))
+                .collect::<anyhow::Result<_>>()?,
+        });
+        let encoded = encode(&message)?;
+        bytes.push((f64::from(n_peers), encoded.len() as f64));
+        let time = time_us(|| {
+            black_box(encode(&message).ok().and_then(|it| decode::<Message>(&it).ok()));
+        });
+        times.push((f64::from(n_peers), time));
+    }
+    print("heartbeat, size", "B", "peer heard", &bytes);
+    print("heartbeat, written and read", "us", "peer heard", &times);
+    Ok(())
+}
+
+fn own_kib() -> f64 {
+    resident_kib("/proc/self/status") as f64
+}
+
+fn claims() {
+    let before_kib = own_kib();
+    let mut claims = Claims::default();
+    let (mut memory, mut times) = (vec![(0.0, 0.0)], Vec::new());
+    let claimant: InstanceName = "entry-1".parse().expect("the name is valid");
+    let mut n_claims = 0_u64;
+    for target in [50_000, 100_000, 200_000] {
+        let begun = Instant::now();
+        let n_before = n_claims;
+        while n_claims < target {
+            let (key, attempt) = (
+                Fingerprint::of(&[&n_claims.to_le_bytes()]),
+                AttemptId::from_random(u128::from(n_claims)),
+            );
+            let claim = ClaimRecord::Claim {
+                key,
+                body: key,
+                attempt,
+                claimant: InstanceName::clone(&claimant),
+            };
+            let body = Some("x".repeat(200));
+            let answer =
+                KeptAnswer { status: 201, content_type: Some("application/json".to_owned()), body };
+            let batch = vec![claim, ClaimRecord::Outcome { key, attempt, answer }];
+            claims.apply(RecordMeta { offset: LogOffset(n_claims), appended_ms: 0 }, &batch);
+            n_claims += 1;
+        }
+        times.push((
+            target as f64,
+            begun.elapsed().as_secs_f64() * 1e6 / (n_claims - n_before) as f64,
+        ));
+        memory.push((target as f64, own_kib() - before_kib));
+    }
+    print("claims with answers of 200 B, memory", "KiB", "claim", &memory);
+    print("claims, time of one", "us", "claim held", &times);
+    let record = serde_json::to_string(&ClaimRecord::Claim {
+        key: Fingerprint(u128::MAX),
+        body: Fingerprint(u128::MAX),
+        attempt: AttemptId::from_random(1),
+        claimant,
+    });
+    println!("claim, size in the log: {} B", record.map_or(0, |it| it.len()));
+}
+
+fn service(n_upstreams: usize, idx: usize) -> anyhow::Result<Declaration> {
+    let upstreams: Vec<_> = (0..n_upstreams)
+        .map(|it| json!({ "upstream": format!("engine-{idx}-{it}"), "address": "10.0.0.1:8000", "zone": "zone-1" }))
+        .collect();
+    let text = json!({ "service": format!("s{idx}"), "teams": ["t"], "language": { "models": [format!("m{idx}")] }, "upstreams": upstreams });
+    let mut findings = Findings::default();
+    let declaration = Declaration::parse("slope", &text.to_string(), &mut findings);
+    declaration.ok_or_else(|| anyhow::anyhow!("{findings}"))
+}
+
+fn configuration() -> anyhow::Result<()> {
+    let (mut memory, mut times, mut sizes) = (Vec::new(), Vec::new(), Vec::new());
+    for n_upstreams in [10, 100, 400] {
+        let before_kib = own_kib();
+        let mut published = Published::default();
+        let declarations =
+            (0..50).map(|it| service(n_upstreams, it)).collect::<anyhow::Result<Vec<_>>>()?;
+        let begun = Instant::now();
+        for (offset, declaration) in declarations.iter().enumerate() {
+            let change = Change {
+                key: declaration.key(),
+                replaces: None,
+                declaration: Some(declaration.clone()),
+            };
+            let publish = Publish {
+                attempt: AttemptId::from_random(1),
+                operator: "rosa".to_owned(),
+                changes: vec![change],
+            };
+            let text = serde_json::to_string(&publish)?;
+            let publish: Publish = serde_json::from_str(&text)?;
+            published
+                .apply(RecordMeta { offset: LogOffset(offset as u64), appended_ms: 0 }, &publish);
+            sizes.push((n_upstreams as f64, text.len() as f64));
+        }
+        times.push((n_upstreams as f64, begun.elapsed().as_secs_f64() * 1e6 / 50.0));
+        drop(declarations);
+        memory.push(((n_upstreams * 50) as f64, own_kib() - before_kib));
+        black_box(&published);
+    }
+    print("configuration, memory", "KiB", "declared upstream", &memory);
+    print("configuration, one change read and applied", "us", "upstream of the service", &times);
+    print("configuration, one change in the log", "B", "upstream of the service", &sizes);
+    Ok(())
+}
+
+fn routing() {
+    let mut points = Vec::new();
+    for n_replicas in [20, 100, 390, 1_000, 4_000] {
+        let view = |idx: u32| View {
+            load: Load {
+                n_requests: idx % 17,
+                queued_prompt_tokens: u64::from(idx * 37 % 5_000),
+                prefill_tokens_per_s: 8_000.0,
+                slots: 64,
+            },
+            network_ms: 0.5,
+            price_microusd_per_hour: 900_000,
+            ..View::default()
+        };
+        let views: Vec<_> = (0..n_replicas).map(view).collect();
+        let job = Job { prompt_tokens: 4_000, first_token_target_ms: 710.0, duration_ms: 20_000.0 };
+        let mut strategy = ExpectedCost::default();
+        points.push((
+            f64::from(n_replicas),
+            time_us(|| {
+                black_box(strategy.choose(&job, black_box(&views)));
+            }),
+        ));
+    }
+    print("routing, one decision", "us", "replica", &points);
+}
+
+fn prefixes() {
+    let before_kib = own_kib();
+    let mut index = PrefixIndex::new(1_000_000);
+    let name = "engine-1".parse().expect("the name is valid");
+    let mut points = vec![(0.0, 0.0)];
+    for n_blocks in [200_000_u64, 500_000, 1_000_000] {
+        index.insert(
+            &name,
+            &(0..n_blocks).map(|it| it.wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect::<Vec<_>>(),
+        );
+        points.push((n_blocks as f64, own_kib() - before_kib));
+    }
+    print("prefix index, memory", "KiB", "block", &points);
+}
+
+fn journals() -> anyhow::Result<()> {
+    let mut points = Vec::new();
+    for n_tokens in [0_u32, 100, 1_000, 4_000] {
+        let record = Record {
+            request_id: RequestId::from_random(1),
+            team: "ausonia".parse()?,
+            service: "review".parse()?,
+            fingerprint: Fingerprint(1),
+            body: vec![b'x'; 1_000].into(),
+            path: "/v1/completions".to_owned(),
+            tokens: (0..n_tokens).map(|it| format!(" {it:04x}")).collect(),
+            finish_reason: None,
+        };
+        points.push((f64::from(n_tokens), encode(&Message::CopyBegin(record))?.len() as f64));
+    }
+    print("journal copy with a request of 1000 B, size", "B", "token", &points);
+    Ok(())
+}
+
+/// Processor time in thousandths of a core, bytes sent to peers a second and memory of the first entry process.
+async fn observe(cluster: &Cluster, seconds: u64) -> anyhow::Result<(f64, f64, f64)> {
+    let entry = &cluster.entries[0];
+    let sent = async || {
+        anyhow::Ok(cluster.dump(entry).await?["peer_sent_bytes"].as_f64().unwrap_or_default())
+    };
+    let (cpu_ms, sent_bytes) = (entry.process.cpu_ms(), sent().await?);
+    tokio::time::sleep(std::time::Duration::from_secs(seconds)).await;
+    let cpu = (entry.process.cpu_ms() - cpu_ms) as f64 / seconds as f64;
+    let bytes = (sent().await? - sent_bytes) / seconds as f64;
+    Ok((cpu, bytes, entry.process.resident_kib() as f64))
+}
+
+async fn processes_by_peers(seconds: u64) -> anyhow::Result<()> {
+    let (mut cpu, mut bytes, mut memory) = (Vec::new(), Vec::new(), Vec::new());
+    for n_entries in [1, 4, 8, 16] {
+        let options = Options {
+            n_engines: 1,
+            n_applications: 0,
+            n_entries,
+            is_direct: true,
+            ..Options::default()
+        };
+        let cluster = Cluster::start_ready(options).await?;
+        let seen = observe(&cluster, seconds).await?;
+        let n_peers = (n_entries - 1) as f64;
+        cpu.push((n_peers, seen.0));
+        bytes.push((n_peers, seen.1));
+        memory.push((n_peers, seen.2));
+    }
+    print("idle process, processor time", "thousandths of a core", "peer", &cpu);
+    print("idle process, sent to peers", "B/s", "peer", &bytes);
+    print("idle process, memory", "KiB", "peer", &memory);
+    Ok(())
+}
+
+async fn processes_by_upstreams(seconds: u64) -> anyhow::Result<()> {
+    let (mut cpu, mut memory) = (Vec::new(), Vec::new());
+    for n_upstreams in [1, 50, 200, 400] {
+        let options = Options {
+            n_engines: 1,
+            n_applications: 0,
+            n_entries: 1,
+            is_direct: true,
+            ..Options::default()
+        };
+        let cluster = Cluster::start(options).await?;
+        let folder = cluster.declarations()?;
+        for entry in
+            fs::read_dir(&folder)?.flatten().filter(|it| it.file_name() != "team.lentilhitch.json")
+        {
+            fs::remove_file(entry.path())?;
+        }
+        // Many names for one engine: the entry process asks each of them for its load.
+        let address = cluster.engines[0].address.to_string();
+        let upstreams: Vec<_> = (0..n_upstreams)
+            .map(|it| json!({ "upstream": format!("engine-{it}"), "address": address, "zone": "zone-1" }))
+            .collect();
+        let service = json!({ "service": "review", "teams": ["ausonia"], "language": { "models": ["m"] }, "upstreams": upstreams });
+        fs::write(folder.join("review.lentilhitch.json"), service.to_string())?;
+        let (is_done, text) = cluster.publish(&folder)?;
+        anyhow::ensure!(is_done, "{text}");
+        let seen = observe(&cluster, seconds).await?;
+        cpu.push((f64::from(n_upstreams), seen.0));
+        memory.push((f64::from(n_upstreams), seen.2));
+    }
+    print(
+        "idle process, processor time",
+        "thousandths of a core",
+        "upstream asked twice a second",
+        &cpu,
+    );
+    print("idle process, memory", "KiB", "upstream", &memory);
+    Ok(())
+}
