Streams of a leaving upstream are moved with their KV cache

Cause: a notice made every stream go on elsewhere at once, and whole contexts were computed again.

A stream runs on where it is while its cache is copied.

--- a/crates/lentilhitch_entry/src/journals.rs
+++ b/crates/lentilhitch_entry/src/journals.rs
@@ -11,7 +11,7 @@
 
 use lentilhitch_chart::charts::stream::Event;
 use lentilhitch_policy::streams::{Journal, Record};
-use lentilhitch_types::{Problem, RequestId, TeamName};
+use lentilhitch_types::{AttemptId, Problem, RequestId, TeamName, UpstreamName};
 
 /// How long an answer is kept after its caller was sent the end.
 const DELIVERED_KEPT_MS: u64 = 30_000;
@@ -37,6 +37,14 @@
     HandedOver,
 }
 
+/// What becomes of a stream whose upstream leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Moving {
+    Stay,
+    /// Goes on elsewhere, at the upstream that has its KV cache if one has.
+    Go(Option<UpstreamName>),
+}
+
 /// A journal with those who wait for it.
 pub(crate) struct Active {
     pub(crate) journal: Mutex<Journal>,
@@ -45,6 +53,10 @@
     /// The number of tokens received, and whether that is all.
     pub(crate) received: watch::Sender<(usize, bool)>,
     pub(crate) progress: watch::Sender<Progress>,
+    /// Where it runs now.
+    pub(crate) place: Mutex<Option<(UpstreamName, AttemptId)>>,
+    /// What becomes of it when that upstream leaves.
+    pub(crate) moving: watch::Sender<Option<Moving>>,
     /// Why the runner has to stop, once it has to.
     pub(crate) stop: watch::Sender<Option<Event>>,
     /// Tokens that the holder of the copy has confirmed.
@@ -64,6 +76,8 @@
             accepted_ms: now_ms,
             received: watch::Sender::new(received),
             progress: watch::Sender::new(Progress { n_released: received.0, phase }),
+            place: Mutex::new(None),
+            moving: watch::Sender::new(None),
             stop: watch::Sender::new(None),
             copied: Mutex::new(0),
             n_callers: AtomicUsize::new(0),
@@ -77,6 +91,21 @@
         self.journal.lock().record.request_id
     }
 
+    /// Whether it runs on this upstream.
+    pub(crate) fn is_at(&self, upstream: &UpstreamName) -> bool {
+        self.attempt_at(upstream).is_some()
+    }
+
+    /// The attempt that runs on this upstream.
+    pub(crate) fn attempt_at(&self, upstream: &UpstreamName) -> Option<AttemptId> {
+        self.place.lock().as_ref().filter(|it| it.0 == *upstream).map(|it| it.1)
+    }
+
+    /// Tells the runner what becomes of the stream.
+    pub(crate) fn tell(&self, moving: Moving) {
+        self.moving.send_replace(Some(moving));
+    }
+
     /// Lets callers see tokens up to a position.
     pub(crate) fn release(&self, n_tokens: usize) {
         self.progress.send_if_modified(|it| {
--- a/crates/lentilhitch_entry/src/lib.rs
+++ b/crates/lentilhitch_entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod dispatch;
 mod drain;
 mod entry;
+mod evacuate;
 mod follow;
 mod front;
 mod journals;
--- a/crates/lentilhitch_entry/src/runner.rs
+++ b/crates/lentilhitch_entry/src/runner.rs
@@ -17,19 +17,19 @@
     routing::{BlockHash, ExpectedCost, Job, Strategy as _, Weights, block_hashes},
     streams::{Received, Record},
 };
-use lentilhitch_types::{AttemptId, Fingerprint, Incarnation, Outcome, Problem, UpstreamName};
+use lentilhitch_types::{AttemptId, Fingerprint, Outcome, Problem, UpstreamName};
 
 use crate::{
     directory::language,
     dispatch::{self, Sent, Ticket},
     entry::Entry,
-    journals::{Active, Phase},
+    journals::{Active, Moving, Phase},
     problems,
     upstreams::{Running, Upstreams},
 };
 
-const PROMPT_BYTES_PER_TOKEN: u64 = 4;
-const DECODE_MS_EXPECTED: f64 = 28.0;
+pub(crate) const PROMPT_BYTES_PER_TOKEN: u64 = 4;
+pub(crate) const DECODE_MS_EXPECTED: f64 = 28.0;
 /// Between two looks at what a waiting attempt depends on.
 const LOOK_MS: u64 = 200;
 /// How long a request that no upstream has accepted waits for one.
@@ -252,6 +252,11 @@
             self.service.upstreams.iter().filter_map(|it| directory.upstreams.get(&it.upstream));
         let open = declared.filter(|it| entry.upstreams.is_open(&it.upstream));
         let mut candidates: Vec<_> = open.collect();
+        if let Some(Moving::Go(Some(target))) = &*self.active.moving.borrow()
+            && let Some(moved) = candidates.iter().find(|it| it.upstream == *target)
+        {
+            return Some((*moved).clone());
+        }
         let has_trial =
             |it: &Upstream| entry.quarantine.lock().has_trial(&entry.upstreams.life(&it.upstream));
         if verdict == Verdict::Suspect {
@@ -295,11 +300,12 @@
         let (record, fingerprint) = {
             let mut journal = self.active.journal.lock();
             journal.place(attempt);
+            self.active.moving.send_replace(None);
+            *self.active.place.lock() = Some((upstream.upstream.clone(), attempt));
             (journal.record.clone(), journal.record.fingerprint)
         };
         let prompt_tokens = record.body.len() as u64 / PROMPT_BYTES_PER_TOKEN;
-        let mut running =
-            Upstreams::begin(&self.entry, &upstream.upstream, fingerprint, prompt_tokens);
+        let running = Upstreams::begin(&self.entry, &upstream.upstream, fingerprint, prompt_tokens);
         let url = format!("http://{}{}", upstream.address, record.path);
         let Some(body) = upstream_body(&record, attempt) else {
             return Ended::Refused(StatusCode::BAD_REQUEST);
@@ -333,7 +339,7 @@
             Sent::Answered(response) if response.status().is_success() => {
                 self.active.journal.lock().step(Event::Started);
                 self.active.start();
-                let ended = self.receive(response, attempt, upstream, &mut running).await;
+                let ended = self.receive(response, attempt, upstream, &running).await;
                 if matches!(ended, Ended::Lost) {
                     self.lost(upstream, &running).await
                 } else {
@@ -350,9 +356,7 @@
         self.entry.metrics.upstream_try("lost");
         let life = (upstream.upstream.clone(), running.incarnation);
         let on_board = self.entry.upstreams.running(&upstream.upstream);
-        let is_leaving = running.incarnation <= *running.leaving.borrow()
-            && running.incarnation != Incarnation(0);
-        if !is_leaving && self.entry.has_crashed(upstream, &life).await {
+        if !running.is_leaving() && self.entry.has_crashed(upstream, &life).await {
             let evidence = self.entry.quarantine.lock().blame(&life, &on_board);
             log::warn!(upstream:% = upstream.upstream, n_running = on_board.len(); "upstream crashed");
             self.entry.take_evidence(&evidence);
@@ -368,10 +372,15 @@
         response: Response,
         attempt: AttemptId,
         upstream: &Upstream,
-        running: &mut Running,
+        running: &Running,
     ) -> Ended {
         let mut events = std::pin::pin!(response.bytes_stream().eventsource());
         let mut stop = self.active.stop.subscribe();
+        let mut moving = self.active.moving.subscribe();
+        if running.is_leaving() && self.has_other(upstream) && self.active.moving.borrow().is_none()
+        {
+            return Ended::Lost;
+        }
         let mut heard = Instant::now();
         let silence = Duration::from_millis(self.entry.settings.timing.token_silence_ms);
         loop {
@@ -384,8 +393,9 @@
             let look = Instant::now() + Duration::from_millis(LOOK_MS);
             let event = tokio::select! {
                 _ = stop.changed() => continue,
-                changed = running.leaving.changed() => {
-                    if changed.is_ok() && self.has_other(upstream) {
+                _ = moving.changed() => {
+                    let is_going = matches!(*moving.borrow_and_update(), Some(Moving::Go(_)));
+                    if is_going && self.has_other(upstream) {
                         return Ended::Lost;
                     }
                     continue;
@@ -396,7 +406,7 @@
             match event {
                 Err(_) if has_tokens && silence < heard.elapsed() => return Ended::Lost,
                 Err(_)
-                    if !self.entry.upstreams.is_open(&upstream.upstream)
+                    if self.entry.upstreams.is_unreachable(&upstream.upstream)
                         && self.has_other(upstream) =>
                 {
                     return Ended::Lost;
--- a/crates/lentilhitch_entry/src/upstreams.rs
+++ b/crates/lentilhitch_entry/src/upstreams.rs
@@ -6,10 +6,7 @@
 use reqwest::Client;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
-use tokio::{
-    sync::watch,
-    time::{interval, sleep},
-};
+use tokio::time::{interval, sleep};
 
 use lentilhitch_chart::charts::upstream::{Action, CHART, Event, State};
 use lentilhitch_config::Upstream;
@@ -21,13 +18,14 @@
 };
 use lentilhitch_types::{Fingerprint, Incarnation, UpstreamName, Zone};
 
-use crate::{entry::Entry, protocol::Message};
+use crate::{entry::Entry, evacuate::evacuate, protocol::Message};
 
 /// Missed reports after which an upstream counts as unreachable.
 const REPORTS_MISSED_MAX: u32 = 4;
 /// How often a lost upstream is looked at before it counts as out of reach.
 const CRASH_LOOKS: usize = 5;
 const CRASH_LOOK_MS: u64 = 30;
+const KV_TOKENS_PER_S_DEFAULT: f64 = 20_000.0;
 
 /// The load report of an upstream.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
@@ -41,6 +39,10 @@
     slots: u32,
     /// The model version that is loaded.
     version: Option<String>,
+    /// With `leaving`: how long it still runs.
+    leaving_in_ms: Option<u64>,
+    /// Tokens whose KV cache it can export in a second.
+    kv_tokens_per_s: Option<f64>,
     /// The upstream's own clock, in which orders state until when they may begin.
     now_ms: Option<u64>,
 }
@@ -55,11 +57,13 @@
     prompt_tokens_sent_since: u64,
     /// What runs there now for this process.
     running: Vec<Fingerprint>,
+    notice_ms: Option<u64>,
+    kv_tokens_per_s: f64,
     version: Option<String>,
     /// The upstream's clock, and this process's when the report had been read.
     clock_ms: Option<(u64, u64)>,
-    /// Changes when the upstream is known to leave.
-    leaving: watch::Sender<Incarnation>,
+    /// The highest incarnation that is known to leave.
+    leaving: Incarnation,
 }
 
 impl Default for Known {
@@ -72,9 +76,11 @@
             n_sent_since: 0,
             prompt_tokens_sent_since: 0,
             running: Vec::new(),
+            notice_ms: None,
+            kv_tokens_per_s: KV_TOKENS_PER_S_DEFAULT,
             version: None,
             clock_ms: None,
-            leaving: watch::Sender::default(),
+            leaving: Incarnation(0),
         }
     }
 }
@@ -89,8 +95,14 @@
     upstream: UpstreamName,
     pub(crate) incarnation: Incarnation,
     fingerprint: Fingerprint,
-    /// Holds the highest incarnation that is known to leave.
-    pub(crate) leaving: watch::Receiver<Incarnation>,
+}
+
+impl Running {
+    /// Whether the upstream's present life is known to leave.
+    pub(crate) fn is_leaving(&self) -> bool {
+        let leaving = self.entry.upstreams.change(&self.upstream, |it| it.leaving);
+        self.incarnation != Incarnation(0) && self.incarnation <= leaving
+    }
 }
 
 impl Drop for Running {
@@ -113,6 +125,10 @@
         self.change(upstream, |it| matches!(it.state, State::Available | State::Untried))
     }
 
+    pub(crate) fn is_unreachable(&self, upstream: &UpstreamName) -> bool {
+        self.change(upstream, |it| it.state == State::Unreachable)
+    }
+
     /// What routing needs to know of an upstream, but for the prefix.
     pub(crate) fn view(&self, upstream: &Upstream, own_zone: &Zone) -> View {
         let network_ms = if upstream.zone == *own_zone { 0.1 } else { 1.0 };
@@ -137,6 +153,11 @@
         self.change(upstream, |it| (it.version.clone(), it.clock_ms))
     }
 
+    /// How long a leaving upstream still runs, if it says so, and how fast it exports.
+    pub(crate) fn notice(&self, upstream: &UpstreamName) -> (Option<u64>, f64) {
+        self.change(upstream, |it| (it.notice_ms, it.kv_tokens_per_s))
+    }
+
     /// What runs on an upstream for this process.
     pub(crate) fn running(&self, upstream: &UpstreamName) -> Vec<Fingerprint> {
         self.change(upstream, |it| it.running.clone())
@@ -158,9 +179,8 @@
             it.running.push(fingerprint);
             it.n_sent_since += 1;
             it.prompt_tokens_sent_since += prompt_tokens;
-            let leaving = it.leaving.subscribe();
             let (entry, upstream, incarnation) = (entry.clone(), upstream.clone(), it.incarnation);
-            Running { entry, upstream, incarnation, fingerprint, leaving }
+            Running { entry, upstream, incarnation, fingerprint }
         })
     }
 
@@ -191,6 +211,8 @@
         self.change(upstream, |it| {
             it.n_missed = 0;
             it.version.clone_from(&report.version);
+            it.notice_ms = report.leaving_in_ms;
+            it.kv_tokens_per_s = report.kv_tokens_per_s.unwrap_or(KV_TOKENS_PER_S_DEFAULT);
             it.clock_ms = report.now_ms.map(|it| (it, now_ms));
             it.n_sent_since = 0;
             it.prompt_tokens_sent_since = 0;
@@ -218,7 +240,7 @@
     }
 
     /// Takes notices that upstreams leave, one's own or a peer's; passes new ones on at once.
-    pub(crate) fn take_notices(&self, notices: &[Notice]) {
+    pub(crate) fn take_notices(self: &Arc<Self>, notices: &[Notice]) {
         let mut known = self.notices.lock();
         let new: Vec<_> = notices.iter().filter(|it| known.insert(it)).cloned().collect();
         drop(known);
@@ -234,18 +256,19 @@
         self.notices.lock().iter().collect()
     }
 
-    fn apply_notice(&self, upstream: &UpstreamName) {
+    fn apply_notice(self: &Arc<Self>, upstream: &UpstreamName) {
         let incarnation = self.upstreams.change(upstream, |it| it.incarnation);
         if !self.notices.lock().is_leaving(upstream, incarnation) {
             return;
         }
         let (actions, _) = self.upstreams.step(upstream, Event::Notice);
         if actions.contains(&Action::MoveStreams) {
-            self.upstreams.change(upstream, |it| it.leaving.send_replace(incarnation));
+            self.upstreams.change(upstream, |it| it.leaving = incarnation);
+            tokio::spawn(evacuate(self.clone(), upstream.clone()));
         }
     }
 
-    fn take_load_report(&self, upstream: &UpstreamName, report: &LoadReport) {
+    fn take_load_report(self: &Arc<Self>, upstream: &UpstreamName, report: &LoadReport) {
         let is_new = self.upstreams.take_report(upstream, report, self.clock.now_ms());
         if is_new {
             let (actions, _) = self.upstreams.step(upstream, Event::NewIncarnation);
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod lease;
 pub mod limits;
 pub mod membership;
+pub mod moves;
 pub mod notice;
 pub mod once;
 pub mod quarantine;
--- a/crates/lentilhitch_standin/src/engine/cache.rs
+++ b/crates/lentilhitch_standin/src/engine/cache.rs
@@ -25,16 +25,22 @@
 
     /// Keeps the blocks of a text.
     pub(crate) fn insert(&mut self, text: &str) {
-        for hash in hashes(text) {
-            self.blocks.shift_remove(&hash);
-            self.blocks.insert(hash);
+        self.insert_hashes(&hashes(text));
+    }
+
+    /// Keeps blocks.
+    pub(crate) fn insert_hashes(&mut self, hashes: &[u64]) {
+        for hash in hashes {
+            self.blocks.shift_remove(hash);
+            self.blocks.insert(*hash);
         }
         let n_over = self.blocks.len().saturating_sub(self.blocks_max);
         self.blocks.drain(..n_over);
     }
 }
 
-fn hashes(text: &str) -> Vec<u64> {
+/// The hashes of the whole blocks of a text.
+pub(crate) fn hashes(text: &str) -> Vec<u64> {
     let words: Vec<_> = text.split_whitespace().collect();
     let mut hash = 0;
     let blocks = words.chunks_exact(BLOCK_TOKENS);
--- a/crates/lentilhitch_standin/src/engine/http.rs
+++ b/crates/lentilhitch_standin/src/engine/http.rs
@@ -40,7 +40,10 @@
     pub swap_at: Option<usize>,
     /// The load report says that the engine leaves.
     pub is_leaving: bool,
-    /// The process exits after this time.
+    /// KV caches are not exported, or not imported.
+    pub refuses_export: bool,
+    pub refuses_import: bool,
+    /// The process exits after this time; the load report tells it.
     pub exit_in_ms: Option<u64>,
 }
 
@@ -101,9 +104,12 @@
 #[get("/v1/load")]
 fn load(engine: &State<Arc<Engine>>) -> Json<Value> {
     let (n_requests, queued_prompt_tokens) = engine.load();
+    let faults = engine.faults.lock().clone();
     Json(json!({
         "incarnation": engine.incarnation,
-        "leaving": engine.faults.lock().is_leaving,
+        "leaving": faults.is_leaving,
+        "leaving_in_ms": faults.exit_in_ms,
+        "kv_tokens_per_s": engine.settings.kv_tokens_per_s,
         "n_requests": n_requests,
         "queued_prompt_tokens": queued_prompt_tokens,
         "prefill_tokens_per_s": engine.settings.prefill_tokens_per_s,
@@ -113,6 +119,37 @@
     }))
 }
 
+#[derive(Deserialize)]
+struct ExportAsk {
+    attempt: String,
+}
+
+#[derive(Serialize, Deserialize)]
+struct KvCache {
+    blocks: Vec<u64>,
+}
+
+#[post("/v1/kv/export", data = "<ask>")]
+async fn export(
+    ask: Json<ExportAsk>,
+    engine: &State<Arc<Engine>>,
+) -> Result<Json<KvCache>, Status> {
+    if engine.faults.lock().refuses_export {
+        return Err(Status::Conflict);
+    }
+    engine.export(&ask.attempt).await.map(|blocks| Json(KvCache { blocks })).ok_or(Status::NotFound)
+}
+
+#[post("/v1/kv/import", data = "<cache>")]
+#[expect(clippy::needless_pass_by_value, reason = "Rocket passes guards by value")]
+fn import(cache: Json<KvCache>, engine: &State<Arc<Engine>>) -> Status {
+    if engine.faults.lock().refuses_import {
+        return Status::Conflict;
+    }
+    engine.import(&cache.blocks);
+    Status::Ok
+}
+
 #[post("/v1/orders", data = "<order>")]
 fn order(order: Json<Order>, engine: &State<Arc<Engine>>) -> Status {
     if engine.order(order.into_inner()) { Status::Ok } else { Status::Conflict }
@@ -142,7 +179,7 @@
 pub async fn run(address: SocketAddr, settings: Settings) -> anyhow::Result<()> {
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
     let engine = Arc::new(Engine::new(settings, incarnation));
-    let routes = routes![completions, chat, load, order, set_faults, counts];
+    let routes = routes![completions, chat, load, export, import, order, set_faults, counts];
     server(address).manage(engine).mount("/", routes).launch().await?;
     Ok(())
 }
--- a/crates/lentilhitch_standin/src/engine/run.rs
+++ b/crates/lentilhitch_standin/src/engine/run.rs
@@ -6,6 +6,7 @@
 };
 
 use parking_lot::Mutex;
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::{
@@ -13,7 +14,11 @@
     time::sleep,
 };
 
-use crate::engine::{cache::Cache, http::Faults, tokens::token};
+use crate::engine::{
+    cache::{self, Cache},
+    http::Faults,
+    tokens::token,
+};
 
 const CRASH_MARK: &str = "CRASH-THE-ENGINE";
 
@@ -24,6 +29,8 @@
     pub decode_ms: u64,
     pub slots: usize,
     pub cache_blocks_max: usize,
+    /// Tokens whose KV cache can be exported in a second.
+    pub kv_tokens_per_s: f64,
     /// Orders with an old fencing number, or after their time, are refused.
     pub checks_fencing: bool,
 }
@@ -83,6 +90,8 @@
     pub(crate) orders: Mutex<Vec<Order>>,
     pub(crate) begun: Instant,
     cache: Mutex<Cache>,
+    /// The text of each attempt in progress, the prompt included.
+    contexts: Mutex<FxHashMap<String, String>>,
     slots: Semaphore,
     prefill: FairLock<()>,
     in_progress: Mutex<(usize, usize)>,
@@ -98,6 +107,7 @@
             orders: Mutex::default(),
             begun: Instant::now(),
             cache: Mutex::new(Cache::new(settings.cache_blocks_max)),
+            contexts: Mutex::default(),
             slots: Semaphore::new(settings.slots),
             prefill: FairLock::new(()),
             in_progress: Mutex::default(),
@@ -130,6 +140,19 @@
         self.begun.elapsed().as_millis() as u64
     }
 
+    /// The KV cache of an attempt in progress, after the time that the transfer takes.
+    pub(crate) async fn export(&self, attempt: &str) -> Option<Vec<u64>> {
+        let context = self.contexts.lock().get(attempt).cloned()?;
+        let seconds = context.split_whitespace().count() as f64 / self.settings.kv_tokens_per_s;
+        sleep(Duration::from_secs_f64(seconds)).await;
+        Some(cache::hashes(&context))
+    }
+
+    /// Takes the KV cache of another engine's attempt.
+    pub(crate) fn import(&self, blocks: &[u64]) {
+        self.cache.lock().insert_hashes(blocks);
+    }
+
     /// Runs an attempt and sends the data of its server-sent events. Stops when the receiver is gone.
     pub(crate) async fn run(
         self: Arc<Self>,
@@ -141,6 +164,8 @@
         let context = prompt.clone() + &ask.resume_tokens.concat();
         let n_prompt = context.split_whitespace().count();
         let _progress = Progress::begin(&self, n_prompt);
+        let name = ask.attempt.clone().unwrap_or_default();
+        let _kept = KeptContext::begin(&self, name.clone(), context.clone());
         let Ok(_slot) = self.slots.acquire().await else { return };
         self.prefill(&ask, request_id, &context, n_prompt).await;
         if prompt.contains(CRASH_MARK) {
@@ -149,6 +174,9 @@
         let faults = self.faults.lock().clone();
         for position in ask.resume_tokens.len()..ask.max_tokens {
             sleep(Duration::from_millis(self.settings.decode_ms)).await;
+            if let Some(text) = self.contexts.lock().get_mut(&name) {
+                text.push_str(&token(&prompt, position));
+            }
             if faults.stall_at == Some(position) {
                 std::future::pending::<()>().await;
             }
@@ -216,6 +244,25 @@
     }
 }
 
+/// Keeps the text of an attempt until dropped.
+struct KeptContext<'a> {
+    engine: &'a Engine,
+    name: String,
+}
+
+impl<'a> KeptContext<'a> {
+    fn begin(engine: &'a Engine, name: String, context: String) -> Self {
+        engine.contexts.lock().insert(name.clone(), context);
+        Self { engine, name }
+    }
+}
+
+impl Drop for KeptContext<'_> {
+    fn drop(&mut self) {
+        self.engine.contexts.lock().remove(&self.name);
+    }
+}
+
 /// Counts a request as in progress until dropped.
 struct Progress<'a> {
     engine: &'a Engine,
--- a/crates/lentilhitch_standin/src/main.rs
+++ b/crates/lentilhitch_standin/src/main.rs
@@ -61,6 +61,9 @@
     /// blocks of 16 tokens that the prefix cache holds
     #[argh(option, default = "4096")]
     cache_blocks_max: usize,
+    /// tokens whose KV cache can be exported in a second
+    #[argh(option, default = "20000.0")]
+    kv_tokens_per_s: f64,
     /// refuse orders with an old fencing number
     #[argh(switch)]
     checks_fencing: bool,
@@ -104,6 +107,7 @@
                 decode_ms: it.decode_ms,
                 slots: it.slots,
                 cache_blocks_max: it.cache_blocks_max,
+                kv_tokens_per_s: it.kv_tokens_per_s,
                 checks_fencing: it.checks_fencing,
             };
             engine::run(it.address, settings).await
