--- a/crates/lentilhitch_config/src/collect.rs
+++ b/crates/lentilhitch_config/src/collect.rs
@@ -93,6 +93,7 @@
         Kind::Application(application) => {
             let mut paths: Vec<_> =
                 application.routes.iter().map(|it| format!("the path {:?}", it.path)).collect();
+            paths.sort();
             paths.dedup();
             paths
         }
--- a/crates/lentilhitch_config/tests/findings.rs
+++ b/crates/lentilhitch_config/tests/findings.rs
@@ -171,6 +171,16 @@
     let keys: Vec<_> = declared.iter().map(|it| it.declaration.key().to_string()).collect();
     assert_eq!(keys, ["service/review", "team/ausonia"]);
 
+    // One path may have several routes of one service.
+    write(
+        "market.lentilhitch.json",
+        r#"{ "service": "market", "teams": ["ausonia"],
+        "application": { "routes": [ { "path": "/a", "methods": ["POST"] }, { "path": "/b" }, { "path": "/a", "methods": ["GET"] } ] },
+        "upstreams": [ { "upstream": "app-1", "address": "127.0.0.1:1", "zone": "z" } ] }"#,
+    );
+    let (_, findings) = collected(folder.path());
+    assert!(findings.is_empty(), "{findings}");
+
     write("twin/review.lentilhitch.json", SERVICE);
     write("twin/other.lentilhitch.json", &SERVICE.replace("review", "other"));
     write("twin/broken.lentilhitch.json", "{");
--- a/crates/lentilhitch_policy/src/routing/prefix.rs
+++ b/crates/lentilhitch_policy/src/routing/prefix.rs
@@ -4,7 +4,9 @@
 //! whole prefix. What was routed to an upstream is assumed to be cached there, oldest forgotten first; cache events of the
 //! upstream correct that when they arrive, and may arrive late or not at all without doing harm.
 
-use indexmap::IndexSet;
+use std::num::NonZeroUsize;
+
+use lru::LruCache;
 use rustc_hash::{FxBuildHasher, FxHashMap};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -30,13 +32,14 @@
 /// Bounded knowledge of the caches of all upstreams.
 #[derive(Clone, Debug)]
 pub struct PrefixIndex {
-    blocks_max: usize,
-    by_upstream: FxHashMap<UpstreamName, IndexSet<BlockHash, FxBuildHasher>>,
+    blocks_max: NonZeroUsize,
+    by_upstream: FxHashMap<UpstreamName, LruCache<BlockHash, (), FxBuildHasher>>,
 }
 
 impl PrefixIndex {
     /// An empty index that remembers at most `blocks_max` blocks of each upstream.
     pub fn new(blocks_max: usize) -> Self {
+        let blocks_max = NonZeroUsize::new(blocks_max).unwrap_or(NonZeroUsize::MIN);
         Self { blocks_max, by_upstream: FxHashMap::default() }
     }
 
@@ -52,19 +55,23 @@
 
     /// A prompt was routed to the upstream, or the upstream said that it stored these blocks.
     pub fn insert(&mut self, upstream: &UpstreamName, blocks: &[BlockHash]) {
-        let known = self.by_upstream.entry(upstream.clone()).or_default();
+        let known = self.by_upstream.entry(upstream.clone());
+        // Grows as needed; a cache of full size would take its memory at once.
+        let known = known.or_insert_with(|| LruCache::unbounded_with_hasher(FxBuildHasher));
         for block in blocks {
-            known.shift_remove(block);
-            known.insert(*block);
+            known.put(*block, ());
+            if self.blocks_max.get() < known.len() {
+                known.pop_lru();
+            }
         }
-        let n_over = known.len().saturating_sub(self.blocks_max);
-        known.drain(..n_over);
     }
 
     /// The upstream said that it dropped these blocks.
     pub fn remove(&mut self, upstream: &UpstreamName, blocks: &[BlockHash]) {
         if let Some(known) = self.by_upstream.get_mut(upstream) {
-            known.retain(|it| !blocks.contains(it));
+            for block in blocks {
+                known.pop(block);
+            }
         }
     }
 
--- a/crates/lentilhitch_standin/src/engine/cache.rs
+++ b/crates/lentilhitch_standin/src/engine/cache.rs
@@ -1,6 +1,8 @@
 //! The prefix cache: a bounded set of block hashes, oldest dropped first.
 
-use indexmap::IndexSet;
+use std::num::NonZeroUsize;
+
+use lru::LruCache;
 use rustc_hash::FxBuildHasher;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -8,19 +10,17 @@
 
 /// Blocks of prefixes that need no computing.
 #[derive(Debug)]
-pub(crate) struct Cache {
-    blocks_max: usize,
-    blocks: IndexSet<u64, FxBuildHasher>,
-}
+pub(crate) struct Cache(LruCache<u64, (), FxBuildHasher>);
 
 impl Cache {
     pub(crate) fn new(blocks_max: usize) -> Self {
-        Self { blocks_max, blocks: IndexSet::default() }
+        let blocks_max = NonZeroUsize::new(blocks_max).unwrap_or(NonZeroUsize::MIN);
+        Self(LruCache::with_hasher(blocks_max, FxBuildHasher))
     }
 
     /// How many tokens from the start of the text are cached.
     pub(crate) fn cached_tokens(&self, text: &str) -> usize {
-        hashes(text).iter().take_while(|it| self.blocks.contains(*it)).count() * BLOCK_TOKENS
+        hashes(text).iter().take_while(|it| self.0.contains(*it)).count() * BLOCK_TOKENS
     }
 
     /// Keeps the blocks of a text.
@@ -31,11 +31,8 @@
     /// Keeps blocks.
     pub(crate) fn insert_hashes(&mut self, hashes: &[u64]) {
         for hash in hashes {
-            self.blocks.shift_remove(hash);
-            self.blocks.insert(*hash);
+            self.0.put(*hash, ());
         }
-        let n_over = self.blocks.len().saturating_sub(self.blocks_max);
-        self.blocks.drain(..n_over);
     }
 }
 
--- a/crates/lentilhitch_standin/src/harness.rs
+++ b/crates/lentilhitch_standin/src/harness.rs
@@ -28,6 +28,8 @@
 /// Longest wait for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 const LOOK: Duration = Duration::from_millis(20);
+/// Not that of any process, so that a relay can't take the port that was found free for one.
+const RELAY_IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const LOG_TAIL_LINES: usize = 25;
 
 /// The bearer token of the team of the harness.
@@ -509,7 +511,7 @@
             ]);
         }
         let process = Process::start(&name, self.folder.path(), "lentilhitch_standin", &args)?;
-        let link = Relay::start(address.ip(), address)?;
+        let link = Relay::start(RELAY_IP, address)?;
         Ok(Upstream { name, zone: self.zone(idx), address, link, process, args })
     }
 
@@ -520,11 +522,11 @@
             .collect::<io::Result<_>>()?;
         for (idx, (front, admin, peer)) in addresses.iter().copied().enumerate() {
             let name = format!("entry-{}", idx + 1);
-            let platform_link = Relay::start(front.ip(), self.platform_address)?;
+            let platform_link = Relay::start(RELAY_IP, self.platform_address)?;
             let mut peer_links = Vec::new();
             let mut peers = Vec::new();
             for (other, (_, _, address)) in addresses.iter().enumerate().filter(|it| it.0 != idx) {
-                let link = Relay::start(front.ip(), *address)?;
+                let link = Relay::start(RELAY_IP, *address)?;
                 let instance = format!("entry-{}", other + 1);
                 peers.push(json!({ "instance": instance, "zone": self.zone(other), "address": link.address().to_string() }));
                 peer_links.push(link);
--- a/crates/lentilhitch_standin/src/load.rs
+++ b/crates/lentilhitch_standin/src/load.rs
@@ -10,6 +10,7 @@
 
 const N_TOKENS: usize = 50;
 const DECODE_MS: u64 = 10;
+const LONGEST_US: u64 = 600_000_000;
 
 /// Times of one way, in microseconds.
 struct Times {
@@ -21,8 +22,8 @@
 impl Times {
     fn new() -> anyhow::Result<Self> {
         Ok(Self {
-            first_token_us: Histogram::new(3)?,
-            between_tokens_us: Histogram::new(3)?,
+            first_token_us: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
+            between_tokens_us: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
             n_failed: 0,
         })
     }
--- a/crates/lentilhitch_standin/src/main.rs
+++ b/crates/lentilhitch_standin/src/main.rs
@@ -1,10 +1,12 @@
 //! The development tool: stand-ins, and a demonstration with them.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use argh::FromArgs;
 
-use lentilhitch_standin::{application, demo, engine, load, platform, slopes};
+use lentilhitch_standin::{
+    application, demo, engine, load, platform, record, replay, slopes, trace,
+};
 
 /// Stand-ins of what lentilhitch meets, and a demonstration. For development only.
 #[derive(FromArgs)]
@@ -22,6 +24,8 @@
     Demo(DemoArgs),
     Load(LoadArgs),
     Slopes(SlopesArgs),
+    Record(RecordArgs),
+    Replay(ReplayArgs),
 }
 
 /// Run the platform: log, instance list.
@@ -95,6 +99,30 @@
     seconds: u64,
 }
 
+/// Record a trace from the running system under a seeded load.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "record")]
+struct RecordArgs {
+    /// trinacria or khao-rai
+    #[argh(positional)]
+    deployment: String,
+    /// file to write
+    #[argh(positional)]
+    file: PathBuf,
+    /// seed of the load
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Run recorded traces through the routing strategies and print what each makes of them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+struct ReplayArgs {
+    /// trace files
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let args: Args = argh::from_env();
@@ -115,5 +143,13 @@
         Command::Demo(DemoArgs {}) => demo::run().await,
         Command::Load(it) => load::run(it.streams, it.requests).await,
         Command::Slopes(it) => slopes::run(it.seconds).await,
+        Command::Record(it) => record::run(&it.deployment, it.seed, &it.file).await,
+        Command::Replay(it) => {
+            for file in &it.files {
+                let trace = trace::Trace::load(file)?;
+                replay::print(&trace, &replay::replay(&trace)?);
+            }
+            Ok(())
+        }
     }
 }
--- a/crates/lentilhitch_standin/src/slopes.rs
+++ b/crates/lentilhitch_standin/src/slopes.rs
@@ -52,11 +52,12 @@
 
 /// Measures and prints every slope.
 pub async fn run(seconds: u64) -> anyhow::Result<()> {
-    heartbeats()?;
-    claims();
+    // Memory first and the smallest before the largest, so that freed memory hides nothing.
     configuration()?;
-    routing();
     prefixes();
+    claims();
+    heartbeats()?;
+    routing();
     journals()?;
     processes_by_peers(seconds).await?;
     processes_by_upstreams(seconds).await
@@ -159,41 +160,46 @@
 }
 
 fn configuration() -> anyhow::Result<()> {
-    let (mut memory, mut times, mut sizes) = (Vec::new(), Vec::new(), Vec::new());
+    const N_SERVICES: usize = 50;
+    let (mut memory, mut times, mut sizes) = (vec![(0.0, 0.0)], Vec::new(), Vec::new());
+    // What was read is kept, so that freed memory does not hide what it takes.
+    let before_kib = own_kib();
+    let mut kept = Vec::new();
+    let (mut n_declared, mut text_bytes) = (0, 0);
     for n_upstreams in [10, 100, 400] {
-        let before_kib = own_kib();
+        let texts = (0..N_SERVICES)
+            .map(|it| change_text(n_upstreams, it))
+            .collect::<anyhow::Result<Vec<_>>>()?;
         let mut published = Published::default();
-        let declarations =
-            (0..50).map(|it| service(n_upstreams, it)).collect::<anyhow::Result<Vec<_>>>()?;
         let begun = Instant::now();
-        for (offset, declaration) in declarations.iter().enumerate() {
-            let change = Change {
-                key: declaration.key(),
-                replaces: None,
-                declaration: Some(declaration.clone()),
-            };
-            let publish = Publish {
-                attempt: AttemptId::from_random(1),
-                operator: "rosa".to_owned(),
-                changes: vec![change],
-            };
-            let text = serde_json::to_string(&publish)?;
-            let publish: Publish = serde_json::from_str(&text)?;
+        for (offset, text) in texts.iter().enumerate() {
+            let publish: Publish = serde_json::from_str(text)?;
             published
                 .apply(RecordMeta { offset: LogOffset(offset as u64), appended_ms: 0 }, &publish);
-            sizes.push((n_upstreams as f64, text.len() as f64));
         }
-        times.push((n_upstreams as f64, begun.elapsed().as_secs_f64() * 1e6 / 50.0));
-        drop(declarations);
-        memory.push(((n_upstreams * 50) as f64, own_kib() - before_kib));
-        black_box(&published);
+        times.push((n_upstreams as f64, begun.elapsed().as_secs_f64() * 1e6 / N_SERVICES as f64));
+        sizes.push((n_upstreams as f64, texts[0].len() as f64));
+        n_declared += n_upstreams * N_SERVICES;
+        text_bytes += texts.iter().map(String::len).sum::<usize>();
+        memory.push((n_declared as f64, own_kib() - before_kib - text_bytes as f64 / 1024.0));
+        kept.push((texts, published));
     }
+    black_box(&kept);
     print("configuration, memory", "KiB", "declared upstream", &memory);
     print("configuration, one change read and applied", "us", "upstream of the service", &times);
     print("configuration, one change in the log", "B", "upstream of the service", &sizes);
     Ok(())
 }
 
+/// The record of a publish of one service.
+fn change_text(n_upstreams: usize, idx: usize) -> anyhow::Result<String> {
+    let declaration = service(n_upstreams, idx)?;
+    let change = Change { key: declaration.key(), replaces: None, declaration: Some(declaration) };
+    let attempt = AttemptId::from_random(1);
+    let publish = Publish { attempt, operator: "rosa".to_owned(), changes: vec![change] };
+    Ok(serde_json::to_string(&publish)?)
+}
+
 fn routing() {
     let mut points = Vec::new();
     for n_replicas in [20, 100, 390, 1_000, 4_000] {
