Smaller modules; claims in hand; traces with stated outcomes

A repeat at a process whose former life had claimed the call waited the whole claim timeout, since the claimant's name was its own.

Upstreams that do not look at fencing numbers get their first order of a term only when an order that a former holder sent in time is over.

runner, harness and peers are split by job; admission of a call and the look at a peer's life stood twice.

--- a/crates/lentilhitch/tests/once.rs
+++ b/crates/lentilhitch/tests/once.rs
@@ -1,9 +1,14 @@
 //! A call that may not be repeated runs at most once; the application's own count decides.
 
+use std::time::{Duration, Instant};
+
 use futures_util::future::join_all;
 use lentilhitch_standin::harness::{Cluster, Options, until};
 use serde_json::{Value, json};
 
+/// How long a call may wait for its claim in the tests that look at it.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(20);
+
 async fn cluster(timing: Value) -> Cluster {
     Cluster::start_ready(Options { n_engines: 0, timing, ..Options::default() }).await.unwrap()
 }
@@ -80,7 +85,8 @@
 
 #[tokio::test]
 async fn a_process_killed_between_claim_and_send_leaves_the_call_unknown() {
-    let mut cluster = cluster(json!({})).await;
+    let mut cluster =
+        cluster(json!({ "claim_timeout_ms": CLAIM_TIMEOUT.as_millis() as u64 })).await;
     cluster.set_faults(cluster.platform_address, &json!({ "slow_ms": 600 })).await.unwrap();
     let call = tokio::spawn(cluster.commission(&cluster.entries[0], "killed", "b").send());
     until("the claim is in the log", || async { cluster.n_appends("claims").await == 1 })
@@ -95,8 +101,12 @@
     }
     cluster.restart_entry(0).unwrap();
     cluster.until_ready().await.unwrap();
+    // The claimant's name is back, but not the life that claimed: there is nothing to wait for.
+    let begun = Instant::now();
     let repeated = outcome(cluster.commission(&cluster.entries[0], "killed", "b")).await;
     assert_eq!(repeated.2, "unknown");
+    let waited = begun.elapsed();
+    assert!(waited * 2 < CLAIM_TIMEOUT, "waited {waited:?}");
     assert_eq!(n_runs(&cluster, "killed").await, 0);
 }
 
@@ -134,7 +144,7 @@
         assert_eq!(repeated.2, "unknown");
         assert_eq!(n_runs(&cluster, "frozen").await, 0);
     }
-    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     cluster.entries[0].process.thaw();
     let thawed = call.await.unwrap().unwrap();
     let is_run = thawed.status() == 201;
--- a/crates/lentilhitch_entry/src/application.rs
+++ b/crates/lentilhitch_entry/src/application.rs
@@ -77,13 +77,7 @@
     let found = directory.by_path(call.method.as_str(), call.path_only());
     let no_service = || problems::NO_SERVICE.with(format!("{} {}", call.method, call.path_only()));
     let (service, application, repeat) = found.ok_or_else(no_service)?;
-    if !service.teams.contains(&call.team.team) {
-        return Err(problems::NOT_ALLOWED
-            .with(format!("service {}, team {}", service.service, call.team.team)));
-    }
-    entry.admit(&call.team).map_err(|wait_ms| {
-        problems::RATE.after_ms("the rate is a team's, over all callers", wait_ms)
-    })?;
+    call.admit(entry, service)?;
     let deadline = Instant::now() + Duration::from_millis(application.deadline_ms);
     let answer = match repeat {
         Repeat::AtMostOnce => serve_keyed(entry, &call, service, deadline).await,
@@ -162,6 +156,9 @@
     if event != Event::ConnectFailed {
         keyed.step(Event::Dispatched);
     }
+    if event == Event::UpstreamBroken {
+        entry.let_go(keyed.attempt);
+    }
     let actions = keyed.step(event);
     perform(entry, &keyed, &actions, kept.as_ref());
     answered(forwarded)
--- a/crates/lentilhitch_entry/src/claims.rs
+++ b/crates/lentilhitch_entry/src/claims.rs
@@ -3,9 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use backon::{BackoffBuilder, ExponentialBuilder};
+use parking_lot::Mutex;
+use rustc_hash::FxHashSet;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
 use lentilhitch_chart::charts::{
@@ -47,6 +49,9 @@
 pub(crate) struct ClaimDesk {
     pub(crate) followed: Followed<Claims>,
     queue: mpsc::Sender<Queued>,
+    /// Attempts of this life of the process whose calls may still get an outcome. Entered before the claim can be read
+    /// by anyone, so that nobody takes a call for given up that is about to be sent.
+    in_hand: Mutex<FxHashSet<AttemptId>>,
     /// Outcomes and releases that are not yet in the log.
     pub(crate) unrecorded: Arc<()>,
 }
@@ -58,7 +63,12 @@
     pub(crate) fn new() -> (Self, Committer) {
         let (queue, receiver) = mpsc::channel(QUEUE_MAX);
         (
-            Self { followed: Followed::default(), queue, unrecorded: Arc::default() },
+            Self {
+                followed: Followed::default(),
+                queue,
+                in_hand: Mutex::default(),
+                unrecorded: Arc::default(),
+            },
             Committer(receiver),
         )
     }
@@ -113,6 +123,7 @@
         loop {
             let actions = self.claims().followed.with(|it| call.consult(it));
             if actions.contains(&Action::AppendClaim) {
+                self.claims().in_hand.lock().insert(attempt);
                 let claimant = self.settings.instance.clone();
                 let record = ClaimRecord::Claim { key, body, attempt, claimant };
                 let entry = self.clone();
@@ -136,16 +147,20 @@
                 self.record(ClaimRecord::Released { key, attempt });
             }
         }
+        if call.state() != State::Won {
+            self.let_go(attempt);
+        }
         self.claimed(call)
     }
 
     /// Whether the process that holds the key may yet tell the outcome.
     fn is_claimant_there(&self, call: &Call) -> bool {
         match self.claims().followed.with(|it| it.lookup(call.key, call.body)) {
-            Lookup::Open(claimant) => {
-                claimant == self.settings.instance
-                    || self.peers().state(&claimant) == PeerState::Alive
+            Lookup::Open(claimant) if claimant == self.settings.instance => {
+                let holder = self.claims().followed.with(|it| it.winner(call.key));
+                holder.is_some_and(|it| self.claims().in_hand.lock().contains(&it))
             }
+            Lookup::Open(claimant) => self.peers().state(&claimant) == PeerState::Alive,
             _ => true,
         }
     }
@@ -165,8 +180,26 @@
         }
     }
 
+    /// The call has ended without an outcome, so there is nothing to wait for.
+    pub(crate) fn let_go(&self, attempt: AttemptId) {
+        self.claims().in_hand.lock().remove(&attempt);
+    }
+
+    /// Holds on to the key until the claims, as they are read here, tell the outcome.
+    async fn let_go_when_read(&self, key: ClaimKey, attempt: AttemptId) {
+        let mut changes = self.claims().followed.subscribe();
+        let until = Instant::now() + Duration::from_millis(self.settings.timing.claim_timeout_ms);
+        while self.claims().followed.with(|it| it.is_open(key)) {
+            if !matches!(timeout_at(until, changes.changed()).await, Ok(Ok(()))) {
+                break;
+            }
+        }
+        self.let_go(attempt);
+    }
+
     /// Records the outcome or release of a call, however long the log takes.
     pub(crate) fn record(self: &Arc<Self>, record: ClaimRecord) {
+        let (key, attempt) = (record.key(), record.attempt());
         let entry = self.clone();
         let unrecorded = entry.claims().unrecorded.clone();
         tokio::spawn(async move {
@@ -176,7 +209,8 @@
             for delay in backoff.with_jitter().build() {
                 // A record that may be in the log already has no effect when it is there twice.
                 if entry.claims().append(record.clone()).await.is_ok() {
-                    return drop(unrecorded);
+                    drop(unrecorded);
+                    return entry.let_go_when_read(key, attempt).await;
                 }
                 sleep(delay).await;
             }
--- a/crates/lentilhitch_entry/src/front.rs
+++ b/crates/lentilhitch_entry/src/front.rs
@@ -12,7 +12,7 @@
     route::{Handler, Outcome},
 };
 
-use lentilhitch_config::{Team, token_digest};
+use lentilhitch_config::{Service, Team, token_digest};
 use lentilhitch_types::{Problem, RequestId};
 
 use crate::{
@@ -43,6 +43,18 @@
         self.headers.iter().find(|it| it.0 == name).map(|it| it.1.as_str())
     }
 
+    /// Admits the call of a service, or says why not.
+    pub(crate) fn admit(&self, entry: &Entry, service: &Service) -> Result<(), Problem> {
+        let team = &self.team.team;
+        if !service.teams.contains(team) {
+            let detail = format!("service {}, team {team}", service.service);
+            return Err(problems::NOT_ALLOWED.with(detail));
+        }
+        entry.admit(&self.team).map_err(|wait_ms| {
+            problems::RATE.after_ms("the rate is a team's, over all callers", wait_ms)
+        })
+    }
+
     /// The path without the query.
     pub(crate) fn path_only(&self) -> &str {
         self.path.split('?').next().unwrap_or_default()
--- a/crates/lentilhitch_entry/src/language.rs
+++ b/crates/lentilhitch_entry/src/language.rs
@@ -36,13 +36,7 @@
     let found = directory.by_model(&asked.model);
     let (service, _) =
         found.ok_or_else(|| problems::NO_SERVICE.with(format!("no model {:?}", asked.model)))?;
-    if !service.teams.contains(&call.team.team) {
-        return Err(problems::NOT_ALLOWED
-            .with(format!("service {}, team {}", service.service, call.team.team)));
-    }
-    entry.admit(&call.team).map_err(|wait_ms| {
-        problems::RATE.after_ms("the rate is a team's, over all callers", wait_ms)
-    })?;
+    call.admit(entry, service)?;
     let fingerprint = Fingerprint::of(&[call.team.team.as_str().as_bytes(), &call.body]);
     if entry.quarantine.lock().verdict(fingerprint) == Verdict::Quarantined {
         return Err(problems::QUARANTINED.with("two upstreams crashed while they ran it"));
--- a/crates/lentilhitch_entry/src/lib.rs
+++ b/crates/lentilhitch_entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod log_access;
 mod metrics;
 mod orders;
+mod peer_handler;
 mod peers;
 mod problems;
 mod protocol;
--- a/crates/lentilhitch_entry/src/orders.rs
+++ b/crates/lentilhitch_entry/src/orders.rs
@@ -61,8 +61,13 @@
         self.log_time_ms.lock().map(|(log_ms, read_ms)| log_ms + now_ms.saturating_sub(read_ms))
     }
 
-    fn permit(&self, now_ms: u64) -> Option<OrderPermit> {
-        self.candidate.lock().permit(now_ms)
+    fn permit(&self, now_ms: u64, upstream: &Upstream) -> Option<OrderPermit> {
+        let candidate = self.candidate.lock();
+        if upstream.checks_fencing {
+            candidate.permit(now_ms)
+        } else {
+            candidate.unfenced_permit(now_ms)
+        }
     }
 }
 
@@ -140,7 +145,7 @@
         return;
     };
     let now_ms = entry.clock.now_ms();
-    let Some(permit) = entry.orders.permit(now_ms) else { return };
+    let Some(permit) = entry.orders.permit(now_ms, upstream) else { return };
     let not_after_ms = upstream_ms + (now_ms - read_ms) + permit.not_after_ms;
     let body =
         json!({ "version": version, "fencing": permit.fencing, "not_after_ms": not_after_ms });
--- a/crates/lentilhitch_entry/src/peers.rs
+++ b/crates/lentilhitch_entry/src/peers.rs
@@ -10,10 +10,9 @@
 
 use lentilhitch_chart::charts::peer::{Action, State};
 use lentilhitch_config::{Peer, Settings};
-use lentilhitch_peer::{Handler, Key, Link, LinkSettings, dial};
+use lentilhitch_peer::{Key, Link, LinkSettings, dial};
 use lentilhitch_platform::{AppendError, LogPage, Stream};
 use lentilhitch_policy::{
-    fold::{Fold, Snapshot},
     membership::{Membership, Settings as MembershipSettings},
     quarantine::Trial,
 };
@@ -22,14 +21,11 @@
 };
 
 use crate::{
-    copies::CopyChange,
     entry::Entry,
     protocol::{Heartbeat, Message, Pulled},
 };
 
 const DIAL_PAUSE_MS: u64 = 250;
-/// How long a read for a peer waits for new records.
-const READ_FOR_PEER_MS: u64 = 300;
 
 /// Links to the other processes and what is believed of them. No method holds two of the locks at once, and none
 /// calls out of this struct while it holds one.
@@ -242,7 +238,12 @@
         known.collect()
     }
 
-    fn hear_heartbeat(&self, entry: &Arc<Entry>, peer: &InstanceName, heartbeat: Heartbeat) {
+    pub(crate) fn hear_heartbeat(
+        &self,
+        entry: &Arc<Entry>,
+        peer: &InstanceName,
+        heartbeat: Heartbeat,
+    ) {
         let now_ms = entry.clock.now_ms();
         let mut actions = Vec::new();
         {
@@ -321,58 +322,3 @@
         sleep(Duration::from_millis(DIAL_PAUSE_MS)).await;
     }
 }
-
-/// Hears and answers the peers.
-pub(crate) struct PeerHandler(pub(crate) Arc<Entry>);
-
-impl Handler<Message> for PeerHandler {
-    fn hear(&self, peer: &InstanceName, message: Message) {
-        let entry = &self.0;
-        match message {
-            Message::Heartbeat(heartbeat) => entry.peers().hear_heartbeat(entry, peer, heartbeat),
-            Message::Notices(notices) => entry.take_notices(&notices),
-            Message::Evidence(evidence) => entry.take_evidence(&evidence),
-            Message::Trial(trial) => entry.quarantine.lock().take_trial(&trial),
-            Message::CopyDrop(request_id) => entry.copies.remove(request_id),
-            _ => log::warn!(peer:% = peer; "unexpected message"),
-        }
-    }
-
-    async fn answer(&self, peer: &InstanceName, message: Message) -> Message {
-        let entry = &self.0;
-        match message {
-            Message::TrialAsk(trial) => Message::TrialGranted(entry.grant_trial(&trial)),
-            Message::LogAppend { stream, payload } => {
-                Message::LogAppended(entry.log_client().append(stream, &payload).await)
-            }
-            Message::LogRead { stream, from } => {
-                Message::LogPage(entry.log_client().read(stream, from, READ_FOR_PEER_MS).await.ok())
-            }
-            Message::Snapshot { stream, next } => {
-                Message::SnapshotIs(snapshot(entry, stream, next))
-            }
-            Message::CopyBegin(record) => {
-                Message::Copied(entry.copies.begin(peer, record, entry.clock.now_ms()))
-            }
-            Message::CopyTokens { request_id, from, tokens, finish_reason } => {
-                let change = CopyChange { from, tokens, finish_reason };
-                Message::Copied(entry.copies.extend(request_id, change, entry.clock.now_ms()))
-            }
-            Message::Pull { request_id, team } => Message::Pulled(entry.give_up(request_id, &team)),
-            Message::HandOver(record) => Message::Taken(entry.take_over(record)),
-            _ => Message::NotUnderstood,
-        }
-    }
-}
-
-fn snapshot(entry: &Entry, stream: Stream, next: LogOffset) -> Option<Bytes> {
-    match stream {
-        Stream::Config => to_bytes(&entry.config.snapshot_if_after(next)?),
-        Stream::Claims => to_bytes(&entry.claims().followed.snapshot_if_after(next)?),
-        Stream::Leases => to_bytes(&entry.orders.followed.snapshot_if_after(next)?),
-    }
-}
-
-fn to_bytes<F: Fold>(snapshot: &Snapshot<F>) -> Option<Bytes> {
-    serde_json::to_vec(snapshot).ok().map(Bytes::from)
-}
--- a/crates/lentilhitch_entry/src/runner.rs
+++ b/crates/lentilhitch_entry/src/runner.rs
@@ -1,66 +1,35 @@
 //! Running an accepted request on upstreams until its answer is whole.
 
+mod attempt;
+mod chunk;
+mod place;
+
 use std::{sync::Arc, time::Duration};
 
-use eventsource_stream::Eventsource;
-use futures_util::{Stream, StreamExt};
-use reqwest::{Response, StatusCode};
-use serde::Deserialize;
-use serde_json::{Value, json};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use reqwest::StatusCode;
+use tokio::time::{Instant, sleep};
 
 use lentilhitch_chart::charts::stream::{Event, State};
-use lentilhitch_config::{Language, Service, Upstream};
+use lentilhitch_config::{Language, Service};
 use lentilhitch_policy::{
-    quarantine::{TRIAL_TOKENS, Trial, TrialStep, Verdict},
+    quarantine::{Trial, TrialStep, Verdict},
     retry::Repeatable,
-    routing::{BlockHash, ExpectedCost, Job, Strategy as _, Weights, block_hashes},
-    streams::{Received, Record},
+    routing::{BlockHash, block_hashes},
 };
-use lentilhitch_types::{AttemptId, Fingerprint, Outcome, Problem, UpstreamName};
+use lentilhitch_types::{Outcome, Problem, UpstreamName};
 
 use crate::{
     directory::language,
-    dispatch::{self, Sent, Ticket},
+    dispatch::Ticket,
     entry::Entry,
-    journals::{Active, Moving, Phase},
+    journals::{Active, Phase},
     problems,
-    upstreams::{Running, Upstreams},
 };
 
 pub(crate) const PROMPT_BYTES_PER_TOKEN: u64 = 4;
 pub(crate) const DECODE_MS_EXPECTED: f64 = 28.0;
 /// Between two looks at what a waiting attempt depends on.
 const LOOK_MS: u64 = 200;
-/// How long a request that no upstream has accepted waits for one.
-const PLACE_WAIT_MS: u64 = 2_000;
-
-/// One event of an engine's stream. Engines that do not give attempt and position are taken to send in order.
-#[derive(Debug, Deserialize)]
-struct Chunk {
-    #[serde(default)]
-    attempt: Option<AttemptId>,
-    #[serde(default)]
-    position: Option<usize>,
-    #[serde(default)]
-    choices: Vec<Choice>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Choice {
-    #[serde(default)]
-    text: Option<String>,
-    #[serde(default)]
-    delta: Option<Delta>,
-    #[serde(default)]
-    finish_reason: Option<String>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Delta {
-    #[serde(default)]
-    content: Option<String>,
-}
 
 /// How an attempt ended.
 enum Ended {
@@ -204,274 +173,6 @@
         Instant::now() < self.deadline
     }
 
-    /// Chooses an upstream; waits for one as long as that makes sense.
-    async fn place(&mut self) -> Option<Upstream> {
-        let is_accepted = self.active.is_durable || self.ticket.is_none();
-        let wait = Instant::now() + Duration::from_millis(PLACE_WAIT_MS);
-        let until = if is_accepted { self.deadline } else { wait.min(self.deadline) };
-        loop {
-            if self.active.stop.borrow().is_some() {
-                return None;
-            }
-            let fingerprint = self.active.journal.lock().record.fingerprint;
-            let verdict = self.entry.quarantine.lock().verdict(fingerprint);
-            if verdict == Verdict::Quarantined {
-                return None;
-            }
-            let chosen = self.choose(verdict);
-            if let Some(upstream) = chosen
-                && (verdict == Verdict::Clear || self.begin_trial(fingerprint, &upstream).await)
-            {
-                return Some(upstream);
-            }
-            if until <= Instant::now() {
-                return None;
-            }
-            sleep(Duration::from_millis(LOOK_MS)).await;
-        }
-    }
-
-    /// A suspect may run on an upstream only alone among suspects, which an arbiter sees to.
-    async fn begin_trial(&mut self, fingerprint: Fingerprint, upstream: &Upstream) -> bool {
-        let place = self.entry.upstreams.life(&upstream.upstream);
-        let trial = Trial { fingerprint, place, step: TrialStep::Begun };
-        let is_granted = self.entry.peers().ask_trial(&self.entry, &trial).await;
-        let position = self.active.journal.lock().position();
-        self.trial = is_granted.then_some((trial, position));
-        is_granted
-    }
-
-    fn choose(&self, verdict: Verdict) -> Option<Upstream> {
-        let entry = &self.entry;
-        let fingerprint = self.active.journal.lock().record.fingerprint;
-        if verdict == Verdict::Suspect && entry.upstreams.is_running(fingerprint) {
-            return None;
-        }
-        let directory = entry.directory();
-        let declared =
-            self.service.upstreams.iter().filter_map(|it| directory.upstreams.get(&it.upstream));
-        let open = declared.filter(|it| entry.upstreams.is_open(&it.upstream));
-        let mut candidates: Vec<_> = open.collect();
-        if let Some(Moving::Go(Some(target))) = &*self.active.moving.borrow()
-            && let Some(moved) = candidates.iter().find(|it| it.upstream == *target)
-        {
-            return Some((*moved).clone());
-        }
-        let has_trial =
-            |it: &Upstream| entry.quarantine.lock().has_trial(&entry.upstreams.life(&it.upstream));
-        if verdict == Verdict::Suspect {
-            candidates.retain(|it| !has_trial(it));
-            let quietest = candidates
-                .into_iter()
-                .min_by_key(|it| entry.upstreams.view(it, &entry.settings.zone).n_requests());
-            return quietest.cloned();
-        }
-        prefer(&mut candidates, |it| Some(&it.upstream) != self.last_failed.as_ref());
-        prefer(&mut candidates, |it| !has_trial(it));
-        let journal = self.active.journal.lock();
-        let prompt_tokens = journal.record.body.len() as u64 / PROMPT_BYTES_PER_TOKEN;
-        drop(journal);
-        let prefixes = entry.prefixes.lock();
-        let views: Vec<_> = candidates
-            .iter()
-            .map(|it| {
-                let mut view = entry.upstreams.view(it, &entry.settings.zone);
-                let share = prefixes.cached_share(&it.upstream, &self.blocks);
-                view.cached_tokens = (share * prompt_tokens as f64) as u64;
-                view
-            })
-            .collect();
-        let job = Job {
-            prompt_tokens,
-            first_token_target_ms: self.language.first_token_ms as f64,
-            duration_ms: prompt_tokens as f64 * DECODE_MS_EXPECTED,
-        };
-        let weights = Weights {
-            recomputed_token_ms: self.language.recomputed_token_ms,
-            microusd_ms: self.language.microusd_ms,
-            ..Weights::default()
-        };
-        let chosen = ExpectedCost { weights }.choose(&job, &views)?;
-        Some(candidates[chosen].clone())
-    }
-
-    async fn attempt(&mut self, upstream: &Upstream) -> Ended {
-        let attempt = AttemptId::from_random(rand::random());
-        let (record, fingerprint) = {
-            let mut journal = self.active.journal.lock();
-            journal.place(attempt);
-            self.active.moving.send_replace(None);
-            *self.active.place.lock() = Some((upstream.upstream.clone(), attempt));
-            (journal.record.clone(), journal.record.fingerprint)
-        };
-        let prompt_tokens = record.body.len() as u64 / PROMPT_BYTES_PER_TOKEN;
-        let running = Upstreams::begin(&self.entry, &upstream.upstream, fingerprint, prompt_tokens);
-        let url = format!("http://{}{}", upstream.address, record.path);
-        let Some(body) = upstream_body(&record, attempt) else {
-            return Ended::Refused(StatusCode::BAD_REQUEST);
-        };
-        let request = self
-            .entry
-            .http
-            .post(url)
-            .header("x-request-id", record.request_id.to_string())
-            .json(&body);
-        let first_ticket = self.ticket.take();
-        let is_first = first_ticket.is_some();
-        let sent = dispatch::send(first_ticket.unwrap_or_else(Ticket::new), request);
-        let wait = Duration::from_millis(self.entry.settings.timing.token_silence_ms);
-        let Ok(sent) = timeout(wait, sent).await else {
-            return self.lost(upstream, &running).await;
-        };
-        match sent {
-            Sent::NotConnected(ticket) => {
-                if is_first {
-                    self.ticket = Some(ticket);
-                }
-                self.entry.metrics.upstream_try("not_connected");
-                self.entry.upstream_refused(&upstream.upstream);
-                Ended::Lost
-            }
-            Sent::Broken(err) => {
-                log::info!(upstream:% = upstream.upstream, error:% = err; "upstream broke off");
-                self.lost(upstream, &running).await
-            }
-            Sent::Answered(response) if response.status().is_success() => {
-                self.active.journal.lock().step(Event::Started);
-                self.active.start();
-                let ended = self.receive(response, attempt, upstream, &running).await;
-                if matches!(ended, Ended::Lost) {
-                    self.lost(upstream, &running).await
-                } else {
-                    ended
-                }
-            }
-            Sent::Answered(response) if response.status().is_server_error() => Ended::Lost,
-            Sent::Answered(response) => Ended::Refused(response.status()),
-        }
-    }
-
-    /// An attempt was lost. If the upstream has crashed, whoever ran there is suspected; `running` must still be held.
-    async fn lost(&mut self, upstream: &Upstream, running: &Running) -> Ended {
-        self.entry.metrics.upstream_try("lost");
-        let life = (upstream.upstream.clone(), running.incarnation);
-        let on_board = self.entry.upstreams.running(&upstream.upstream);
-        if !running.is_leaving() && self.entry.has_crashed(upstream, &life).await {
-            let evidence = self.entry.quarantine.lock().blame(&life, &on_board);
-            log::warn!(upstream:% = upstream.upstream, n_running = on_board.len(); "upstream crashed");
-            self.entry.take_evidence(&evidence);
-            self.entry.upstream_refused(&upstream.upstream);
-            // The trial stays on record, so that other processes blame the suspect alone as well.
-            self.trial = None;
-        }
-        Ended::Lost
-    }
-
-    async fn receive(
-        &mut self,
-        response: Response,
-        attempt: AttemptId,
-        upstream: &Upstream,
-        running: &Running,
-    ) -> Ended {
-        let mut events = std::pin::pin!(response.bytes_stream().eventsource());
-        let mut stop = self.active.stop.subscribe();
-        let mut moving = self.active.moving.subscribe();
-        if running.is_leaving() && self.has_other(upstream) && self.active.moving.borrow().is_none()
-        {
-            return Ended::Lost;
-        }
-        let mut heard = Instant::now();
-        let silence = Duration::from_millis(self.entry.settings.timing.token_silence_ms);
-        loop {
-            if let Some(event) = *stop.borrow_and_update() {
-                return Ended::Stopped(event);
-            }
-            if self.deadline <= Instant::now() {
-                return Ended::Deadline;
-            }
-            let look = Instant::now() + Duration::from_millis(LOOK_MS);
-            let event = tokio::select! {
-                _ = stop.changed() => continue,
-                _ = moving.changed() => {
-                    let is_going = matches!(*moving.borrow_and_update(), Some(Moving::Go(_)));
-                    if is_going && self.has_other(upstream) {
-                        return Ended::Lost;
-                    }
-                    continue;
-                }
-                event = timeout_at(look, next_chunk(&mut events)) => event,
-            };
-            let has_tokens = self.active.journal.lock().position() > 0;
-            match event {
-                Err(_) if has_tokens && silence < heard.elapsed() => return Ended::Lost,
-                Err(_)
-                    if self.entry.upstreams.is_unreachable(&upstream.upstream)
-                        && self.has_other(upstream) =>
-                {
-                    return Ended::Lost;
-                }
-                Err(_) => {}
-                Ok(None) => return Ended::Lost,
-                Ok(Some(chunk)) => {
-                    heard = Instant::now();
-                    if let Some(ended) = self.take(chunk, attempt, upstream) {
-                        return ended;
-                    }
-                }
-            }
-        }
-    }
-
-    /// Whether the request could go on at another upstream.
-    fn has_other(&self, upstream: &Upstream) -> bool {
-        let others = self.service.upstreams.iter().filter(|it| it.upstream != upstream.upstream);
-        others.clone().any(|it| self.entry.upstreams.is_open(&it.upstream))
-    }
-
-    fn take(&mut self, chunk: Chunk, attempt: AttemptId, upstream: &Upstream) -> Option<Ended> {
-        let choice = chunk.choices.into_iter().next()?;
-        let from = chunk.attempt.unwrap_or(attempt);
-        let mut journal = self.active.journal.lock();
-        let position = chunk.position.unwrap_or(journal.position());
-        let text = choice.text.or(choice.delta.and_then(|it| it.content)).unwrap_or_default();
-        if let Some(reason) = choice.finish_reason {
-            if from != attempt {
-                return None;
-            }
-            if !text.is_empty() {
-                journal.token(from, position, text);
-            }
-            let n_tokens = chunk.position.unwrap_or(journal.position());
-            if !journal.end(from, n_tokens, reason) {
-                return Some(Ended::Lost);
-            }
-            let n_tokens = journal.position();
-            drop(journal);
-            self.entry.prefixes.lock().insert(&upstream.upstream, &self.blocks);
-            self.end_trial(TrialStep::Passed);
-            self.entry.metrics.upstream_try("whole");
-            self.received(n_tokens, true);
-            return Some(Ended::Whole);
-        }
-        let is_first = journal.position() == 0;
-        let received = journal.token(from, position, text);
-        let n_tokens = journal.position();
-        drop(journal);
-        if self.trial.as_ref().is_some_and(|it| it.1 + TRIAL_TOKENS <= n_tokens) {
-            self.end_trial(TrialStep::Passed);
-        }
-        if let Received::Appended(n_new) = received {
-            self.entry.metrics.tokens(n_new as u64);
-            if is_first {
-                let first_token_ms = self.entry.clock.now_ms() - self.active.accepted_ms;
-                self.entry.metrics.first_token(first_token_ms as f64);
-            }
-            self.received(n_tokens, false);
-        }
-        None
-    }
-
     fn end_trial(&mut self, step: TrialStep) {
         if let Some((trial, _)) = self.trial.take() {
             self.entry.announce_trial(Trial { step, ..trial });
@@ -486,37 +187,3 @@
         }
     }
 }
-
-/// Keeps only those that fulfil a wish, if there are any.
-fn prefer<T>(candidates: &mut Vec<T>, wish: impl Fn(&T) -> bool) {
-    if candidates.iter().any(&wish) {
-        candidates.retain(wish);
-    }
-}
-
-/// The next event that can be understood; `None` when there is none any more.
-async fn next_chunk<S, E>(events: &mut S) -> Option<Chunk>
-where
-    S: Stream<Item = Result<eventsource_stream::Event, E>> + Unpin,
-{
-    loop {
-        let event = events.next().await?.ok()?;
-        if event.data == "[DONE]" {
-            return None;
-        }
-        match serde_json::from_str(&event.data) {
-            Ok(chunk) => return Some(chunk),
-            Err(err) => log::warn!(error:% = err; "event of an upstream not understood"),
-        }
-    }
-}
-
-/// The caller's request with what the upstream needs to go on from the journal's position.
-fn upstream_body(record: &Record, attempt: AttemptId) -> Option<Value> {
-    let mut body: Value = serde_json::from_slice(&record.body).ok()?;
-    let fields = body.as_object_mut()?;
-    fields.insert("stream".to_owned(), json!(true));
-    fields.insert("attempt".to_owned(), json!(attempt));
-    fields.insert("resume_tokens".to_owned(), json!(record.tokens));
-    Some(body)
-}
--- a/crates/lentilhitch_entry/src/serve.rs
+++ b/crates/lentilhitch_entry/src/serve.rs
@@ -24,8 +24,8 @@
     follow::follow,
     front::{Front, respond_problem},
     orders,
-    peers::{self, PeerHandler},
-    problems, upstreams,
+    peer_handler::PeerHandler,
+    peers, problems, upstreams,
 };
 
 /// How long open connections get to finish once nothing is in progress.
--- a/crates/lentilhitch_policy/src/lease.rs
+++ b/crates/lentilhitch_policy/src/lease.rs
@@ -118,6 +118,8 @@
     /// The append whose result is awaited, and the local time just before it was sent.
     pending: Option<(AttemptId, u64)>,
     valid_until_ms: u64,
+    /// When the present term began, by this process's clock.
+    held_since_ms: u64,
     fencing: Option<LogOffset>,
 }
 
@@ -146,6 +148,7 @@
             state,
             pending: None,
             valid_until_ms: 0,
+            held_since_ms: 0,
             fencing: None,
         }
     }
@@ -160,7 +163,7 @@
     pub fn tick(&mut self, now_ms: u64, log_now_ms: u64, leases: &Leases) -> Vec<Action> {
         let grant = leases.grant(&self.lease);
         let is_mine = grant.is_some_and(|it| it.term == self.term && !it.is_released);
-        self.take_grant(grant.filter(|_| is_mine));
+        self.take_grant(now_ms, grant.filter(|_| is_mine));
         let gives_orders = matches!(self.state, State::Held | State::Renewing);
         let event = if gives_orders && self.valid_until_ms <= now_ms {
             Event::Expired
@@ -216,10 +219,19 @@
         Some(OrderPermit { fencing, not_after_ms: self.valid_until_ms - now_ms })
     }
 
-    fn take_grant(&mut self, mine: Option<&Grant>) {
+    /// Permission for an order to an upstream that does not look at fencing numbers: only once an order that a former
+    /// holder sent in time has been carried out or has failed.
+    pub fn unfenced_permit(&self, now_ms: u64) -> Option<OrderPermit> {
+        self.permit(now_ms).filter(|_| self.held_since_ms + self.settings.margin_ms <= now_ms)
+    }
+
+    fn take_grant(&mut self, now_ms: u64, mine: Option<&Grant>) {
         let Some(grant) = mine else { return };
         if let Some((_, sent_ms)) = self.pending.filter(|it| it.0 == grant.attempt) {
             self.valid_until_ms = sent_ms + self.settings.ttl_ms;
+            if self.fencing != Some(grant.fencing) {
+                self.held_since_ms = now_ms;
+            }
             self.fencing = Some(grant.fencing);
             self.pending = None;
         }
--- a/crates/lentilhitch_policy/src/membership.rs
+++ b/crates/lentilhitch_policy/src/membership.rs
@@ -71,10 +71,7 @@
         incarnation: Incarnation,
         now_ms: u64,
     ) -> Vec<Action> {
-        let Some(member) = self.members.get_mut(peer) else { return Vec::new() };
-        if incarnation < member.incarnation {
-            return Vec::new();
-        }
+        let Some(member) = self.member(peer, incarnation) else { return Vec::new() };
         member.heard_ms = now_ms;
         let is_new = member.incarnation < incarnation && member.state != State::Unknown;
         member.incarnation = incarnation;
@@ -88,10 +85,7 @@
         incarnation: Incarnation,
         now_ms: u64,
     ) -> Vec<Action> {
-        let Some(member) = self.members.get_mut(peer).filter(|it| it.incarnation <= incarnation)
-        else {
-            return Vec::new();
-        };
+        let Some(member) = self.member(peer, incarnation) else { return Vec::new() };
         if member.state == State::Suspect {
             member.heard_ms = now_ms;
         }
@@ -105,10 +99,7 @@
         incarnation: Incarnation,
         now_ms: u64,
     ) -> Vec<Action> {
-        let Some(member) = self.members.get_mut(peer).filter(|it| it.incarnation <= incarnation)
-        else {
-            return Vec::new();
-        };
+        let Some(member) = self.member(peer, incarnation) else { return Vec::new() };
         member.incarnation = incarnation;
         member.suspected_ms = now_ms;
         member.heard_ms = now_ms;
@@ -138,6 +129,11 @@
         }
         changed
     }
+
+    /// A peer, unless what is said of it is about an earlier life.
+    fn member(&mut self, peer: &InstanceName, incarnation: Incarnation) -> Option<&mut Member> {
+        self.members.get_mut(peer).filter(|it| it.incarnation <= incarnation)
+    }
 }
 
 fn step(member: &mut Member, event: Event) -> Vec<Action> {
--- a/crates/lentilhitch_policy/src/once.rs
+++ b/crates/lentilhitch_policy/src/once.rs
@@ -30,6 +30,26 @@
     Released { key: ClaimKey, attempt: AttemptId },
 }
 
+impl ClaimRecord {
+    /// The call that the entry is about.
+    pub fn key(&self) -> ClaimKey {
+        match self {
+            Self::Claim { key, .. } | Self::Outcome { key, .. } | Self::Released { key, .. } => {
+                *key
+            }
+        }
+    }
+
+    /// The attempt that the entry is about.
+    pub fn attempt(&self) -> AttemptId {
+        match self {
+            Self::Claim { attempt, .. }
+            | Self::Outcome { attempt, .. }
+            | Self::Released { attempt, .. } => *attempt,
+        }
+    }
+}
+
 /// The answer of a call as it is kept for repeats.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptAnswer {
@@ -90,6 +110,11 @@
         }
     }
 
+    /// Whether the key is claimed and has no outcome.
+    pub fn is_open(&self, key: ClaimKey) -> bool {
+        self.claims.get(&key).is_some_and(|it| it.answer.is_none())
+    }
+
     /// Which attempt holds the key.
     pub fn winner(&self, key: ClaimKey) -> Option<AttemptId> {
         self.claims.get(&key).map(|it| it.attempt)
--- a/crates/lentilhitch_policy/tests/lease.rs
+++ b/crates/lentilhitch_policy/tests/lease.rs
@@ -99,6 +99,10 @@
             }
             let permits: Vec<_> = processes.iter().filter_map(|it| it.candidate.permit(now_ms + it.offset_ms)).collect();
             prop_assert!(permits.len() <= 1, "{} holders at {now_ms}", permits.len());
+            for it in &processes {
+                let unfenced = it.candidate.unfenced_permit(now_ms + it.offset_ms);
+                prop_assert!(unfenced.is_none() || unfenced == it.candidate.permit(now_ms + it.offset_ms));
+            }
             if let Some(permit) = permits.first() {
                 prop_assert!(fencing_max <= Some(permit.fencing), "fencing number went back");
                 fencing_max = Some(permit.fencing);
--- /dev/null
+++ b/crates/lentilhitch_standin/src/harness/calls.rs
@@ -0,0 +1,106 @@
+//! Calls to the running processes, and questions to the stand-ins.
+
+use std::{net::SocketAddr, time::Instant};
+
+use anyhow::bail;
+use serde_json::{Value, json};
+
+use crate::{
+    application::Run,
+    engine::Report,
+    harness::{Cluster, Entry, LOOK, PATIENCE, TOKEN, until},
+};
+
+impl Cluster {
+    /// The state of an entry process.
+    pub async fn dump(&self, entry: &Entry) -> reqwest::Result<Value> {
+        self.get_json(&format!("http://{}/dump", entry.admin)).await
+    }
+
+    /// Fetches JSON from a stand-in or an administrative address.
+    pub async fn get_json(&self, url: &str) -> reqwest::Result<Value> {
+        self.http.get(url).timeout(PATIENCE).send().await?.json().await
+    }
+
+    /// Sets faults of a stand-in.
+    pub async fn set_faults(&self, address: SocketAddr, faults: &Value) -> reqwest::Result<()> {
+        let request = self.http.post(format!("http://{address}/faults")).json(faults);
+        request.send().await?.error_for_status().map(|_| ())
+    }
+
+    /// Waits until an engine runs a request; returns its index.
+    pub async fn busy_engine(&self) -> anyhow::Result<usize> {
+        let deadline = Instant::now() + PATIENCE;
+        while Instant::now() < deadline {
+            for (idx, engine) in self.engines.iter().enumerate() {
+                let load = self.get_json(&format!("http://{}/v1/load", engine.address)).await;
+                if load.is_ok_and(|it| it["n_requests"].as_u64().is_some_and(|it| 0 < it)) {
+                    return Ok(idx);
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        bail!("no engine runs a request")
+    }
+
+    /// Waits until a URL answers with success.
+    pub async fn until_ok(&self, url: &str) -> anyhow::Result<()> {
+        until(url, || async {
+            self.http.get(url).send().await.is_ok_and(|it| it.status().is_success())
+        })
+        .await
+    }
+
+    /// A completion request to an entry process, not yet sent.
+    pub fn completion(
+        &self,
+        entry: &Entry,
+        model: &str,
+        prompt: &str,
+        n_tokens: usize,
+    ) -> reqwest::RequestBuilder {
+        let body =
+            json!({ "model": model, "prompt": prompt, "max_tokens": n_tokens, "stream": true });
+        self.http
+            .post(format!("http://{}/v1/completions", entry.front))
+            .bearer_auth(TOKEN)
+            .json(&body)
+    }
+
+    /// A non-repeatable call to an entry process, not yet sent.
+    pub fn commission(&self, entry: &Entry, key: &str, body: &str) -> reqwest::RequestBuilder {
+        let request =
+            self.http.post(format!("http://{}/commissions", entry.front)).bearer_auth(TOKEN);
+        request.header("idempotency-key", key).body(body.to_owned())
+    }
+
+    /// Asks for the rest of an answer, from after the event with this id; not yet sent.
+    pub fn resume(
+        &self,
+        entry: &Entry,
+        request_id: &str,
+        last_id: usize,
+    ) -> reqwest::RequestBuilder {
+        let url = format!("http://{}/v1/requests/{request_id}/events", entry.front);
+        self.http.get(url).bearer_auth(TOKEN).header("last-event-id", last_id.to_string())
+    }
+
+    /// The calls that an application ran, by its own count.
+    pub async fn runs(&self, application: usize) -> Vec<Run> {
+        let url = format!("http://{}/counts", self.applications[application].address);
+        let runs = self.get_json(&url).await.unwrap_or_default();
+        serde_json::from_value(runs).unwrap_or_default()
+    }
+
+    /// What an engine did, by its own count.
+    pub async fn report(&self, engine: usize) -> anyhow::Result<Report> {
+        let url = format!("http://{}/counts", self.engines[engine].address);
+        Ok(serde_json::from_value(self.get_json(&url).await?)?)
+    }
+
+    /// The number of appends to a stream of the log.
+    pub async fn n_appends(&self, stream: &str) -> u64 {
+        let counts = self.get_json(&format!("http://{}/counts", self.platform_address)).await;
+        counts.unwrap_or_default()[stream].as_u64().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_standin/src/harness/cluster.rs
@@ -0,0 +1,318 @@
+//! The whole system on one machine.
+
+use std::{
+    fs, io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+};
+
+use anyhow::bail;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use lentilhitch_config::token_digest;
+
+use crate::{
+    harness::{
+        DURABLE_MODEL, INTERACTIVE_MODEL, Options, Process, TOKEN, process::free_address,
+        run_to_end, until,
+    },
+    relay::Relay,
+};
+
+/// Not that of any process, so that a relay can't take the port that was found free for one.
+const RELAY_IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+/// A stand-in that requests are routed to.
+#[derive(Debug)]
+pub struct Upstream {
+    pub name: String,
+    pub zone: String,
+    /// The stand-in itself.
+    pub address: SocketAddr,
+    /// Between the entry processes and the stand-in.
+    pub link: Relay,
+    pub process: Process,
+    args: Vec<String>,
+}
+
+/// An entry process.
+#[derive(Debug)]
+pub struct Entry {
+    pub name: String,
+    pub zone: String,
+    pub front: SocketAddr,
+    pub admin: SocketAddr,
+    pub peer: SocketAddr,
+    pub platform_link: Relay,
+    /// From this process to each other one, in the order of the entries without itself.
+    pub peer_links: Vec<Relay>,
+    pub process: Process,
+}
+
+/// The whole system on one machine.
+#[derive(Debug)]
+pub struct Cluster {
+    pub platform_address: SocketAddr,
+    pub platform: Process,
+    pub engines: Vec<Upstream>,
+    pub applications: Vec<Upstream>,
+    pub entries: Vec<Entry>,
+    pub http: reqwest::Client,
+    pub(super) options: Options,
+    /// Settings, declarations and logs; dropped after the processes that write there.
+    pub folder: TempDir,
+}
+
+impl Cluster {
+    /// Starts everything; returns when each stand-in answers. Nothing is published yet.
+    pub async fn start(options: Options) -> anyhow::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let platform_address = free_address()?;
+        let args = ["platform".to_owned(), "--address".to_owned(), platform_address.to_string()];
+        let platform = Process::start("platform", folder.path(), "lentilhitch_standin", &args)?;
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        let (engines, applications, entries) = (Vec::new(), Vec::new(), Vec::new());
+        let mut cluster = Self {
+            folder,
+            platform_address,
+            platform,
+            engines,
+            applications,
+            entries,
+            http,
+            options: options.clone(),
+        };
+        for idx in 0..options.n_engines {
+            let upstream = cluster.start_upstream("engine", idx)?;
+            cluster.engines.push(upstream);
+        }
+        for idx in 0..options.n_applications {
+            let upstream = cluster.start_upstream("application", idx)?;
+            cluster.applications.push(upstream);
+        }
+        cluster.start_entries()?;
+        let upstreams = cluster.engines.iter().chain(&cluster.applications);
+        let mut urls: Vec<_> =
+            upstreams.map(|it| format!("http://{}/v1/load", it.address)).collect();
+        urls.push(format!("http://{platform_address}/counts"));
+        for url in urls {
+            cluster.until_ok(&url).await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts everything, publishes the default declarations and waits until every entry process is ready.
+    pub async fn start_ready(options: Options) -> anyhow::Result<Self> {
+        let cluster = Self::start(options).await?;
+        let output = cluster.publish(&cluster.declarations()?)?;
+        if !output.0 {
+            bail!("publish failed: {}", output.1);
+        }
+        cluster.until_ready().await?;
+        Ok(cluster)
+    }
+
+    /// Waits until every entry process is ready, all links are open and every upstream is known to be there.
+    pub async fn until_ready(&self) -> anyhow::Result<()> {
+        for entry in &self.entries {
+            self.until_ok(&format!("http://{}/ready", entry.admin)).await?;
+            let what = format!("{} sees peers and upstreams", entry.name);
+            let n_upstreams = self.engines.len() + self.applications.len();
+            until(&what, || async {
+                let dump = self.dump(entry).await.unwrap_or_default();
+                let all = |list: &Value, wanted: &str| {
+                    list.as_array().is_some_and(|it| it.iter().all(|it| it["state"] == wanted))
+                };
+                let is_linked = dump["peers"]
+                    .as_array()
+                    .is_some_and(|it| it.iter().all(|it| it["is_linked"] == true));
+                let n_known = dump["upstreams"].as_array().map_or(0, Vec::len);
+                is_linked
+                    && all(&dump["peers"], "alive")
+                    && all(&dump["upstreams"], "available")
+                    && n_known == n_upstreams
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Writes the default declarations to a folder and returns it.
+    pub fn declarations(&self) -> anyhow::Result<PathBuf> {
+        let folder = self.folder.path().join("declarations");
+        fs::create_dir_all(&folder)?;
+        let upstreams = |of: &[Upstream]| -> Vec<Value> {
+            let declare = |it: &Upstream| {
+                let address = if self.options.is_direct { it.address } else { it.link.address() };
+                let checks_fencing = it.args.iter().any(|it| it == "--checks-fencing");
+                json!({
+                    "upstream": it.name,
+                    "address": address.to_string(),
+                    "zone": it.zone,
+                    "checks_fencing": checks_fencing,
+                })
+            };
+            of.iter().map(declare).collect()
+        };
+        let language = |service: &str, model: &str, is_durable: bool| {
+            json!({
+                "service": service,
+                "teams": ["ausonia"],
+                "language": { "models": [model], "durable": is_durable, "version": if is_durable { self.options.version } else { None } },
+                "upstreams": upstreams(&self.engines),
+            })
+        };
+        let market = json!({
+            "service": "market",
+            "teams": ["ausonia"],
+            "application": { "deadline_ms": 5_000, "routes": [
+                { "path": "/commissions", "methods": ["POST"], "repeat": "at_most_once" },
+                { "path": "/" },
+            ] },
+            "upstreams": upstreams(&self.applications),
+        });
+        let team = json!({
+            "team": "ausonia",
+            "token_sha256": [token_digest(TOKEN)],
+            "requests_per_s": self.options.requests_per_s,
+        });
+        let mut files = vec![("team", team)];
+        if !self.engines.is_empty() {
+            files.push(("review", language("review", DURABLE_MODEL, true)));
+            files.push(("register", language("register", INTERACTIVE_MODEL, false)));
+        }
+        if !self.applications.is_empty() {
+            files.push(("market", market));
+        }
+        for (name, value) in files {
+            fs::write(
+                folder.join(format!("{name}.lentilhitch.json")),
+                serde_json::to_string_pretty(&value)?,
+            )?;
+        }
+        Ok(folder)
+    }
+
+    /// Publishes the default declarations with another model version.
+    pub fn publish_version(&mut self, version: &'static str) -> anyhow::Result<(bool, String)> {
+        self.options.version = Some(version);
+        self.publish(&self.declarations()?)
+    }
+
+    /// Runs `lentilhitch publish`; returns whether it succeeded and what it printed.
+    pub fn publish(&self, folder: &Path) -> anyhow::Result<(bool, String)> {
+        let mut args = vec!["publish".to_owned(), folder.display().to_string()];
+        args.extend(["--platform".to_owned(), self.platform_address.to_string()]);
+        for entry in &self.entries {
+            args.extend(["--entry".to_owned(), entry.admin.to_string()]);
+        }
+        run_to_end(&args)
+    }
+
+    /// Starts an entry process again, under its name and addresses.
+    pub fn restart_entry(&mut self, idx: usize) -> anyhow::Result<()> {
+        let name = self.entries[idx].name.clone();
+        let settings = self.settings_file(&name);
+        let process =
+            Process::start(&name, self.folder.path(), "lentilhitch", &serve_args(&settings))?;
+        self.entries[idx].process = process;
+        Ok(())
+    }
+
+    /// Starts an application again, under its name and address; what it had counted is lost.
+    pub fn restart_application(&mut self, idx: usize) -> anyhow::Result<()> {
+        let application = &mut self.applications[idx];
+        application.process.kill();
+        let (name, args) = (&application.name, &application.args);
+        application.process =
+            Process::start(name, self.folder.path(), "lentilhitch_standin", args)?;
+        Ok(())
+    }
+
+    /// Starts an engine again, under its name and address, as a later incarnation.
+    pub fn restart_engine(&mut self, idx: usize) -> anyhow::Result<()> {
+        let engine = &mut self.engines[idx];
+        engine.process.kill();
+        engine.process =
+            Process::start(&engine.name, self.folder.path(), "lentilhitch_standin", &engine.args)?;
+        Ok(())
+    }
+
+    /// The path of the settings file of an entry process.
+    pub fn settings_file(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.json"))
+    }
+
+    fn zone(&self, idx: usize) -> String {
+        format!("zone-{}", idx % self.options.n_zones + 1)
+    }
+
+    fn start_upstream(&self, kind: &str, idx: usize) -> anyhow::Result<Upstream> {
+        let name = format!("{kind}-{}", idx + 1);
+        let address = free_address()?;
+        let mut args = vec![kind.to_owned(), "--address".to_owned(), address.to_string()];
+        if kind == "engine" {
+            // Half of the engines, the first among them, check fencing numbers.
+            args.extend(idx.is_multiple_of(2).then(|| "--checks-fencing".to_owned()));
+            args.extend(["--decode-ms".to_owned(), self.options.decode_ms.to_string()]);
+            args.extend([
+                "--prefill-tokens-per-s".to_owned(),
+                self.options.prefill_tokens_per_s.to_string(),
+            ]);
+        }
+        let process = Process::start(&name, self.folder.path(), "lentilhitch_standin", &args)?;
+        let link = Relay::start(RELAY_IP, address)?;
+        Ok(Upstream { name, zone: self.zone(idx), address, link, process, args })
+    }
+
+    fn start_entries(&mut self) -> anyhow::Result<()> {
+        let n_entries = self.options.n_entries;
+        let addresses: Vec<_> = (0..n_entries)
+            .map(|_| Ok((free_address()?, free_address()?, free_address()?)))
+            .collect::<io::Result<_>>()?;
+        for (idx, (front, admin, peer)) in addresses.iter().copied().enumerate() {
+            let name = format!("entry-{}", idx + 1);
+            let platform_link = Relay::start(RELAY_IP, self.platform_address)?;
+            let mut peer_links = Vec::new();
+            let mut peers = Vec::new();
+            for (other, (_, _, address)) in addresses.iter().enumerate().filter(|it| it.0 != idx) {
+                let link = Relay::start(RELAY_IP, *address)?;
+                let instance = format!("entry-{}", other + 1);
+                peers.push(json!({ "instance": instance, "zone": self.zone(other), "address": link.address().to_string() }));
+                peer_links.push(link);
+            }
+            let settings = json!({
+                "instance": name,
+                "zone": self.zone(idx),
+                "front_address": front.to_string(),
+                "admin_address": admin.to_string(),
+                "peer_address": peer.to_string(),
+                "platform_address": platform_link.address().to_string(),
+                "peers": peers,
+                "peer_keys": ["a key that all entry processes share"],
+                "timing": self.options.timing,
+                "bounds": self.options.bounds,
+            });
+            let file = self.settings_file(&name);
+            fs::write(&file, serde_json::to_string_pretty(&settings)?)?;
+            let process =
+                Process::start(&name, self.folder.path(), "lentilhitch", &serve_args(&file))?;
+            self.entries.push(Entry {
+                name,
+                zone: self.zone(idx),
+                front,
+                admin,
+                peer,
+                platform_link,
+                peer_links,
+                process,
+            });
+        }
+        Ok(())
+    }
+}
+
+fn serve_args(settings: &Path) -> Vec<String> {
+    vec!["serve".to_owned(), settings.display().to_string()]
+}
--- a/crates/lentilhitch_standin/src/main.rs
+++ b/crates/lentilhitch_standin/src/main.rs
@@ -94,7 +94,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "slopes")]
 struct SlopesArgs {
-    /// seconds for each measurement on processes
+    /// seconds for each measurement on processes; 0 leaves these out
     #[argh(option, default = "10")]
     seconds: u64,
 }
@@ -121,6 +121,9 @@
     /// trace files
     #[argh(positional)]
     files: Vec<PathBuf>,
+    /// write the outcomes beside each trace, as what later runs are held to
+    #[argh(switch)]
+    state: bool,
 }
 
 #[tokio::main]
@@ -147,7 +150,12 @@
         Command::Replay(it) => {
             for file in &it.files {
                 let trace = trace::Trace::load(file)?;
-                replay::print(&trace, &replay::replay(&trace)?);
+                let outcomes = replay::replay(&trace)?;
+                replay::print(&trace, &outcomes);
+                if it.state {
+                    let text = serde_json::to_string_pretty(&outcomes)?;
+                    std::fs::write(file.with_extension("outcomes.json"), text + "\n")?;
+                }
             }
             Ok(())
         }
--- a/crates/lentilhitch_standin/src/slopes.rs
+++ b/crates/lentilhitch_standin/src/slopes.rs
@@ -54,11 +54,15 @@
 pub async fn run(seconds: u64) -> anyhow::Result<()> {
     // Memory first and the smallest before the largest, so that freed memory hides nothing.
     configuration()?;
-    prefixes();
+    let index = prefixes();
     claims();
+    drop(index);
     heartbeats()?;
     routing();
     journals()?;
+    if seconds == 0 {
+        return Ok(());
+    }
     processes_by_peers(seconds).await?;
     processes_by_upstreams(seconds).await
 }
@@ -227,7 +231,7 @@
     print("routing, one decision", "us", "replica", &points);
 }
 
-fn prefixes() {
+fn prefixes() -> PrefixIndex {
     let before_kib = own_kib();
     let mut index = PrefixIndex::new(1_000_000);
     let name = "engine-1".parse().expect("the name is valid");
@@ -240,6 +244,7 @@
         points.push((n_blocks as f64, own_kib() - before_kib));
     }
     print("prefix index, memory", "KiB", "block", &points);
+    index
 }
 
 fn journals() -> anyhow::Result<()> {
