--- a/crates/lentilhitch/src/commands/publish.rs
+++ b/crates/lentilhitch/src/commands/publish.rs
@@ -118,7 +118,7 @@
     publish: &Publish,
     deadline: Instant,
 ) -> anyhow::Result<Vec<(Key, Verdict)>> {
-    let payload = serde_json::to_string(&Payload::<_, Published>::Record(publish.clone()))?;
+    let payload = serde_json::to_string(&Payload::Record(publish.clone()))?;
     loop {
         let appended = log.append(Stream::Config, &payload).await;
         if let Some(verdicts) = find(reader, publish).await? {
@@ -150,7 +150,7 @@
         let page = Page::from(page);
         for idx in 0..page.records.len() {
             let record = &page.records[idx];
-            let payload = serde_json::from_str::<Payload<Publish, Published>>(&record.payload);
+            let payload = serde_json::from_str::<Payload<Publish>>(&record.payload);
             if let Ok(Payload::Record(found)) = payload
                 && found.attempt == publish.attempt
             {
--- a/crates/lentilhitch/tests/config.rs
+++ b/crates/lentilhitch/tests/config.rs
@@ -157,7 +157,9 @@
 async fn records_that_are_not_understood_stop_nothing() {
     let cluster =
         Cluster::start_ready(Options { n_engines: 0, ..Options::default() }).await.unwrap();
-    let stale = json!({ "checkpoint": { "next": 1, "state": { "by_key": {} } } }).to_string();
+    let empty = json!({ "next": 1, "state": { "by_key": {} } }).to_string();
+    let id = "0".repeat(32);
+    let stale = json!({ "checkpoint": { "checkpoint": id, "next": 1, "idx": 0, "n_parts": 1, "text": empty } }).to_string();
     let payloads = [
         "flood",
         "{}",
@@ -187,3 +189,26 @@
     let answer = cluster.commission(&cluster.entries[0], "after", "b").send().await.unwrap();
     assert_eq!(answer.status(), 201);
 }
+
+#[tokio::test]
+async fn a_configuration_that_nobody_changes_outlives_the_retention() {
+    let timing = json!({ "checkpoint_ms": 1_500 });
+    let mut cluster = Cluster::start_ready(Options { timing, ..Options::default() }).await.unwrap();
+    let before = versions(&cluster, 0).await;
+    cluster.set_faults(cluster.platform_address, &json!({ "retention_ms": 6_000 })).await.unwrap();
+    let url =
+        format!("http://{}/v1/streams/config/records?from=0&wait_ms=0", cluster.platform_address);
+    until("the publish itself has expired", || async {
+        cluster.get_json(&url).await.is_ok_and(|it| 0 < it["oldest"].as_u64().unwrap_or_default())
+    })
+    .await
+    .unwrap();
+    for idx in 0..2 {
+        cluster.entries[idx].process.kill();
+    }
+    for idx in 0..2 {
+        cluster.restart_entry(idx).unwrap();
+    }
+    cluster.until_ready().await.unwrap();
+    assert_eq!(versions(&cluster, 0).await, before);
+}
--- a/crates/lentilhitch_entry/src/claims.rs
+++ b/crates/lentilhitch_entry/src/claims.rs
@@ -97,7 +97,7 @@
             }
             let records: Vec<_> = group.iter().map(|it| it.record.clone()).collect();
             entry.metrics.claim_append(records.len() as u64);
-            let result = match serde_json::to_string(&Payload::<_, Claims>::Record(records)) {
+            let result = match serde_json::to_string(&Payload::Record(records)) {
                 Ok(payload) => {
                     entry.log_access().append(Stream::Claims, &payload).await.map(|_| ())
                 }
--- a/crates/lentilhitch_entry/src/follow.rs
+++ b/crates/lentilhitch_entry/src/follow.rs
@@ -10,13 +10,18 @@
 };
 
 use lentilhitch_platform::Stream;
-use lentilhitch_policy::fold::{Fold, Follower, Payload, Snapshot, Standing};
-use lentilhitch_types::LogOffset;
+use lentilhitch_policy::{
+    checkpoint::split,
+    fold::{Fold, Follower, Payload, Snapshot, Standing},
+};
+use lentilhitch_types::{AttemptId, LogOffset};
 
 use crate::entry::Entry;
 
 const RETRY_MS: u64 = 100;
 const CHECKPOINT_JITTER_MS: u64 = 2_000;
+/// Less than half of what a record may be: the text is quoted once more in the record.
+const CHECKPOINT_PART_BYTES_MAX: usize = 256 * 1024;
 
 /// A follower that tasks can read and wait for.
 #[derive(Debug)]
@@ -123,9 +128,9 @@
     checkpoint_at: &mut Option<Instant>,
 ) {
     let timing = entry.settings.timing;
-    let is_due =
-        followed.follower.lock().is_checkpoint_due(timing.checkpoint_records, timing.checkpoint_ms);
-    if !is_due {
+    let Some(log_now_ms) = entry.orders.log_now_ms(entry.clock.now_ms()) else { return };
+    let (records, age_ms) = (timing.checkpoint_records, timing.checkpoint_ms);
+    if !followed.follower.lock().is_checkpoint_due(records, age_ms, log_now_ms) {
         *checkpoint_at = None;
         return;
     }
@@ -137,13 +142,26 @@
     }
     *checkpoint_at = None;
     let snapshot = followed.follower.lock().snapshot();
-    let next = snapshot.next;
-    let payload = serde_json::to_string(&Payload::<F::Record, F>::Checkpoint(snapshot));
-    let Ok(payload) = payload else {
-        return log::error!(stream:% = stream; "a checkpoint can't be written as JSON");
-    };
-    match entry.log_access().append(stream, &payload).await {
-        Ok(_) => log::info!(stream:% = stream, next:% = next; "checkpoint written"),
+    match append_checkpoint(entry, stream, &snapshot).await {
+        Ok(n_parts) => {
+            log::info!(stream:% = stream, next:% = snapshot.next, n_parts = n_parts; "checkpoint written");
+        }
         Err(err) => log::warn!(stream:% = stream, error:% = err; "checkpoint not written"),
     }
 }
+
+/// Appends the parts in order; one that fails leaves a checkpoint that nobody can complete, which does no harm.
+async fn append_checkpoint<F: Fold>(
+    entry: &Entry,
+    stream: Stream,
+    snapshot: &Snapshot<F>,
+) -> anyhow::Result<usize> {
+    let id = AttemptId::from_random(rand::random());
+    let parts = split(snapshot, id, CHECKPOINT_PART_BYTES_MAX)?;
+    let n_parts = parts.len();
+    for part in parts {
+        let payload = serde_json::to_string(&Payload::<F::Record>::Checkpoint(part))?;
+        entry.log_access().append(stream, &payload).await?;
+    }
+    Ok(n_parts)
+}
--- a/crates/lentilhitch_entry/src/orders.rs
+++ b/crates/lentilhitch_entry/src/orders.rs
@@ -57,7 +57,7 @@
     }
 
     /// The log service's time as far as it can be known now.
-    fn log_now_ms(&self, now_ms: u64) -> Option<u64> {
+    pub(crate) fn log_now_ms(&self, now_ms: u64) -> Option<u64> {
         self.log_time_ms.lock().map(|(log_ms, read_ms)| log_ms + now_ms.saturating_sub(read_ms))
     }
 
@@ -116,7 +116,7 @@
 }
 
 async fn append(entry: &Entry, record: LeaseRecord) -> bool {
-    match serde_json::to_string(&Payload::<_, Leases>::Record(record)) {
+    match serde_json::to_string(&Payload::Record(record)) {
         Ok(payload) => entry.log_access().append(Stream::Leases, &payload).await.is_ok(),
         Err(err) => {
             log::error!(error:% = err; "a lease record can't be written as JSON");
--- a/crates/lentilhitch_entry/src/peer_handler.rs
+++ b/crates/lentilhitch_entry/src/peer_handler.rs
@@ -57,7 +57,18 @@
     }
 }
 
+/// The state of a stream if it is further along and fits into a frame; a larger one would close the link.
 fn snapshot(entry: &Entry, stream: Stream, next: LogOffset) -> Option<Bytes> {
+    let bytes = whole_snapshot(entry, stream, next)?;
+    let bytes_max = entry.settings.bounds.peer_frame_bytes_max as usize / 2;
+    if bytes_max < bytes.len() {
+        log::warn!(stream:% = stream, n_bytes = bytes.len(); "state too large for a peer link");
+        return None;
+    }
+    Some(bytes)
+}
+
+fn whole_snapshot(entry: &Entry, stream: Stream, next: LogOffset) -> Option<Bytes> {
     match stream {
         Stream::Config => to_bytes(&entry.config.snapshot_if_after(next)?),
         Stream::Claims => to_bytes(&entry.claims().followed.snapshot_if_after(next)?),
--- a/crates/lentilhitch_policy/src/fold.rs
+++ b/crates/lentilhitch_policy/src/fold.rs
@@ -9,6 +9,8 @@
 
 use lentilhitch_types::LogOffset;
 
+use crate::checkpoint::{Assembly, Part};
+
 /// A state that is computed from the records of a log stream, in order.
 pub trait Fold: Clone + Default + Serialize + DeserializeOwned {
     /// What the stream carries.
@@ -36,9 +38,9 @@
 /// The payload of one record of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Payload<R, F> {
+pub enum Payload<R> {
     Record(R),
-    Checkpoint(Snapshot<F>),
+    Checkpoint(Part),
 }
 
 /// Part of a stream as the log service returned it.
@@ -91,9 +93,12 @@
     /// While there is a gap: where the search for a checkpoint goes on.
     search_next: LogOffset,
     standing: Standing,
-    checkpoint_next: LogOffset,
-    checkpoint_appended_ms: u64,
-    seen_appended_ms: u64,
+    /// Parts of checkpoints that were read while there is a gap.
+    assembly: Assembly,
+    /// Records since the last checkpoint that was read to its end.
+    n_since_checkpoint: u64,
+    /// When that checkpoint, or the first record, was appended.
+    checkpoint_ms: Option<u64>,
 }
 
 impl<F: Fold> Default for Follower<F> {
@@ -103,9 +108,9 @@
             next: LogOffset::default(),
             search_next: LogOffset::default(),
             standing: Standing::Unread,
-            checkpoint_next: LogOffset::default(),
-            checkpoint_appended_ms: 0,
-            seen_appended_ms: 0,
+            assembly: Assembly::default(),
+            n_since_checkpoint: 0,
+            checkpoint_ms: None,
         }
     }
 }
@@ -170,27 +175,30 @@
         Snapshot { next: self.next, state: self.state.clone() }
     }
 
-    /// Whether a checkpoint should be written: enough records or enough log time since the last one that was read.
-    pub fn is_checkpoint_due(&self, records: u64, age_ms: u64) -> bool {
-        let n_since = self.next.0 - self.checkpoint_next.0;
-        let age = self.seen_appended_ms.saturating_sub(self.checkpoint_appended_ms);
-        self.standing == Standing::Current && n_since > 1 && (n_since >= records || age >= age_ms)
+    /// Whether a checkpoint should be written: enough records, or enough time of the log, since the last one. Time counts
+    /// without new records too, for a checkpoint itself expires.
+    pub fn is_checkpoint_due(&self, records_max: u64, age_ms_max: u64, log_now_ms: u64) -> bool {
+        let is_old = self.checkpoint_ms.is_none_or(|it| it + age_ms_max <= log_now_ms);
+        let is_empty = self.next == LogOffset::default();
+        self.standing == Standing::Current
+            && !is_empty
+            && (is_old || records_max <= self.n_since_checkpoint)
     }
 
     fn apply(&mut self, raw: &RawRecord, report: &mut ReadReport) {
-        self.seen_appended_ms = raw.appended_ms;
-        match serde_json::from_str::<Payload<F::Record, F>>(&raw.payload) {
+        self.checkpoint_ms.get_or_insert(raw.appended_ms);
+        match serde_json::from_str::<Payload<F::Record>>(&raw.payload) {
             Ok(Payload::Record(record)) => {
-                self.state.apply(
-                    RecordMeta { offset: raw.offset, appended_ms: raw.appended_ms },
-                    &record,
-                );
+                let at = RecordMeta { offset: raw.offset, appended_ms: raw.appended_ms };
+                self.state.apply(at, &record);
+                self.n_since_checkpoint += 1;
                 report.n_applied += 1;
             }
-            Ok(Payload::Checkpoint(snapshot)) => {
-                self.checkpoint_next = self.checkpoint_next.max(snapshot.next);
-                self.checkpoint_appended_ms = raw.appended_ms;
+            Ok(Payload::Checkpoint(part)) if part.is_last() => {
+                self.n_since_checkpoint = 0;
+                self.checkpoint_ms = Some(raw.appended_ms);
             }
+            Ok(Payload::Checkpoint(_)) => {}
             Err(_) => report.unreadable.push(raw.offset),
         }
         self.next = raw.offset.next();
@@ -205,11 +213,9 @@
                 continue;
             }
             self.search_next = raw.offset.next();
-            let Ok(Payload::Checkpoint(snapshot)) =
-                serde_json::from_str::<Payload<F::Record, F>>(&raw.payload)
-            else {
-                continue;
-            };
+            let payload = serde_json::from_str::<Payload<F::Record>>(&raw.payload);
+            let Ok(Payload::Checkpoint(part)) = payload else { continue };
+            let Some(snapshot) = self.assembly.take::<F>(&part) else { continue };
             if snapshot.next <= raw.offset && self.adopt(snapshot) {
                 report.n_applied += 1;
                 return;
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! milliseconds as arguments and returns typed actions, so that it can be compared with a naive version, replayed and
 //! measured without a network.
 
+pub mod checkpoint;
 pub mod fold;
 pub mod lease;
 pub mod limits;
--- a/crates/lentilhitch_policy/tests/fold.rs
+++ b/crates/lentilhitch_policy/tests/fold.rs
@@ -1,9 +1,10 @@
 //! A follower agrees with a naive fold of the whole log, whatever expires, and never goes back.
 
-use lentilhitch_policy::fold::{
-    Fold, Follower, Page, Payload, RawRecord, RecordMeta, Snapshot, Standing,
+use lentilhitch_policy::{
+    checkpoint::{Part, split},
+    fold::{Fold, Follower, Page, Payload, RawRecord, RecordMeta, Snapshot, Standing},
 };
-use lentilhitch_types::LogOffset;
+use lentilhitch_types::{AttemptId, LogOffset};
 use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest};
 use serde::{Deserialize, Serialize};
 
@@ -37,6 +38,12 @@
         self.records.push(RawRecord { offset, appended_ms: offset.0 * 10, payload });
     }
 
+    fn append_parts(&mut self, parts: &[Part]) {
+        for part in parts {
+            self.append(serde_json::to_string(&Payload::<u64>::Checkpoint(part.clone())).unwrap());
+        }
+    }
+
     fn read(&self, from: LogOffset, max: usize) -> Page {
         let from = from.0.max(self.oldest) as usize;
         let kept = self.records.iter().skip(from).take(max).cloned().collect();
@@ -51,7 +58,7 @@
     fn state_at(&self, next: LogOffset) -> Digest {
         let mut state = Digest::default();
         for raw in &self.records[..next.0 as usize] {
-            if let Ok(Payload::<u64, Digest>::Record(record)) = serde_json::from_str(&raw.payload) {
+            if let Ok(Payload::<u64>::Record(record)) = serde_json::from_str(&raw.payload) {
                 state.apply(
                     RecordMeta { offset: raw.offset, appended_ms: raw.appended_ms },
                     &record,
@@ -67,7 +74,8 @@
     Append(u64),
     AppendGarbage,
     /// A checkpoint as some process would have written it this many records ago.
-    Checkpoint(u64),
+    /// In parts of so many bytes, but for the last so many parts.
+    Checkpoint(u64, usize, usize),
     Expire(u64),
     Read(usize),
     /// A peer offers its snapshot of this many records ago.
@@ -78,7 +86,7 @@
     prop_oneof![
         4 => any::<u64>().prop_map(Act::Append),
         1 => Just(Act::AppendGarbage),
-        2 => (0..12_u64).prop_map(Act::Checkpoint),
+        2 => (0..12_u64, 4..60_usize, 0..3_usize).prop_map(|it| Act::Checkpoint(it.0, it.1, it.2)),
         2 => (0..8_u64).prop_map(Act::Expire),
         3 => (1..6_usize).prop_map(Act::Read),
         1 => (0..12_u64).prop_map(Act::Offer),
@@ -90,16 +98,20 @@
     fn follower_agrees_with_naive_fold(acts in proptest::collection::vec(act(), 1..120)) {
         let mut log = Log::default();
         let mut follower = Follower::<Digest>::default();
+        let mut n_checkpoints = 0;
         for act in acts {
             let before = follower.next();
             let end = log.records.len() as u64;
             let past = |age: u64| Snapshot { next: LogOffset(end.saturating_sub(age)), state: log.state_at(LogOffset(end.saturating_sub(age))) };
             match act {
-                Act::Append(value) => log.append(serde_json::to_string(&Payload::<u64, Digest>::Record(value)).unwrap()),
+                Act::Append(value) => log.append(serde_json::to_string(&Payload::<u64>::Record(value)).unwrap()),
                 Act::AppendGarbage => log.append("{\"flood\": 1}".to_owned()),
-                Act::Checkpoint(age) => {
-                    let snapshot = past(age);
-                    log.append(serde_json::to_string(&Payload::<u64, Digest>::Checkpoint(snapshot)).unwrap());
+                Act::Checkpoint(age, part_bytes, n_lost) => {
+                    n_checkpoints += 1;
+                    let parts = split(&past(age), AttemptId::from_random(n_checkpoints), part_bytes).unwrap();
+                    // A writer that dies leaves the last parts out.
+                    let n_written = parts.len().saturating_sub(n_lost);
+                    log.append_parts(&parts[..n_written]);
                 }
                 Act::Expire(n) => log.oldest = (log.oldest + n).min(end),
                 Act::Read(max) => {
@@ -119,19 +131,23 @@
     fn any_checkpoint_after_the_oldest_record_closes_the_gap(n in 1..40_u64, expired in 1..40_u64, age in 0..6_u64) {
         let mut log = Log::default();
         for value in 0..n {
-            log.append(serde_json::to_string(&Payload::<u64, Digest>::Record(value)).unwrap());
+            log.append(serde_json::to_string(&Payload::<u64>::Record(value)).unwrap());
         }
         log.oldest = expired.min(n);
         let next = LogOffset(n.saturating_sub(age).max(log.oldest));
         let snapshot = Snapshot { next, state: log.state_at(next) };
-        log.append(serde_json::to_string(&Payload::<u64, Digest>::Checkpoint(snapshot)).unwrap());
+        let parts = split(&snapshot, AttemptId::from_random(1), 20).unwrap();
+        // Each part is in the log twice.
+        for part in &parts {
+            log.append_parts(&[part.clone(), part.clone()]);
+        }
         let mut follower = Follower::<Digest>::default();
-        for _ in 0..2 * n + 4 {
+        for _ in 0..2 * n + 40 {
             let page = log.read(follower.read_from(), 3);
             follower.read(&page);
         }
         prop_assert_eq!(follower.standing(), Standing::Current);
-        prop_assert_eq!(follower.state(), &log.state_at(LogOffset(n + 1)));
+        prop_assert_eq!(follower.state(), &log.state_at(LogOffset(log.records.len() as u64)));
     }
 }
 
@@ -139,7 +155,7 @@
 fn a_log_that_lost_its_end_changes_nothing() {
     let mut log = Log::default();
     for value in 0..5 {
-        log.append(serde_json::to_string(&Payload::<u64, Digest>::Record(value)).unwrap());
+        log.append(serde_json::to_string(&Payload::<u64>::Record(value)).unwrap());
     }
     let mut follower = Follower::<Digest>::default();
     follower.read(&log.read(follower.read_from(), 10));
@@ -149,3 +165,20 @@
     assert_eq!(follower.standing(), Standing::LogTruncated);
     assert_eq!(follower.state(), &state);
 }
+
+#[test]
+fn a_checkpoint_is_written_again_though_nothing_is_new() {
+    let mut log = Log::default();
+    log.append(serde_json::to_string(&Payload::<u64>::Record(1)).unwrap());
+    let mut follower = Follower::<Digest>::default();
+    assert!(!follower.is_checkpoint_due(1, 100, 1_000), "nothing is known yet");
+    follower.read(&log.read(follower.read_from(), 10));
+    assert!(follower.is_checkpoint_due(1, 100, 0), "as many records as are allowed");
+    assert!(!follower.is_checkpoint_due(2, 100, 99));
+    assert!(follower.is_checkpoint_due(2, 100, 100), "old enough");
+    log.append_parts(&split(&follower.snapshot(), AttemptId::from_random(1), 20).unwrap());
+    follower.read(&log.read(follower.read_from(), 10));
+    let appended_ms = log.records.last().unwrap().appended_ms;
+    assert!(!follower.is_checkpoint_due(1, 100, appended_ms + 99));
+    assert!(follower.is_checkpoint_due(1, 100, appended_ms + 100), "the checkpoint expires too");
+}
--- a/crates/lentilhitch_standin/src/platform.rs
+++ b/crates/lentilhitch_standin/src/platform.rs
@@ -29,6 +29,8 @@
     pub lose_append_answers: Option<u64>,
     /// How many records of each stream are kept.
     pub retention_records: Option<usize>,
+    /// How long records are kept.
+    pub retention_ms: Option<u64>,
     /// How old the shown instance list is.
     pub list_lag_ms: Option<u64>,
     /// Appends a second over all streams; more are refused.
@@ -46,8 +48,12 @@
         self.oldest + self.records.len() as u64
     }
 
-    fn expire(&mut self, retention: Option<usize>) {
-        let n_over = retention.map_or(0, |it| self.records.len().saturating_sub(it));
+    fn expire(&mut self, faults: &Faults) {
+        let over = |it: usize| self.records.len().saturating_sub(it);
+        let n_over = faults.retention_records.map_or(0, over);
+        let oldest_ms = faults.retention_ms.map_or(0, |it| now_ms().saturating_sub(it));
+        let n_old = self.records.partition_point(|it| it.appended_ms < oldest_ms);
+        let n_over = n_over.max(n_old);
         self.records.drain(..n_over);
         self.oldest += n_over as u64;
     }
@@ -114,12 +120,12 @@
     }
     kept.append_times.push(Instant::now());
     *kept.n_appends.entry(stream.to_owned()).or_default() += 1;
-    let retention = kept.faults.retention_records;
+    let faults = kept.faults.clone();
     let log = kept.streams.entry(stream.to_owned()).or_default();
     let offset = log.end();
     let appended_ms = log.records.last().map_or(0, |it| it.appended_ms).max(now_ms());
     log.records.push(LogRecord { offset, appended_ms, payload: body.into_inner().payload });
-    log.expire(retention);
+    log.expire(&faults);
     platform.appended.notify_waiters();
     if let Some(n) = kept.faults.lose_append_answers.filter(|it| 0 < *it) {
         kept.faults.lose_append_answers = Some(n - 1);
@@ -153,9 +159,9 @@
 }
 
 fn page(kept: &mut Kept, stream: &str, from: u64) -> LogPage {
-    let retention = kept.faults.retention_records;
+    let faults = kept.faults.clone();
     let log = kept.streams.entry(stream.to_owned()).or_default();
-    log.expire(retention);
+    log.expire(&faults);
     let skipped = from.saturating_sub(log.oldest) as usize;
     let records = log.records.iter().skip(skipped).take(PAGE_RECORDS_MAX).cloned().collect();
     LogPage { oldest: log.oldest, end: log.end(), now_ms: now_ms(), records }
@@ -188,6 +194,7 @@
         slow_ms: new.slow_ms.or(old.slow_ms),
         lose_append_answers: new.lose_append_answers.or(old.lose_append_answers),
         retention_records: new.retention_records.or(old.retention_records),
+        retention_ms: new.retention_ms.or(old.retention_ms),
         list_lag_ms: new.list_lag_ms.or(old.list_lag_ms),
         appends_per_s: new.appends_per_s.or(old.appends_per_s),
     };
