A copy given out counts as its taker's; planned stop proved with longer streams

A copy pulled by a third process was run once more by its holder when the old owner was judged dead. Removing it when it is pulled was ruled out: the answer to the pull may be lost, and the copy with it.

A fault put in on purpose (a drain that waits for nothing) passed the planned stop's proof: its streams were shorter than the delays of the stop together. They now last about 5 s.

--- a/crates/lentilhitch/tests/streams.rs
+++ b/crates/lentilhitch/tests/streams.rs
@@ -149,7 +149,8 @@
 
 #[tokio::test]
 async fn a_planned_stop_cuts_nothing() {
-    let mut cluster = cluster(Options { decode_ms: 10, ..Options::default() }).await;
+    // Streams of about 5 s, longer than the balancer's delay and any grace of the listeners together.
+    let mut cluster = cluster(Options { decode_ms: 60, ..Options::default() }).await;
     let streams = (0..10).map(|it| {
         let model = [DURABLE_MODEL, INTERACTIVE_MODEL][it % 2];
         cluster.completion(&cluster.entries[0], model, &format!("prompt {it}"), N_TOKENS * 2).send()
--- a/crates/lentilhitch_entry/src/copies.rs
+++ b/crates/lentilhitch_entry/src/copies.rs
@@ -61,6 +61,20 @@
         copies.get(&request_id).map(|it| &it.record).filter(|it| it.team == *team).cloned()
     }
 
+    /// Gives a copy out to the process that takes the request over. It stays here and counts as that process's, so that it
+    /// is run here only if that one is gone as well.
+    pub(crate) fn give(
+        &self,
+        request_id: RequestId,
+        team: &TeamName,
+        to: &InstanceName,
+    ) -> Option<Record> {
+        let mut copies = self.0.lock();
+        let copy = copies.get_mut(&request_id).filter(|it| it.record.team == *team)?;
+        copy.owner = to.clone();
+        Some(copy.record.clone())
+    }
+
     pub(crate) fn remove(&self, request_id: RequestId) {
         self.0.lock().remove(&request_id);
     }
--- a/crates/lentilhitch_entry/src/peer_handler.rs
+++ b/crates/lentilhitch_entry/src/peer_handler.rs
@@ -54,7 +54,9 @@
                 let change = CopyChange { from, tokens, finish_reason };
                 Message::Copied(entry.copies.extend(request_id, change, entry.clock.now_ms()))
             }
-            Message::Pull { request_id, team } => Message::Pulled(entry.give_up(request_id, &team)),
+            Message::Pull { request_id, team } => {
+                Message::Pulled(entry.give_up(peer, request_id, &team))
+            }
             Message::HandOver(record) => Message::Taken(entry.take_over(record)),
             _ => Message::NotUnderstood,
         }
--- a/crates/lentilhitch_entry/src/requests.rs
+++ b/crates/lentilhitch_entry/src/requests.rs
@@ -88,9 +88,14 @@
     }
 
     /// Gives a request up to the process where its caller now is.
-    pub(crate) fn give_up(&self, request_id: RequestId, team: &TeamName) -> Option<Pulled> {
+    pub(crate) fn give_up(
+        &self,
+        to: &InstanceName,
+        request_id: RequestId,
+        team: &TeamName,
+    ) -> Option<Pulled> {
         let Some(active) = self.journals.get(request_id, team) else {
-            let record = self.copies.get(request_id, team)?;
+            let record = self.copies.give(request_id, team, to)?;
             return Some(Pulled { record, was_owner: false });
         };
         let record = active.journal.lock().record.clone();
