--- a/crates/lentilhitch/tests/streams.rs
+++ b/crates/lentilhitch/tests/streams.rs
@@ -41,6 +41,10 @@
         Case { name: "cut", faults: [json!({ "cut_at": 5 }), json!({ "cut_at": 9 })] },
         Case { name: "cut before the first token", faults: [json!({ "cut_at": 0 }), json!({})] },
         Case { name: "stalled", faults: [json!({ "stall_at": 7 }), json!({ "stall_at": 11 })] },
+        Case {
+            name: "without positions",
+            faults: [json!({ "interface": "plain", "cut_at": 5 }), json!({ "interface": "plain" })],
+        },
         Case { name: "twice", faults: [json!({ "twice_at": 3 }), json!({ "twice_at": 3 })] },
         Case { name: "stale", faults: [json!({ "stale_at": 3 }), json!({ "stale_at": 3 })] },
         Case { name: "out of order", faults: [json!({ "swap_at": 3 }), json!({ "swap_at": 3 })] },
--- a/crates/lentilhitch_entry/src/claims.rs
+++ b/crates/lentilhitch_entry/src/claims.rs
@@ -6,7 +6,8 @@
 use parking_lot::Mutex;
 use rustc_hash::FxHashSet;
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
     time::{Instant, sleep, sleep_until, timeout_at},
 };
 
@@ -19,7 +20,7 @@
     fold::Payload,
     once::{Call, ClaimKey, ClaimRecord, Claims, KeptAnswer, Lookup},
 };
-use lentilhitch_types::{AttemptId, Fingerprint};
+use lentilhitch_types::{AttemptId, Fingerprint, LogOffset};
 
 use crate::{entry::Entry, follow::Followed};
 
@@ -220,8 +221,8 @@
 
 /// Waits for whatever comes first: news from the log, the result of the append, or the deadline.
 async fn next_event(
-    changes: &mut tokio::sync::watch::Receiver<lentilhitch_types::LogOffset>,
-    appended: &mut Option<tokio::task::JoinHandle<Result<(), AppendError>>>,
+    changes: &mut watch::Receiver<LogOffset>,
+    appended: &mut Option<JoinHandle<Result<(), AppendError>>>,
     deadline: Instant,
 ) -> Option<Event> {
     let result = async {
--- a/crates/lentilhitch_entry/src/language.rs
+++ b/crates/lentilhitch_entry/src/language.rs
@@ -17,6 +17,7 @@
     journals::{Active, Phase, Progress},
     problems,
     requests::Caller,
+    runner::QUARANTINED_DETAIL,
 };
 
 /// What is read of a request; the rest is passed on as it is.
@@ -39,7 +40,7 @@
     call.admit(entry, service)?;
     let fingerprint = Fingerprint::of(&[call.team.team.as_str().as_bytes(), &call.body]);
     if entry.quarantine.lock().verdict(fingerprint) == Verdict::Quarantined {
-        return Err(problems::QUARANTINED.with("two upstreams crashed while they ran it"));
+        return Err(problems::QUARANTINED.with(QUARANTINED_DETAIL));
     }
     let record = Record {
         request_id: call.request_id,
--- a/crates/lentilhitch_entry/src/runner.rs
+++ b/crates/lentilhitch_entry/src/runner.rs
@@ -30,6 +30,7 @@
 pub(crate) const DECODE_MS_EXPECTED: f64 = 28.0;
 /// Between two looks at what a waiting attempt depends on.
 const LOOK_MS: u64 = 200;
+pub(crate) const QUARANTINED_DETAIL: &str = "two upstreams crashed while they ran it";
 
 /// How an attempt ended.
 enum Ended {
@@ -53,6 +54,8 @@
     /// Present until a byte was sent to any upstream.
     ticket: Option<Ticket>,
     last_failed: Option<UpstreamName>,
+    /// Tokens of the present attempt that came without a position.
+    n_unnumbered: usize,
     /// The trial that this request stands, and the position at which it began.
     trial: Option<(Trial, usize)>,
 }
@@ -76,6 +79,7 @@
         deadline,
         ticket,
         last_failed: None,
+        n_unnumbered: 0,
         trial: None,
     };
     let problem = runner.run_to_end().await;
@@ -123,14 +127,16 @@
         journal.step(event);
         let n_tries = journal.n_tries();
         let verdict = self.entry.quarantine.lock().verdict(journal.record.fingerprint);
+        let is_quarantined = verdict == Verdict::Quarantined;
         Some(match self.ticket.take() {
-            _ if verdict == Verdict::Quarantined && n_tries > 0 => Problem {
-                outcome: Outcome::Failed,
-                ..problems::QUARANTINED.with("two upstreams crashed while they ran it")
-            },
+            Some(_unsent) if is_quarantined => problems::QUARANTINED.with(QUARANTINED_DETAIL),
             Some(_unsent) => {
                 problems::NO_UPSTREAM.with(format!("{} is not reachable", self.service.service))
             }
+            None if is_quarantined => Problem {
+                outcome: Outcome::Failed,
+                ..problems::QUARANTINED.with(QUARANTINED_DETAIL)
+            },
             None => problems::NOT_FINISHED.with(format!("given up after {n_tries} tries")),
         })
     }
--- a/crates/lentilhitch_entry/src/runner/attempt.rs
+++ b/crates/lentilhitch_entry/src/runner/attempt.rs
@@ -29,6 +29,7 @@
     /// Sends the request to an upstream and receives until the attempt has ended.
     pub(super) async fn attempt(&mut self, upstream: &Upstream) -> Ended {
         let attempt = AttemptId::from_random(rand::random());
+        self.n_unnumbered = 0;
         let (record, fingerprint) = {
             let mut journal = self.active.journal.lock();
             journal.place(attempt);
@@ -166,7 +167,7 @@
         let choice = chunk.choices.into_iter().next()?;
         let from = chunk.attempt.unwrap_or(attempt);
         let mut journal = self.active.journal.lock();
-        let position = chunk.position.unwrap_or(journal.position());
+        let position = chunk.position.unwrap_or(self.n_unnumbered);
         let text = choice.text.or(choice.delta.and_then(|it| it.content)).unwrap_or_default();
         if let Some(reason) = choice.finish_reason {
             if from != attempt {
@@ -174,8 +175,9 @@
             }
             if !text.is_empty() {
                 journal.token(from, position, text);
+                self.n_unnumbered += 1;
             }
-            let n_tokens = chunk.position.unwrap_or(journal.position());
+            let n_tokens = chunk.position.unwrap_or(self.n_unnumbered);
             if !journal.end(from, n_tokens, reason) {
                 return Some(Ended::Lost);
             }
@@ -188,6 +190,7 @@
         }
         let is_first = journal.position() == 0;
         let received = journal.token(from, position, text);
+        self.n_unnumbered += 1;
         let n_tokens = journal.position();
         drop(journal);
         if self.trial.as_ref().is_some_and(|it| it.1 + TRIAL_TOKENS <= n_tokens) {
--- a/crates/lentilhitch_entry/src/runner/chunk.rs
+++ b/crates/lentilhitch_entry/src/runner/chunk.rs
@@ -5,7 +5,8 @@
 
 use lentilhitch_types::AttemptId;
 
-/// One event of an engine's stream. Engines that do not give attempt and position are taken to send in order.
+/// One event of an engine's stream. Engines that do not give attempt and position are taken to
+/// send in order, and every attempt from the first token.
 #[derive(Debug, Deserialize)]
 pub(super) struct Chunk {
     #[serde(default)]
--- a/crates/lentilhitch_standin/src/engine/http.rs
+++ b/crates/lentilhitch_standin/src/engine/http.rs
@@ -24,6 +24,16 @@
     server::server,
 };
 
+/// What the engine knows of attempts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Interface {
+    #[default]
+    Full,
+    /// Tokens carry neither attempt nor position, and every attempt begins with the first.
+    Plain,
+}
+
 /// How the engine misbehaves.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -38,6 +48,7 @@
     pub stale_at: Option<usize>,
     /// This token and the next change places.
     pub swap_at: Option<usize>,
+    pub interface: Interface,
     /// The load report says that the engine leaves.
     pub is_leaving: bool,
     /// KV caches are not exported, or not imported.
--- a/crates/lentilhitch_standin/src/engine/run.rs
+++ b/crates/lentilhitch_standin/src/engine/run.rs
@@ -16,7 +16,7 @@
 
 use crate::engine::{
     cache::{self, Cache},
-    http::Faults,
+    http::{Faults, Interface},
     tokens::token,
 };
 
@@ -172,6 +172,7 @@
             std::process::exit(139);
         }
         let faults = self.faults.lock().clone();
+        let ask = if faults.interface == Interface::Plain { ask.plain() } else { ask };
         for position in ask.resume_tokens.len()..ask.max_tokens {
             sleep(Duration::from_millis(self.settings.decode_ms)).await;
             if let Some(text) = self.contexts.lock().get_mut(&name) {
@@ -199,7 +200,7 @@
             }
         }
         self.cache.lock().insert(&(context + &ask.answer(&prompt)));
-        let end = json!({ "attempt": ask.attempt, "position": ask.max_tokens, "choices": [{ "index": 0, "text": "", "delta": {}, "finish_reason": "length" }] });
+        let end = json!({ "attempt": ask.attempt, "position": ask.attempt.as_ref().map(|_| ask.max_tokens), "choices": [{ "index": 0, "text": "", "delta": {}, "finish_reason": "length" }] });
         // A receiver that is gone needs no end.
         let _ = events.send(end.to_string()).await;
         let _ = events.send("[DONE]".to_owned()).await;
@@ -222,6 +223,11 @@
 }
 
 impl Ask {
+    /// The request as an engine takes it that knows nothing of attempts.
+    fn plain(self) -> Self {
+        Self { attempt: None, resume_tokens: Vec::new(), ..self }
+    }
+
     fn prompt(&self) -> String {
         let chat: Vec<_> = self.messages.iter().map(|it| it.content.as_str()).collect();
         self.prompt.clone().unwrap_or_else(|| chat.join("\n"))
@@ -240,6 +246,9 @@
         };
         let text = if staleness == 0 { token(prompt, position) } else { " stale".to_owned() };
         let choice: Value = json!({ "index": 0, "text": text, "delta": { "content": text }, "finish_reason": null });
+        if self.attempt.is_none() {
+            return json!({ "choices": [choice] }).to_string();
+        }
         json!({ "attempt": attempt, "position": position, "choices": [choice] }).to_string()
     }
 }
