--- a/crates/lentilhitch_standin/src/record.rs
+++ b/crates/lentilhitch_standin/src/record.rs
@@ -32,7 +32,7 @@
     arrivals_per_s: f64,
     recomputed_token_ms: f64,
     microusd_ms: f64,
-    n_sessions: u64,
+    n_conversations: u64,
     /// Chance in 100, range of shared tokens, range of own tokens, range of output tokens.
     mix: [Share; 3],
 }
@@ -46,7 +46,7 @@
             arrivals_per_s: 22.0,
             recomputed_token_ms: 0.1,
             microusd_ms: 0.1,
-            n_sessions: 40,
+            n_conversations: 40,
             mix: [
                 (45, [1_500, 4_000], [100, 300], [40, 80]),
                 (15, [400, 800], [50, 200], [30, 60]),
@@ -60,7 +60,7 @@
             arrivals_per_s: 36.0,
             recomputed_token_ms: 0.03,
             microusd_ms: 0.4,
-            n_sessions: 8,
+            n_conversations: 8,
             mix: [
                 (30, [400, 800], [600, 1_600], [60, 160]),
                 (55, [0, 1], [60, 200], [20, 40]),
@@ -74,7 +74,7 @@
 impl Deployment {
     fn arrivals(&self, rng: &mut SmallRng) -> Vec<(u64, Arrival)> {
         let shared: Vec<u64> =
-            (0..self.n_sessions).map(|_| rng.random_range(0..u64::from(u32::MAX))).collect();
+            (0..self.n_conversations).map(|_| rng.random_range(0..u64::from(u32::MAX))).collect();
         let mut arrivals = Vec::new();
         let mut at_ms = 0.0;
         loop {
@@ -89,15 +89,15 @@
                 is_it
             });
             let (_, shared_range, own, output) = kind.unwrap_or(&self.mix[2]);
-            let session = rng.random_range(0..self.n_sessions);
-            // The shared part of a session always has one length.
+            let conversation = rng.random_range(0..self.n_conversations);
+            // The shared part of a conversation always has one length.
             let span = shared_range[1] - shared_range[0];
             let shared_tokens =
-                if span <= 1 { 0 } else { shared_range[0] + shared[session as usize] % span };
+                if span <= 1 { 0 } else { shared_range[0] + shared[conversation as usize] % span };
             arrivals.push((
                 at_ms as u64,
                 Arrival {
-                    session,
+                    conversation,
                     shared_tokens,
                     prompt_tokens: shared_tokens + rng.random_range(own[0]..own[1]),
                     output_tokens: rng.random_range(output[0]..output[1]),
@@ -164,7 +164,7 @@
 
 fn request(cluster: &Cluster, idx: usize, arrival: &Arrival) -> reqwest::RequestBuilder {
     let word = |it: &str, n: u64| format!("{it} ").repeat(n as usize);
-    let shared = word(&format!("s{}", arrival.session), arrival.shared_tokens);
+    let shared = word(&format!("s{}", arrival.conversation), arrival.shared_tokens);
     let prompt = shared + &word(&format!("r{idx}"), arrival.prompt_tokens - arrival.shared_tokens);
     let body = serde_json::json!({ "model": DURABLE_MODEL, "prompt": prompt, "max_tokens": arrival.output_tokens, "stream": true });
     let url = format!("http://{}/v1/completions", cluster.entries[arrival.entry].front);
--- a/crates/lentilhitch_standin/src/replay.rs
+++ b/crates/lentilhitch_standin/src/replay.rs
@@ -317,12 +317,12 @@
     }
 }
 
-/// Block hashes of a prompt: those of its session first, then its own.
+/// Block hashes of a prompt: those of its conversation first, then its own.
 fn blocks(arrival: &Arrival, request: u64) -> Vec<u64> {
     let n_shared = arrival.shared_tokens / BLOCK_TOKENS;
     let n_blocks = arrival.prompt_tokens / BLOCK_TOKENS;
     let own = 1 << 62 | request << 16;
     (0..n_blocks)
-        .map(|it| if it < n_shared { arrival.session << 32 | it } else { own | it })
+        .map(|it| if it < n_shared { arrival.conversation << 32 | it } else { own | it })
         .collect()
 }
--- a/crates/lentilhitch_standin/src/trace.rs
+++ b/crates/lentilhitch_standin/src/trace.rs
@@ -61,8 +61,8 @@
 /// A request.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Arrival {
-    /// Requests of a session share the beginning of their prompts.
-    pub session: u64,
+    /// Requests of a conversation share the beginning of their prompts.
+    pub conversation: u64,
     pub shared_tokens: u64,
     pub prompt_tokens: u64,
     pub output_tokens: u64,
