One ticket for all tries of a request; one wait for a checkpoint

The ticket was to be the only way to answer that a request was not run. Calls of applications made a new one for each try and kept beside it, in two variables, whether anything had been sent; the runner made one up where it had none. A request now has one ticket, sending takes it, only a failed connection gives it back, and 'not run' carries it; the two variables are gone.

Two tests waited for a checkpoint in the log in their own ways; the harness has one wait for both, with the same condition.

Behaviour is unchanged.

--- a/crates/lentilhitch/tests/config.rs
+++ b/crates/lentilhitch/tests/config.rs
@@ -124,18 +124,7 @@
     .await
     .unwrap();
     // Both fresh: only the log can tell, and the team's first declaration has long expired.
-    let what = "a checkpoint is in the log";
-    until(what, || async {
-        let url = format!(
-            "http://{}/v1/streams/config/records?from=0&wait_ms=0",
-            cluster.platform_address
-        );
-        let page = cluster.get_json(&url).await.unwrap();
-        let records = page["records"].as_array().unwrap().clone();
-        records.iter().any(|it| it["payload"].as_str().unwrap().contains("checkpoint"))
-    })
-    .await
-    .unwrap();
+    cluster.until_checkpoint("config").await.unwrap();
     let before = versions(&cluster, 0).await;
     for idx in 0..2 {
         cluster.entries[idx].process.kill();
--- a/crates/lentilhitch/tests/once.rs
+++ b/crates/lentilhitch/tests/once.rs
@@ -226,20 +226,7 @@
     for idx in 0..20 {
         assert_eq!(call_until_answered(&cluster, idx % 2, &format!("old-{idx}")).await, 1);
     }
-    let what = "a checkpoint covers what has expired";
-    until(what, || async {
-        let page = cluster
-            .get_json(&format!(
-                "http://{}/v1/streams/claims/records?from=0&wait_ms=0",
-                cluster.platform_address
-            ))
-            .await
-            .unwrap();
-        let records = page["records"].as_array().unwrap().clone();
-        records.iter().any(|it| it["payload"].as_str().unwrap().contains("checkpoint"))
-    })
-    .await
-    .unwrap();
+    cluster.until_checkpoint("claims").await.unwrap();
     for idx in 0..2 {
         cluster.entries[idx].process.kill();
     }
--- a/crates/lentilhitch_entry/src/application.rs
+++ b/crates/lentilhitch_entry/src/application.rs
@@ -47,8 +47,8 @@
 /// How sending a call to one upstream after the other ended.
 enum Forwarded {
     Answered(KeptWhole),
-    /// No byte was sent to any upstream.
-    NotRun,
+    /// No byte was sent to any upstream, as the ticket shows.
+    NotRun(Ticket),
     Broken,
     Late,
     TooLarge,
@@ -143,7 +143,7 @@
     }
     let forwarded = forward(entry, call, service, deadline, Repeatable::No).await;
     let (event, kept) = match &forwarded {
-        Forwarded::NotRun => (Event::ConnectFailed, None),
+        Forwarded::NotRun(_) => (Event::ConnectFailed, None),
         Forwarded::Broken | Forwarded::Late => (Event::UpstreamBroken, None),
         Forwarded::Answered(whole) => {
             (Event::UpstreamAnswered, Some(whole.kept(entry.settings.bounds.kept_call_bytes_max)))
@@ -191,7 +191,7 @@
         Forwarded::Answered(it) => {
             Ok(Answer::Whole { status: it.status, headers: it.headers, body: it.body })
         }
-        Forwarded::NotRun => Err(problems::NO_UPSTREAM.with("no connection was made")),
+        Forwarded::NotRun(_) => Err(problems::NO_UPSTREAM.with("no connection was made")),
         Forwarded::Broken => {
             Err(problems::UPSTREAM_BROKEN.with("the connection ended before the answer"))
         }
@@ -211,37 +211,29 @@
     repeatable: Repeatable,
 ) -> Forwarded {
     let mut n_tries = 0;
-    let mut has_sent = false;
-    let mut ended = Forwarded::NotRun;
+    let mut ticket = Some(Ticket::new());
     let mut failed: Vec<UpstreamName> = Vec::new();
     entry.retries.lock().record_first_try();
     while let Some(upstream) = choose(entry, service, &failed) {
         n_tries += 1;
         let request = build(entry, call, &upstream, repeatable);
-        let sent = timeout_at(deadline, send_and_read(request)).await;
-        let connected = match sent {
+        let sent = timeout_at(deadline, send_and_read(ticket.take(), request)).await;
+        match sent {
             Err(_) => return Forwarded::Late,
             Ok(SentWhole::Answered(whole)) => {
                 entry.metrics.upstream_try("whole");
                 return Forwarded::Answered(whole);
             }
             Ok(SentWhole::TooLarge) => return Forwarded::TooLarge,
-            Ok(SentWhole::NotConnected) => {
+            Ok(SentWhole::NotConnected(unsent)) => {
                 entry.metrics.upstream_try("not_connected");
                 entry.upstream_refused(&upstream.upstream);
-                false
+                ticket = unsent;
             }
-            Ok(SentWhole::Broken) => {
-                entry.metrics.upstream_try("lost");
-                true
-            }
-        };
-        if connected {
-            has_sent = true;
-            ended = Forwarded::Broken;
+            Ok(SentWhole::Broken) => entry.metrics.upstream_try("lost"),
         }
         failed.push(upstream.upstream.clone());
-        let may_repeat = if has_sent { repeatable } else { Repeatable::Yes };
+        let may_repeat = if ticket.is_some() { Repeatable::Yes } else { repeatable };
         let remaining_ms = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
         let delay_ms = entry.retries.lock().retry_delay_ms(
             may_repeat,
@@ -252,7 +244,7 @@
         let Some(delay_ms) = delay_ms else { break };
         sleep(Duration::from_millis(delay_ms)).await;
     }
-    ended
+    ticket.map_or(Forwarded::Broken, Forwarded::NotRun)
 }
 
 /// An open upstream at random, of the own zone if there is one, and not one that failed if there is another.
@@ -285,15 +277,15 @@
 enum SentWhole {
     Answered(KeptWhole),
     Broken,
-    NotConnected,
+    NotConnected(Option<Ticket>),
     TooLarge,
 }
 
-async fn send_and_read(request: RequestBuilder) -> SentWhole {
-    let response = match dispatch::send(Ticket::new(), request).await {
+async fn send_and_read(ticket: Option<Ticket>, request: RequestBuilder) -> SentWhole {
+    let response = match dispatch::send(ticket, request).await {
         Sent::Answered(response) => response,
         Sent::Broken(_) => return SentWhole::Broken,
-        Sent::NotConnected(_) => return SentWhole::NotConnected,
+        Sent::NotConnected(ticket) => return SentWhole::NotConnected(ticket),
     };
     let status = response.status().as_u16();
     let text =
--- a/crates/lentilhitch_entry/src/dispatch.rs
+++ b/crates/lentilhitch_entry/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! Sending a request to an upstream, so that what is known of its outcome is in the types.
 //!
-//! A request begins as a [`Ticket`]. Sending consumes it; only when no connection was made does it come back. Nothing else
-//! makes tickets, so only a request of which no byte was sent can be answered as not run.
+//! A request begins with a [`Ticket`]. Sending takes it; only when no connection was made does it come back. A request has
+//! one ticket for all its tries, so who still holds it may answer that the request was not run, and nobody else.
 
 use std::time::Duration;
 
@@ -19,8 +19,8 @@
     Answered(Response),
     /// The request may have been received.
     Broken(reqwest::Error),
-    /// There was no connection, so nothing was sent.
-    NotConnected(Ticket),
+    /// There was no connection, so nothing was sent this time. The ticket is there if nothing was sent before either.
+    NotConnected(Option<Ticket>),
 }
 
 impl Ticket {
@@ -30,8 +30,8 @@
     }
 }
 
-/// Sends a request.
-pub(crate) async fn send(ticket: Ticket, request: RequestBuilder) -> Sent {
+/// Sends a request, with its ticket if it still has it.
+pub(crate) async fn send(ticket: Option<Ticket>, request: RequestBuilder) -> Sent {
     match request.send().await {
         Ok(response) => Sent::Answered(response),
         Err(err) if err.is_connect() => Sent::NotConnected(ticket),
--- a/crates/lentilhitch_entry/src/runner/attempt.rs
+++ b/crates/lentilhitch_entry/src/runner/attempt.rs
@@ -16,7 +16,7 @@
 use lentilhitch_types::AttemptId;
 
 use crate::{
-    dispatch::{self, Sent, Ticket},
+    dispatch::{self, Sent},
     journals::Moving,
     runner::{
         Ended, LOOK_MS, PROMPT_BYTES_PER_TOKEN, Runner,
@@ -49,18 +49,14 @@
             .post(url)
             .header("x-request-id", record.request_id.to_string())
             .json(&body);
-        let first_ticket = self.ticket.take();
-        let is_first = first_ticket.is_some();
-        let sent = dispatch::send(first_ticket.unwrap_or_else(Ticket::new), request);
+        let sent = dispatch::send(self.ticket.take(), request);
         let wait = Duration::from_millis(self.entry.settings.timing.token_silence_ms);
         let Ok(sent) = timeout(wait, sent).await else {
             return self.lost(upstream, &running).await;
         };
         match sent {
             Sent::NotConnected(ticket) => {
-                if is_first {
-                    self.ticket = Some(ticket);
-                }
+                self.ticket = ticket;
                 self.entry.metrics.upstream_try("not_connected");
                 self.entry.upstream_refused(&upstream.upstream);
                 Ended::Lost
--- a/crates/lentilhitch_standin/src/harness/calls.rs
+++ b/crates/lentilhitch_standin/src/harness/calls.rs
@@ -98,6 +98,19 @@
         Ok(serde_json::from_value(self.get_json(&url).await?)?)
     }
 
+    /// Waits until a stream of the log holds a checkpoint.
+    pub async fn until_checkpoint(&self, stream: &str) -> anyhow::Result<()> {
+        let address = self.platform_address;
+        let url = format!("http://{address}/v1/streams/{stream}/records?from=0&wait_ms=0");
+        until(&format!("a checkpoint is in {stream}"), || async {
+            let page = self.get_json(&url).await.unwrap_or_default();
+            let records = page["records"].as_array().cloned().unwrap_or_default();
+            let mut payloads = records.iter().filter_map(|it| it["payload"].as_str());
+            payloads.any(|it| it.contains("checkpoint"))
+        })
+        .await
+    }
+
     /// The number of appends to a stream of the log.
     pub async fn n_appends(&self, stream: &str) -> u64 {
         let counts = self.get_json(&format!("http://{}/counts", self.platform_address)).await;
