--- a/crates/lentilhitch/src/args.rs
+++ b/crates/lentilhitch/src/args.rs
@@ -17,6 +17,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Serve(Serve),
+    Edge(Edge),
     Check(Check),
     Publish(Publish),
     Status(Status),
@@ -34,6 +35,15 @@
     pub(crate) settings: PathBuf,
 }
 
+/// Run a node on the users' platform until SIGTERM. The platform names the settings file in LENTILHITCH_BOOT.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "edge")]
+pub(crate) struct Edge {
+    /// settings file (default: the one that LENTILHITCH_BOOT names)
+    #[argh(option)]
+    pub(crate) settings: Option<PathBuf>,
+}
+
 /// Report everything that is wrong with the declarations below a folder. Exit code 1 if anything is.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/crates/lentilhitch/src/commands.rs
+++ b/crates/lentilhitch/src/commands.rs
@@ -7,6 +7,7 @@
 use anyhow::Context as _;
 use tokio::runtime::Runtime;
 
+use lentilhitch_adapter::{BOOT_VARIABLE, UsersPlatform, read_boot};
 use lentilhitch_config::{Settings, collect};
 use lentilhitch_types::Findings;
 
@@ -52,6 +53,22 @@
     Ok(Exit::Done)
 }
 
+pub(crate) fn edge(args: &args::Edge) -> anyhow::Result<Exit> {
+    let path = match &args.settings {
+        Some(path) => path.clone(),
+        None => std::env::var_os(BOOT_VARIABLE)
+            .with_context(|| format!("{BOOT_VARIABLE} names no settings file"))?
+            .into(),
+    };
+    let boot = read_boot(&path)?;
+    logging::init()?;
+    let platform = UsersPlatform::new(&boot)?;
+    let res = lentilhitch_gateway::run(boot.node, platform);
+    log::logger().flush();
+    res?;
+    Ok(Exit::Done)
+}
+
 pub(crate) fn check(args: &args::Check) -> Exit {
     let mut findings = Findings::default();
     let declared = collect(&args.folder, &mut findings);
--- a/crates/lentilhitch/src/main.rs
+++ b/crates/lentilhitch/src/main.rs
@@ -12,6 +12,7 @@
     let args: Args = argh::from_env();
     let outcome = match args.command {
         Command::Serve(it) => commands::serve(&it),
+        Command::Edge(it) => commands::edge(&it),
         Command::Check(it) => Ok(commands::check(&it)),
         Command::Publish(it) => commands::publish(&it),
         Command::Status(it) => commands::status(&it),
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/client_io.rs
@@ -0,0 +1,136 @@
+//! A client's connection with the time limits that a framework does not see: between requests, and for a head.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep, sleep},
+};
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Between requests.
+    Idle,
+    /// Some bytes of a head have come.
+    Head,
+    /// A request is being served.
+    Busy,
+}
+
+/// The phase of a connection, and its limits.
+#[derive(Debug)]
+pub(crate) struct Phases {
+    phase: Cell<Phase>,
+    idle_timeout: Duration,
+    head_timeout: Duration,
+}
+
+impl Phases {
+    pub(crate) fn new(idle_timeout_ms: u64, head_timeout_ms: u64) -> Self {
+        Self {
+            phase: Cell::new(Phase::Idle),
+            idle_timeout: Duration::from_millis(idle_timeout_ms),
+            head_timeout: Duration::from_millis(head_timeout_ms),
+        }
+    }
+
+    /// A whole head was read.
+    pub(crate) fn begin_request(&self) {
+        self.phase.set(Phase::Busy);
+    }
+
+    /// The answer has been sent.
+    pub(crate) fn answered(&self) {
+        self.phase.set(Phase::Idle);
+    }
+}
+
+/// A client's connection. A limit that is passed reads as the end of the connection.
+pub(crate) struct ClientIo {
+    stream: TcpStream,
+    phases: Rc<Phases>,
+    armed: Phase,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl ClientIo {
+    pub(crate) fn new(stream: TcpStream, phases: Rc<Phases>) -> Self {
+        let timer = Box::pin(sleep(phases.idle_timeout));
+        Self { stream, phases, armed: Phase::Idle, timer }
+    }
+
+    fn arm(&mut self) {
+        let phase = self.phases.phase.get();
+        if phase == self.armed {
+            return;
+        }
+        self.armed = phase;
+        let limit = match phase {
+            Phase::Idle => self.phases.idle_timeout,
+            Phase::Head => self.phases.head_timeout,
+            Phase::Busy => return,
+        };
+        self.timer.as_mut().reset(Instant::now() + limit);
+    }
+}
+
+impl AsyncRead for ClientIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        self.arm();
+        match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            Poll::Ready(res) => {
+                if before < buf.filled().len() && self.phases.phase.get() == Phase::Idle {
+                    self.phases.phase.set(Phase::Head);
+                    self.arm();
+                }
+                Poll::Ready(res)
+            }
+            Poll::Pending if self.armed == Phase::Busy => Poll::Pending,
+            Poll::Pending => self.timer.as_mut().poll(cx).map(Ok),
+        }
+    }
+}
+
+impl AsyncWrite for ClientIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/clock.rs
@@ -0,0 +1,26 @@
+//! The two clocks of a node.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Reads the steady clock and the time of day.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    pub(crate) fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Milliseconds on the steady clock. It starts at an hour, so that times of before the start can be written.
+    pub(crate) fn steady_ms(&self) -> u64 {
+        const HOUR_MS: u64 = 3_600_000;
+        HOUR_MS + self.start.elapsed().as_millis() as u64
+    }
+}
+
+/// The machine's time of day in milliseconds since 1970, which may be wrong.
+pub(crate) fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -0,0 +1,281 @@
+//! Following the store: the configuration, the list of upstreams and the other nodes.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use rand::RngExt as _;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use lentilhitch_types::LogOffset;
+
+use crate::{
+    node::{Node, Peer, name_hash},
+    platform::{CallError, Platform, Reading, Record, Topic},
+};
+
+/// How long a reading of the configuration waits for news. A connection that has gone silent is noticed this late.
+const CONFIG_WAIT_MS: u64 = 1_000;
+/// The pause between readings of the upstreams. Each one writes about once a second, so waiting would return at once.
+const UPSTREAMS_PAUSE_MS: u64 = 400;
+/// How often a node lists itself and reads the list of nodes.
+const NODES_PAUSE_MS: u64 = 5_000;
+/// Pauses after failed calls: the first, doubled up to the longest, each with jitter of a half.
+const BACKOFF_MIN_MS: u64 = 100;
+const BACKOFF_MAX_MS: u64 = 800;
+
+/// Pauses after failures.
+#[derive(Default)]
+struct Backoff {
+    n_failures: u32,
+}
+
+impl Backoff {
+    async fn pause<P>(&mut self, node: &Node<P>) {
+        let pause_ms = (BACKOFF_MIN_MS << self.n_failures.min(4)).min(BACKOFF_MAX_MS);
+        self.n_failures += 1;
+        let jittered_ms = node.state.borrow_mut().rng.random_range(pause_ms / 2..=pause_ms);
+        sleep(Duration::from_millis(jittered_ms)).await;
+    }
+
+    fn succeed(&mut self) {
+        self.n_failures = 0;
+    }
+}
+
+/// Logs the loss and the return of a topic once each.
+struct Contact {
+    topic: &'static str,
+    is_lost: bool,
+}
+
+impl Contact {
+    fn new(topic: &'static str) -> Self {
+        Self { topic, is_lost: false }
+    }
+
+    fn note<P, T>(&mut self, node: &Node<P>, res: &Result<T, CallError>) {
+        node.metrics.store_call(self.topic, res.is_ok());
+        match res {
+            Err(err) if !self.is_lost => {
+                self.is_lost = true;
+                log::warn!(topic = self.topic, error:% = err; "store lost");
+            }
+            Ok(_) if self.is_lost => {
+                self.is_lost = false;
+                log::info!(topic = self.topic; "store regained");
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Keeps the newest configuration in force.
+pub(crate) async fn follow_config<P: Platform>(node: Rc<Node<P>>) {
+    let mut backoff = Backoff::default();
+    let mut contact = Contact::new("config");
+    let mut next: Option<LogOffset> = None;
+    loop {
+        let res = match next {
+            None => node.platform.list(Topic::Config).await.map(|it| (it.records, Some(it.next))),
+            Some(from) => match node.platform.read(Topic::Config, from, CONFIG_WAIT_MS).await {
+                Ok(Reading::Records { records, next }) => Ok((records, Some(next))),
+                Ok(Reading::Expired { .. }) => Ok((Vec::new(), None)),
+                Err(err) => Err(err),
+            },
+        };
+        contact.note(&node, &res);
+        let Ok((records, from)) = res else {
+            backoff.pause(&node).await;
+            continue;
+        };
+        backoff.succeed();
+        next = from;
+        node.state.borrow_mut().config_read_ms = node.now_ms();
+        for record in records {
+            node.take_config_record(record, "store");
+        }
+    }
+}
+
+/// Keeps the list of upstreams.
+pub(crate) async fn follow_upstreams<P: Platform>(node: Rc<Node<P>>) {
+    let mut backoff = Backoff::default();
+    let mut contact = Contact::new("upstreams");
+    let mut next: Option<LogOffset> = None;
+    loop {
+        let res = match next {
+            None => node.platform.list(Topic::Upstreams).await.map(|it| {
+                node.take_upstream_list(&it.records);
+                Some(it.next)
+            }),
+            Some(from) => node.platform.read(Topic::Upstreams, from, 0).await.map(|it| match it {
+                Reading::Records { records, next } => {
+                    node.take_upstream_records(&records);
+                    Some(next)
+                }
+                Reading::Expired { .. } => None,
+            }),
+        };
+        contact.note(&node, &res);
+        match res {
+            Ok(from) => {
+                backoff.succeed();
+                next = from;
+                sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS)).await;
+            }
+            Err(_) => backoff.pause(&node).await,
+        }
+    }
+}
+
+/// Drops upstreams whose entries lapsed, and connections that were idle too long.
+pub(crate) async fn tick<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        sleep(TICK).await;
+        let now_ms = node.now_ms();
+        let changes = node.state.borrow_mut().catalog.tick(now_ms);
+        node.take_changes(&changes);
+        node.pool.sweep(now_ms);
+    }
+}
+
+const TICK: Duration = Duration::from_millis(200);
+
+/// How a node lists itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct NodeRecord {
+    pub(crate) gossip: SocketAddr,
+    pub(crate) exchange: SocketAddr,
+    pub(crate) life: u64,
+    /// Changes with each writing, so that readers see that the node runs.
+    pub(crate) written_ms: u64,
+}
+
+/// Lists this node and learns of the others.
+pub(crate) async fn follow_nodes<P: Platform>(node: Rc<Node<P>>) {
+    let mut contact = Contact::new("nodes");
+    loop {
+        let res = node.list_nodes().await;
+        contact.note(&node, &res);
+        node.drop_peers(res.is_ok());
+        let pause_ms = if res.is_ok() { NODES_PAUSE_MS } else { NODES_PAUSE_MS / 5 };
+        let jittered_ms = node.state.borrow_mut().rng.random_range(pause_ms / 2..=pause_ms);
+        sleep(Duration::from_millis(jittered_ms)).await;
+    }
+}
+
+impl<P: Platform> Node<P> {
+    pub(crate) fn take_config_record(&self, record: Record, source: &'static str) {
+        let Some(value) = record.value else { return };
+        match P::read_config(&value) {
+            Ok(config) => self.apply_config(config, value, source),
+            Err(err) => log::warn!(error = err.as_str(), source; "unreadable configuration"),
+        }
+    }
+
+    fn take_upstream_records(&self, records: &[Record]) {
+        let now_ms = self.now_ms();
+        self.state.borrow_mut().catalog.begin_reading(now_ms);
+        let changes: Vec<_> =
+            records.iter().filter_map(|it| self.take_upstream_record(it, now_ms)).collect();
+        self.take_changes(&changes);
+    }
+
+    /// Takes one entry of an upstream, from the store or a peer.
+    pub(crate) fn take_upstream_record(
+        &self,
+        record: &Record,
+        now_ms: u64,
+    ) -> Option<lentilhitch_policy::catalog::Change> {
+        let Some(value) = &record.value else {
+            let id = record.key.parse().ok()?;
+            return self.state.borrow_mut().catalog.remove(&id, now_ms);
+        };
+        match P::read_upstream(record) {
+            Ok(listed) => {
+                let mut state = self.state.borrow_mut();
+                state.upstream_texts.insert(listed.id.clone(), value.clone());
+                state.catalog.insert(listed, now_ms)
+            }
+            Err(err) => {
+                log::debug!("unreadable entry of {}: {err}", record.key);
+                None
+            }
+        }
+    }
+
+    /// Takes the whole list; entries that can't be read leave what is known of their upstreams as it is.
+    fn take_upstream_list(&self, records: &[Record]) {
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        let mut listed = Vec::new();
+        for record in records {
+            match P::read_upstream(record) {
+                Ok(it) => {
+                    let text = record.value.clone().unwrap_or_default();
+                    state.upstream_texts.insert(it.id.clone(), text);
+                    listed.push(it);
+                }
+                Err(err) => {
+                    log::debug!("unreadable entry of {}: {err}", record.key);
+                    let known = record.key.parse().ok();
+                    let known = known.and_then(|it| state.catalog.get(&it));
+                    listed.extend(known.map(|it| it.listed.clone()));
+                }
+            }
+        }
+        state.catalog.begin_reading(now_ms);
+        let changes = state.catalog.replace(listed, now_ms);
+        drop(state);
+        self.take_changes(&changes);
+    }
+
+    async fn list_nodes(&self) -> Result<(), CallError> {
+        let own = NodeRecord {
+            gossip: self.settings.gossip_address,
+            exchange: self.settings.exchange_address,
+            life: self.life,
+            written_ms: self.now_ms(),
+        };
+        let mut value = Vec::new();
+        if let Err(err) = ciborium::into_writer(&own, &mut value) {
+            return Err(CallError::NotDone(err.to_string()));
+        }
+        let key = self.instance().to_string();
+        let record = Record { key, value: Some(Bytes::from(value)) };
+        self.platform.append(Topic::Nodes, record, None).await?;
+        let listing = self.platform.list(Topic::Nodes).await?;
+        let now_ms = self.now_ms();
+        for record in listing.records {
+            self.take_node_record(&record, now_ms);
+        }
+        Ok(())
+    }
+
+    fn take_node_record(&self, record: &Record, now_ms: u64) {
+        let Some(value) = &record.value else { return };
+        if record.key == self.instance().as_str() {
+            return;
+        }
+        let read: Result<NodeRecord, _> = ciborium::from_reader(&value[..]);
+        let read = match read {
+            Ok(it) => it,
+            Err(err) => {
+                log::warn!(node = record.key.as_str(), error:% = err; "unreadable entry of a node");
+                return;
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        let known = state.peers.entry(name_hash(&record.key)).or_insert_with(|| {
+            log::info!(node = record.key.as_str(); "node found");
+            Peer::new(read.gossip, read.exchange)
+        });
+        if known.listed != (read.life, read.written_ms) {
+            known.listed_ms = now_ms;
+        }
+        known.listed = (read.life, read.written_ms);
+        known.gossip = read.gossip;
+        known.exchange = read.exchange;
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! A node: the process between clients and upstreams on a platform that it does not know.
+//!
+//! The platform comes in through the traits of [`platform`]; every decision is in `lentilhitch_policy`. A node runs on
+//! one thread. Its tasks share one [`Node`] and never hold a borrow of its state across an await.
+
+mod admission;
+mod answer;
+mod client_io;
+mod clock;
+mod discovery;
+mod duties;
+mod exchange;
+mod forward;
+mod gossip;
+mod ingress;
+mod metrics;
+mod node;
+pub mod platform;
+mod pool;
+mod pump;
+mod run;
+mod settings;
+mod upstream_try;
+
+pub use run::run;
+pub use settings::{Bounds, NodeSettings};
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/metrics.rs
@@ -0,0 +1,69 @@
+//! What a node counts, in OpenTelemetry, shown in the Prometheus format.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The instruments of a node.
+pub(crate) struct Metrics {
+    registry: Registry,
+    // Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    tries: Counter<u64>,
+    store_calls: Counter<u64>,
+    duty_calls: Counter<u64>,
+    first_byte_ms: Histogram<f64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("lentilhitch");
+        Ok(Self {
+            requests: meter.u64_counter("lentilhitch_requests").build(),
+            tries: meter.u64_counter("lentilhitch_tries").build(),
+            store_calls: meter.u64_counter("lentilhitch_store_calls").build(),
+            duty_calls: meter.u64_counter("lentilhitch_duty_calls").build(),
+            first_byte_ms: meter.f64_histogram("lentilhitch_first_byte_ms").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A request was answered.
+    pub(crate) fn request(&self, route: &str, status: u16, first_byte_ms: u64) {
+        let labels =
+            [KeyValue::new("route", route.to_owned()), KeyValue::new("status", i64::from(status))];
+        self.requests.add(1, &labels);
+        self.first_byte_ms.record(first_byte_ms as f64, &labels[..1]);
+    }
+
+    /// A try at an upstream ended.
+    pub(crate) fn upstream_try(&self, result: &'static str) {
+        self.tries.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// A call to the store ended.
+    pub(crate) fn store_call(&self, topic: &'static str, is_ok: bool) {
+        self.store_calls.add(1, &[KeyValue::new("topic", topic), KeyValue::new("ok", is_ok)]);
+    }
+
+    /// A duty's call ended.
+    pub(crate) fn duty_call(&self, duty: &'static str, result: &'static str) {
+        self.duty_calls.add(1, &[KeyValue::new("duty", duty), KeyValue::new("result", result)]);
+    }
+
+    /// All metrics as Prometheus text.
+    pub(crate) fn render(&self) -> anyhow::Result<String> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8(text)?)
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -0,0 +1,317 @@
+//! The state that the tasks of a node share.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use rand::{SeedableRng, rngs::SmallRng};
+use rustc_hash::FxHashMap;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
+
+use lentilhitch_policy::{
+    catalog::{self, Catalog, Change},
+    placement::{self, Board},
+    retry::{self, Budget},
+    shared_rate::{self, SharedRate},
+    suspects::Suspects,
+    traffic::{Config, Listed, RouteTable, Team},
+    true_time::TrueTime,
+    usage::Tally,
+};
+use lentilhitch_types::{Fingerprint, InstanceName, ServiceName, TeamName, UpstreamName};
+
+use crate::{clock::Clock, clock::wall_ms, metrics::Metrics, pool::Pool, settings::NodeSettings};
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stop {
+    Running,
+    /// The balancer is told to look elsewhere; clients are served.
+    Draining,
+    /// Connections close once they are idle.
+    Closing,
+}
+
+/// One process, for all its tasks.
+pub(crate) struct Node<P> {
+    pub(crate) settings: NodeSettings,
+    pub(crate) platform: P,
+    pub(crate) clock: Clock,
+    /// Tells this process from its earlier lives.
+    pub(crate) life: u64,
+    pub(crate) metrics: Metrics,
+    pub(crate) pool: Pool,
+    pub(crate) state: RefCell<State>,
+    /// Requests whose answers have not been sent to their end.
+    pub(crate) n_in_flight: Rc<Cell<usize>>,
+    pub(crate) stop: watch::Sender<Stop>,
+    /// Changes whenever an upstream is found to be leaving.
+    pub(crate) leaving: watch::Sender<()>,
+}
+
+/// What a node believes.
+pub(crate) struct State {
+    pub(crate) table: Option<Rc<RouteTable>>,
+    pub(crate) config_text: Bytes,
+    /// When the store last said what the newest configuration is.
+    pub(crate) config_read_ms: u64,
+    pub(crate) catalog: Catalog,
+    pub(crate) upstream_texts: FxHashMap<UpstreamName, Bytes>,
+    pub(crate) board: Board,
+    pub(crate) rates: FxHashMap<TeamName, SharedRate>,
+    pub(crate) budgets: FxHashMap<ServiceName, Budget>,
+    pub(crate) demand: FxHashMap<ServiceName, DemandMeter>,
+    pub(crate) tally: Tally,
+    pub(crate) true_time: TrueTime,
+    pub(crate) suspects: Suspects,
+    /// Evidence to pass on, with the number of times that it is still sent.
+    pub(crate) evidence: Vec<(Fingerprint, u64, u8)>,
+    pub(crate) peers: FxHashMap<u64, Peer>,
+    pub(crate) rng: SmallRng,
+    pub(crate) buffered_bytes: usize,
+}
+
+/// Another node.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub(crate) gossip: SocketAddr,
+    pub(crate) exchange: SocketAddr,
+    pub(crate) heard_ms: u64,
+    /// When the store last showed a new record of it.
+    pub(crate) listed_ms: u64,
+    pub(crate) life: u64,
+    pub(crate) wall_offset_ms: i64,
+    pub(crate) version: u64,
+    /// Uncached prompt tokens a second that it sends, by service hash.
+    pub(crate) demand: FxHashMap<u32, f64>,
+    /// Life and time of writing of its last record in the store.
+    pub(crate) listed: (u64, u64),
+}
+
+/// A peer that was heard of within this time is in reach; a few messages.
+const PEER_HEARD_MS: u64 = 1_500;
+
+impl Peer {
+    /// A peer that has said nothing yet.
+    pub(crate) fn new(gossip: SocketAddr, exchange: SocketAddr) -> Self {
+        Self {
+            gossip,
+            exchange,
+            heard_ms: 0,
+            listed_ms: 0,
+            life: 0,
+            wall_offset_ms: 0,
+            version: 0,
+            demand: FxHashMap::default(),
+            listed: (0, 0),
+        }
+    }
+
+    /// Whether it is in reach.
+    pub(crate) fn is_heard(&self, now_ms: u64) -> bool {
+        now_ms <= self.heard_ms + PEER_HEARD_MS
+    }
+}
+
+/// The rate at which prompt tokens are sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DemandMeter {
+    tokens: f64,
+    decayed_ms: u64,
+}
+
+/// The time constant of the demand meter.
+const DEMAND_MS: f64 = 3_000.0;
+
+impl DemandMeter {
+    pub(crate) fn add(&mut self, tokens: f64, now_ms: u64) {
+        self.decay(now_ms);
+        self.tokens += tokens;
+    }
+
+    pub(crate) fn per_s(&mut self, now_ms: u64) -> f64 {
+        self.decay(now_ms);
+        self.tokens / (DEMAND_MS / 1000.0)
+    }
+
+    fn decay(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.decayed_ms) as f64;
+        self.decayed_ms = now_ms;
+        self.tokens *= (-elapsed_ms / DEMAND_MS).exp();
+    }
+}
+
+/// A short name for a node, service or team between nodes.
+pub(crate) fn name_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// A peer is taken to run if it was heard of or listed anew within this time.
+const PEER_KEPT_MS: u64 = 25_000;
+
+impl<P> Node<P> {
+    pub(crate) fn new(settings: NodeSettings, platform: P) -> anyhow::Result<Self> {
+        let clock = Clock::start();
+        let seed = name_hash(settings.instance.as_str()) ^ wall_ms();
+        let life = rand::random();
+        let state = State {
+            table: None,
+            config_text: Bytes::new(),
+            config_read_ms: 0,
+            catalog: Catalog::new(catalog::Settings::default()),
+            upstream_texts: FxHashMap::default(),
+            board: Board::new(placement::Settings::default(), settings.zone.clone()),
+            rates: FxHashMap::default(),
+            budgets: FxHashMap::default(),
+            demand: FxHashMap::default(),
+            tally: Tally::new(settings.bounds.usage_window_ms),
+            true_time: TrueTime::default(),
+            suspects: Suspects::default(),
+            evidence: Vec::new(),
+            peers: FxHashMap::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            buffered_bytes: 0,
+        };
+        let metrics = Metrics::new()?;
+        let (stop, _) = watch::channel(Stop::Running);
+        let (leaving, _) = watch::channel(());
+        Ok(Self {
+            settings,
+            platform,
+            clock,
+            life,
+            metrics,
+            pool: Pool::default(),
+            state: RefCell::new(state),
+            n_in_flight: Rc::default(),
+            stop,
+            leaving,
+        })
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.steady_ms()
+    }
+
+    /// True time in milliseconds since 1970.
+    pub(crate) fn true_ms(&self) -> u64 {
+        let now_ms = self.now_ms();
+        self.state.borrow().true_time.now_ms(now_ms).unwrap_or_else(wall_ms)
+    }
+
+    pub(crate) fn instance(&self) -> &InstanceName {
+        &self.settings.instance
+    }
+
+    /// Whether the balancer may send clients here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        let knows = state.table.is_some() && state.catalog.iter().next().is_some();
+        knows && *self.stop.borrow() == Stop::Running
+    }
+
+    /// Nodes that are taken to run, this one included.
+    pub(crate) fn n_nodes(&self) -> usize {
+        1 + self.state.borrow().peers.len()
+    }
+
+    /// Puts a configuration into force unless a newer one is.
+    pub(crate) fn apply_config(&self, config: Config, text: Bytes, source: &'static str) {
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        let known = state.table.as_ref().map(|it| it.config.version);
+        if known.is_some_and(|it| config.version <= it) {
+            return;
+        }
+        let version = config.version;
+        let n_routes = config.routes.len();
+        let instance = self.settings.instance.as_str();
+        log::info!(instance, version, n_routes, source; "configuration in force");
+        state.set_rates(&config.teams, now_ms);
+        state.table = Some(Rc::new(RouteTable::new(config)));
+        state.config_text = text;
+    }
+
+    /// Takes what changed in the list of upstreams.
+    pub(crate) fn take_changes(&self, changes: &[Change]) {
+        for change in changes {
+            let mut state = self.state.borrow_mut();
+            if matches!(change, Change::Leaving(_) | Change::Removed(_)) {
+                self.leaving.send_replace(());
+            }
+            match change {
+                Change::Added(id) => log::info!(upstream = id.as_str(); "upstream added"),
+                Change::Leaving(id) => log::info!(upstream = id.as_str(); "upstream is leaving"),
+                Change::Restarted(id) => {
+                    log::info!(upstream = id.as_str(); "upstream restarted");
+                    state.board.forget(id);
+                    self.pool.forget(id);
+                }
+                Change::Removed(id) => {
+                    log::info!(upstream = id.as_str(); "upstream is gone");
+                    state.upstream_texts.remove(id);
+                    state.board.forget(id);
+                    self.pool.forget(id);
+                }
+            }
+        }
+    }
+
+    /// A life of an upstream ended in a crash: the requests that were there become suspects.
+    pub(crate) fn take_crash(&self, listed: &Listed) {
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        let life = (listed.id.clone(), listed.born_ms);
+        for (request, crash) in state.suspects.crashed(&life, now_ms) {
+            state.evidence.push((request, crash, EVIDENCE_TELLINGS));
+        }
+    }
+
+    /// Drops peers that neither speak nor are listed. `is_listing` says whether the store was read lately.
+    pub(crate) fn drop_peers(&self, is_listing: bool) {
+        if !is_listing {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        state.peers.retain(|_, it| now_ms <= it.heard_ms.max(it.listed_ms) + PEER_KEPT_MS);
+        let State { peers, rates, .. } = &mut *state;
+        for rate in rates.values_mut() {
+            rate.retain_peers(|it| peers.contains_key(&it));
+        }
+    }
+}
+
+/// How often a piece of evidence is told to the peers, since datagrams get lost.
+const EVIDENCE_TELLINGS: u8 = 4;
+
+impl State {
+    fn set_rates(&mut self, teams: &[Team], now_ms: u64) {
+        let mut rates = FxHashMap::default();
+        for team in teams {
+            let Some(limit) = team.limit else { continue };
+            let rate = match self.rates.remove(&team.name) {
+                Some(mut known) => {
+                    known.set_rate(limit, now_ms);
+                    known
+                }
+                None => SharedRate::new(shared_rate::Settings::default(), limit, now_ms),
+            };
+            rates.insert(team.name.clone(), rate);
+        }
+        self.rates = rates;
+    }
+
+    /// The budget of second tries at a service.
+    pub(crate) fn budget(
+        &mut self,
+        service: &ServiceName,
+        settings: retry::Settings,
+    ) -> &mut Budget {
+        self.budgets.entry(service.clone()).or_insert_with(|| Budget::new(settings))
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/pool.rs
@@ -0,0 +1,160 @@
+//! Connections to upstreams, one request at a time on each.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{Builder, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashMap;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+use lentilhitch_types::UpstreamName;
+
+use crate::clock::Clock;
+
+/// How long an idle connection is kept unless the upstream tells.
+const IDLE_KEPT_MS: u64 = 4_000;
+/// Time before an upstream's own limit at which an idle connection is no longer used.
+const IDLE_MARGIN_MS: u64 = 500;
+/// Idle connections to one upstream.
+const IDLE_MAX: usize = 24;
+/// Unacknowledged bytes break a connection after this time; well above any path's round trip.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// When and how often a silent connection is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(2);
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// An open connection. Dropping it closes it, whatever is in progress.
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    /// Nothing was sent on it yet.
+    pub(crate) is_fresh: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// How sending a request ended.
+pub(crate) enum Sent {
+    Answer(Response<Incoming>),
+    /// No byte was sent.
+    NotSent,
+    /// The connection broke when the request may have arrived.
+    Broken(hyper::Error),
+}
+
+impl Connection {
+    /// Connects within the given time.
+    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> std::io::Result<Self> {
+        let stream = match timeout(limit, TcpStream::connect(address)).await {
+            Ok(stream) => stream?,
+            Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
+        };
+        stream.set_nodelay(true)?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let probes = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_EVERY);
+        socket.set_tcp_keepalive(&probes)?;
+        let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(err) = connection.await {
+                log::debug!("connection to {address} ended: {err}");
+            }
+        });
+        Ok(Self { sender, task, is_fresh: true })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Sent {
+        if self.sender.ready().await.is_err() {
+            return Sent::NotSent;
+        }
+        self.is_fresh = false;
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Sent::Answer(response),
+            Err(mut err) => match err.take_message() {
+                Some(_) => Sent::NotSent,
+                None => Sent::Broken(err.into_error()),
+            },
+        }
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    since_ms: u64,
+    kept_ms: u64,
+}
+
+/// Idle connections by upstream.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: RefCell<FxHashMap<UpstreamName, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// The connection that was used last, if it was idle for no longer than `idle_max_ms`.
+    pub(crate) fn take(
+        &self,
+        upstream: &UpstreamName,
+        idle_max_ms: u64,
+        clock: Clock,
+    ) -> Option<Connection> {
+        let now_ms = clock.steady_ms();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(upstream)?;
+        while let Some(it) = connections.pop() {
+            let idle_ms = now_ms.saturating_sub(it.since_ms);
+            if !it.connection.sender.is_closed() && idle_ms <= it.kept_ms.min(idle_max_ms) {
+                return Some(it.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub(crate) fn put(
+        &self,
+        upstream: &UpstreamName,
+        connection: Connection,
+        told_ms: Option<u64>,
+        clock: Clock,
+    ) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let kept_ms = told_ms.map_or(IDLE_KEPT_MS, |it| it.saturating_sub(IDLE_MARGIN_MS));
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(upstream.clone()).or_default();
+        if connections.len() < IDLE_MAX {
+            connections.push(Idle { connection, since_ms: clock.steady_ms(), kept_ms });
+        }
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub(crate) fn forget(&self, upstream: &UpstreamName) {
+        self.idle.borrow_mut().remove(upstream);
+    }
+
+    /// Closes what was idle for too long.
+    pub(crate) fn sweep(&self, now_ms: u64) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|it| {
+                !it.connection.sender.is_closed()
+                    && now_ms.saturating_sub(it.since_ms) <= it.kept_ms
+            });
+            !connections.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -0,0 +1,102 @@
+//! A node from its start to its end.
+
+use std::{rc::Rc, time::Duration};
+
+use anyhow::Context as _;
+use tokio::{
+    net::UdpSocket,
+    signal::unix::{SignalKind, signal},
+    task::{LocalSet, spawn_local},
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    discovery, duties, exchange, gossip, ingress,
+    node::{Node, Stop},
+    platform::Platform,
+    settings::NodeSettings,
+};
+
+/// The balancer asks once a second and looks elsewhere after two misses; connections close once it has.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
+/// Time left at the end of the grace period for the process to end by itself.
+const STOP_MARGIN_MS: u64 = 300;
+/// How often a stopping node looks whether anything is in progress.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Runs a node until SIGTERM; returns when nothing is in progress or the grace period is over.
+pub fn run<P: Platform>(settings: NodeSettings, platform: P) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run_node(settings, platform))
+}
+
+async fn run_node<P: Platform>(settings: NodeSettings, platform: P) -> anyhow::Result<()> {
+    let node = Rc::new(Node::new(settings, platform)?);
+    let settings = &node.settings;
+    log::info!(instance = settings.instance.as_str(), zone = settings.zone.as_str(), life = node.life; "start");
+    let ready = listen(settings.ready_address)?;
+    let exchange = listen(settings.exchange_address)?;
+    let admin = listen(settings.admin_address)?;
+    let gossip = UdpSocket::bind(settings.gossip_address)
+        .await
+        .with_context(|| format!("can't open {}", settings.gossip_address))?;
+    let front = listen(settings.front_address)?;
+    let duty = duties::shared_duty(&node);
+    spawn_local(ingress::serve_ready(node.clone(), ready));
+    spawn_local(ingress::serve_exchange(node.clone(), exchange));
+    spawn_local(ingress::serve_exchange(node.clone(), admin));
+    spawn_local(ingress::serve_clients(node.clone(), front));
+    spawn_local(gossip::run(node.clone(), gossip));
+    spawn_local(discovery::follow_config(node.clone()));
+    spawn_local(discovery::follow_upstreams(node.clone()));
+    spawn_local(discovery::follow_nodes(node.clone()));
+    spawn_local(discovery::tick(node.clone()));
+    spawn_local(exchange::run(node.clone()));
+    if settings.has_usage_duty || settings.has_scaling_duty {
+        spawn_local(duties::keep_lease(node.clone(), duty.clone()));
+    }
+    if settings.has_usage_duty {
+        spawn_local(duties::write_counts(node.clone()));
+        spawn_local(duties::report_usage(node.clone(), duty.clone()));
+    }
+    if settings.has_scaling_duty {
+        spawn_local(duties::scale(node.clone(), duty));
+    }
+    wait_for_stop().await?;
+    stop(&node).await;
+    Ok(())
+}
+
+fn listen(address: std::net::SocketAddr) -> anyhow::Result<tokio::net::TcpListener> {
+    ingress::listen(address).with_context(|| format!("can't listen on {address}"))
+}
+
+async fn wait_for_stop() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => log::info!("hangup: what the settings hold is read at the start"),
+        }
+    }
+}
+
+/// Serves on until the balancer looks elsewhere, then closes connections as they become idle.
+async fn stop<P: Platform>(node: &Rc<Node<P>>) {
+    let grace_ms = node.settings.bounds.stop_grace_ms.saturating_sub(STOP_MARGIN_MS);
+    let end = Instant::now() + Duration::from_millis(grace_ms);
+    log::info!(n_in_flight = node.n_in_flight.get(); "stopping");
+    node.stop.send_replace(Stop::Draining);
+    sleep_until((Instant::now() + BALANCER_NOTICE).min(end)).await;
+    node.stop.send_replace(Stop::Closing);
+    duties::flush_counts(node).await;
+    sleep(STOP_CHECK).await;
+    while node.n_in_flight.get() != 0 && Instant::now() < end {
+        sleep(STOP_CHECK).await;
+    }
+    duties::flush_counts(node).await;
+    log::info!(n_in_flight = node.n_in_flight.get(); "stopped");
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -0,0 +1,161 @@
+//! Which upstreams there are, from the platform's list.
+//!
+//! An entry that vanishes is gone at once while the list is read without a break. Entries also lapse while the list is
+//! out of reach; those that vanish around its return stay in use for a grace period, in which their upstreams list
+//! themselves again. A leaving upstream stays leaving for the rest of its life.
+
+use rustc_hash::FxHashMap;
+
+use lentilhitch_types::{ServiceName, UpstreamName};
+
+use crate::traffic::{Listed, ListedState};
+
+/// Durations of the catalog.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How long an entry that vanished around an outage stays in use after the list is back. Living upstreams are
+    /// listed again within two seconds.
+    pub lapse_grace_ms: u64,
+    /// A gap between two readings of the list that counts as an outage; a few reading intervals.
+    pub outage_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { lapse_grace_ms: 1_700, outage_ms: 1_500 }
+    }
+}
+
+/// One upstream in use.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    pub listed: Listed,
+    /// When it is dropped unless it is listed again.
+    pub lapses_at_ms: Option<u64>,
+    /// When a leaving upstream ends, if it said so.
+    pub ends_at_ms: Option<u64>,
+}
+
+impl Upstream {
+    /// Whether it may get new requests.
+    pub fn is_ready(&self) -> bool {
+        self.listed.state == ListedState::Ready
+    }
+}
+
+/// What a reading changed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Added(UpstreamName),
+    /// A new life under a known name.
+    Restarted(UpstreamName),
+    Leaving(UpstreamName),
+    Removed(UpstreamName),
+}
+
+/// All upstreams, by name.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    settings: Settings,
+    upstreams: FxHashMap<UpstreamName, Upstream>,
+    read_ms: Option<u64>,
+    /// Until when vanished entries are only on notice.
+    grace_until_ms: u64,
+}
+
+impl Catalog {
+    /// An empty catalog.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Every upstream in use.
+    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// One upstream.
+    pub fn get(&self, id: &UpstreamName) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
+    /// The upstreams of a service that may get new requests.
+    pub fn ready<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams.values().filter(move |it| it.is_ready() && it.listed.service == *service)
+    }
+
+    /// Since when the list has not been read, or `None` if it never was.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.read_ms.map(|it| now_ms.saturating_sub(it))
+    }
+
+    /// Notes that the list was read, before the entries of this reading are applied.
+    pub fn begin_reading(&mut self, now_ms: u64) {
+        let gap_ms = self.read_ms.map_or(0, |it| now_ms.saturating_sub(it));
+        if self.settings.outage_ms <= gap_ms {
+            self.grace_until_ms = now_ms + self.settings.lapse_grace_ms;
+        }
+        self.read_ms = Some(now_ms);
+    }
+
+    /// Takes one entry.
+    pub fn insert(&mut self, listed: Listed, now_ms: u64) -> Option<Change> {
+        let ends_at_ms = listed.leaves_ms.map(|it| now_ms + it);
+        let Some(known) = self.upstreams.get_mut(&listed.id) else {
+            let id = listed.id.clone();
+            self.upstreams.insert(id.clone(), Upstream { listed, lapses_at_ms: None, ends_at_ms });
+            return Some(Change::Added(id));
+        };
+        if listed.born_ms < known.listed.born_ms {
+            return None;
+        }
+        known.lapses_at_ms = None;
+        if known.listed.born_ms < listed.born_ms || known.listed.address != listed.address {
+            *known = Upstream { listed, lapses_at_ms: None, ends_at_ms };
+            return Some(Change::Restarted(known.listed.id.clone()));
+        }
+        let was_ready = known.is_ready();
+        let leaves = listed.state == ListedState::Draining;
+        if was_ready {
+            known.listed = listed;
+        }
+        if leaves {
+            known.ends_at_ms = known.ends_at_ms.or(ends_at_ms);
+        }
+        (was_ready && leaves).then(|| Change::Leaving(known.listed.id.clone()))
+    }
+
+    /// Takes the end of one entry.
+    pub fn remove(&mut self, id: &UpstreamName, now_ms: u64) -> Option<Change> {
+        let known = self.upstreams.get_mut(id)?;
+        if now_ms < self.grace_until_ms && known.is_ready() {
+            known.lapses_at_ms = Some(self.grace_until_ms);
+            return None;
+        }
+        self.upstreams.remove(id);
+        Some(Change::Removed(id.clone()))
+    }
+
+    /// Takes the whole list; what it does not hold has ended.
+    pub fn replace(&mut self, listed: Vec<Listed>, now_ms: u64) -> Vec<Change> {
+        let kept: rustc_hash::FxHashSet<UpstreamName> =
+            listed.iter().map(|it| it.id.clone()).collect();
+        let ended: Vec<_> =
+            self.upstreams.keys().filter(|it| !kept.contains(*it)).cloned().collect();
+        let mut changes: Vec<_> =
+            listed.into_iter().filter_map(|it| self.insert(it, now_ms)).collect();
+        changes.extend(ended.iter().filter_map(|it| self.remove(it, now_ms)));
+        changes
+    }
+
+    /// Drops the entries whose grace is over.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Change> {
+        let over = |it: &Upstream| it.lapses_at_ms.is_some_and(|it| it <= now_ms);
+        let ended: Vec<_> =
+            self.upstreams.iter().filter(|it| over(it.1)).map(|it| it.0.clone()).collect();
+        for id in &ended {
+            self.upstreams.remove(id);
+        }
+        ended.into_iter().map(Change::Removed).collect()
+    }
+}
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -4,7 +4,11 @@
 //! milliseconds as arguments and returns typed actions, so that it can be compared with a naive version, replayed and
 //! measured without a network.
 
+pub mod catalog;
 pub mod checkpoint;
+pub mod duty;
+pub mod events;
+pub mod fleet;
 pub mod fold;
 pub mod lease;
 pub mod limits;
@@ -12,7 +16,13 @@
 pub mod moves;
 pub mod notice;
 pub mod once;
+pub mod placement;
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
+pub mod shared_rate;
 pub mod streams;
+pub mod suspects;
+pub mod traffic;
+pub mod true_time;
+pub mod usage;
--- /dev/null
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -0,0 +1,384 @@
+//! Which upstream gets a request, from what this node and its peers sent and what answers told.
+//!
+//! A model engine is chosen by the expected time to the first token: the prompt tokens that wait there, the part of the
+//! prompt that it probably doesn't have cached, and the slowing of each step by the requests that run. Requests with a
+//! common prefix agree on an order of upstreams by rendezvous hashing of that prefix, so that nodes use the same caches
+//! without telling each other. A plain service is chosen by the requests in progress for each slot. Upstreams that
+//! failed lately are left out for a while, unless all did.
+
+use lru::LruCache;
+use rand::{Rng, RngExt};
+use rustc_hash::{FxBuildHasher, FxHashMap};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use lentilhitch_types::{UpstreamName, Zone};
+
+use crate::catalog::Upstream;
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    pub id: u64,
+    pub tokens: u32,
+}
+
+/// The prompt of a request as parts that others may share; the last part is its own.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    pub parts: Vec<PromptPart>,
+    pub input_tokens: u64,
+    pub output_tokens_max: u64,
+}
+
+impl Prompt {
+    /// What the last shared part is known by; requests of one session have it in common.
+    fn affinity(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].last().or(self.parts.last()).map_or(0, |it| it.id)
+    }
+
+    fn shared_tokens(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|it| u64::from(it.tokens)).sum()
+    }
+}
+
+/// How upstreams are weighed.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Used until the engines' own speed has been measured.
+    pub prefill_ms_per_token: f64,
+    /// How much each running request delays a newcomer, and so do its tokens the running ones.
+    pub running_ms: f64,
+    /// The chance that the first upstream in the hash order has a shared prefix that this node has not sent there.
+    pub affinity_hit: f64,
+    /// What an answer from another zone costs more, in milliseconds of waiting.
+    pub cross_zone_ms: f64,
+    /// What a certain failure costs, in milliseconds of waiting.
+    pub failure_ms: f64,
+    /// How long an upstream is left out after its first failure to connect; doubled up to the maximum.
+    pub avoid_min_ms: u64,
+    pub avoid_max_ms: u64,
+    /// Cached parts that are remembered for each upstream.
+    pub parts_max: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            prefill_ms_per_token: 0.02,
+            running_ms: 2.0,
+            affinity_hit: 0.7,
+            cross_zone_ms: 2.0,
+            failure_ms: 1_500.0,
+            avoid_min_ms: 300,
+            avoid_max_ms: 3_000,
+            parts_max: 4_096,
+        }
+    }
+}
+
+/// What a node has in progress at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InProgress {
+    pub n_requests: u32,
+    /// Prompt tokens without a first answer.
+    pub waiting_tokens: u32,
+}
+
+/// The load that an upstream told with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ToldLoad {
+    pub n_running: u32,
+    pub n_waiting: u32,
+}
+
+/// How a try at an upstream ended, for the purpose of choosing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryResult {
+    Served,
+    /// The upstream was full.
+    Full,
+    /// It answered with a failure, broke off or kept silent.
+    Failed,
+    /// No connection could be made.
+    Unreachable,
+    /// The client left first; this says nothing of the upstream.
+    Left,
+}
+
+/// A place taken at an upstream; given back by [`Board::end`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placed {
+    pub upstream: UpstreamName,
+    pub uncached_tokens: u32,
+    is_waiting: bool,
+}
+
+#[derive(Debug)]
+struct Place {
+    own: InProgress,
+    told: Option<(ToldLoad, u64)>,
+    parts: LruCache<u64, (), FxBuildHasher>,
+    /// The smoothed share of failed tries.
+    failure_share: f64,
+    n_unreachable: u32,
+    avoid_until_ms: u64,
+    /// Measured against expected time to the first token.
+    slowness: f64,
+}
+
+/// The life of a peer's report and what it has in progress, by hash of the upstream's name.
+#[derive(Debug, Default)]
+struct PeerReport {
+    heard_ms: u64,
+    in_progress: FxHashMap<u32, InProgress>,
+}
+
+/// All that a node knows for choosing.
+#[derive(Debug)]
+pub struct Board {
+    settings: Settings,
+    zone: Zone,
+    places: FxHashMap<UpstreamName, Place>,
+    peers: FxHashMap<u64, PeerReport>,
+}
+
+/// A peer's report is forgotten after this; a few report intervals.
+const PEER_REPORT_KEPT_MS: u64 = 2_000;
+/// The weight of the newest result in smoothed shares.
+const SMOOTHING: f64 = 0.15;
+/// How long a told load counts.
+const TOLD_KEPT_MS: u64 = 400;
+
+impl Board {
+    /// A node that has sent nothing yet.
+    pub fn new(settings: Settings, zone: Zone) -> Self {
+        Self { settings, zone, places: FxHashMap::default(), peers: FxHashMap::default() }
+    }
+
+    /// Chooses an upstream and takes a place there. `excluded` were tried before for this request.
+    pub fn place<'a>(
+        &mut self,
+        prompt: Option<&Prompt>,
+        candidates: impl Iterator<Item = &'a Upstream>,
+        excluded: &[UpstreamName],
+        now_ms: u64,
+        rng: &mut impl Rng,
+    ) -> Option<Placed> {
+        let candidates: Vec<_> =
+            candidates.filter(|it| !excluded.contains(&it.listed.id)).collect();
+        for it in &candidates {
+            self.ensure(&it.listed.id);
+        }
+        let is_open = |it: &&&Upstream| self.places[&it.listed.id].avoid_until_ms <= now_ms;
+        let open: Vec<_> = candidates.iter().filter(is_open).copied().collect();
+        let pool = if open.is_empty() { candidates } else { open };
+        let first = prompt.and_then(|it| first_in_hash_order(it.affinity(), &pool));
+        let mut best: Option<(f64, &Upstream, u32)> = None;
+        for it in pool {
+            let (cost, uncached_tokens) = match prompt {
+                Some(prompt) => self.engine_cost(prompt, it, first == Some(&it.listed.id), now_ms),
+                None => (self.plain_cost(it, now_ms), 0),
+            };
+            let cost = cost + rng.random_range(0.0..0.5);
+            if best.as_ref().is_none_or(|it| cost < it.0) {
+                best = Some((cost, it, uncached_tokens));
+            }
+        }
+        let (_, chosen, uncached_tokens) = best?;
+        Some(self.take(&chosen.listed.id, prompt, uncached_tokens))
+    }
+
+    /// The first answer came.
+    pub fn began(&mut self, placed: &mut Placed) {
+        if std::mem::take(&mut placed.is_waiting)
+            && let Some(place) = self.places.get_mut(&placed.upstream)
+        {
+            let waiting = &mut place.own.waiting_tokens;
+            *waiting = waiting.saturating_sub(placed.uncached_tokens);
+        }
+    }
+
+    /// The try ended; gives the place back.
+    pub fn end(&mut self, mut placed: Placed, result: TryResult, now_ms: u64) {
+        self.began(&mut placed);
+        let settings = self.settings;
+        let Some(place) = self.places.get_mut(&placed.upstream) else { return };
+        place.own.n_requests = place.own.n_requests.saturating_sub(1);
+        let failed =
+            f64::from(u8::from(matches!(result, TryResult::Failed | TryResult::Unreachable)));
+        if !matches!(result, TryResult::Full | TryResult::Left) {
+            place.failure_share += SMOOTHING * (failed - place.failure_share);
+        }
+        if result == TryResult::Unreachable {
+            let avoid_ms = settings.avoid_min_ms << place.n_unreachable.min(8);
+            place.avoid_until_ms = now_ms + avoid_ms.min(settings.avoid_max_ms);
+            place.n_unreachable += 1;
+        } else if result == TryResult::Served {
+            place.n_unreachable = 0;
+        }
+    }
+
+    /// Takes the load that an answer told.
+    pub fn tell(&mut self, upstream: &UpstreamName, load: ToldLoad, now_ms: u64) {
+        self.ensure(upstream).told = Some((load, now_ms));
+    }
+
+    /// Takes the time to the first token of a request that was alone enough to measure by.
+    pub fn measure(&mut self, upstream: &UpstreamName, expected_ms: f64, measured_ms: f64) {
+        let place = self.ensure(upstream);
+        let ratio = (measured_ms / expected_ms.max(1.0)).clamp(0.25, 8.0);
+        place.slowness += SMOOTHING * (ratio - place.slowness);
+    }
+
+    /// An upstream began a new life or is gone: what was known of it is void.
+    pub fn forget(&mut self, upstream: &UpstreamName) {
+        if let Some(place) = self.places.remove(upstream)
+            && 0 < place.own.n_requests
+        {
+            // Requests in progress still give their places back.
+            self.ensure(upstream).own = place.own;
+        }
+    }
+
+    /// Forgets upstreams that are gone and empty.
+    pub fn retain(&mut self, is_listed: impl Fn(&UpstreamName) -> bool) {
+        self.places.retain(|id, it| 0 < it.own.n_requests || is_listed(id));
+    }
+
+    /// What this node has in progress, by hash of the upstream's name.
+    pub fn report(&self) -> Vec<(u32, InProgress)> {
+        let busy = self.places.iter().filter(|it| 0 < it.1.own.n_requests);
+        busy.map(|(id, it)| (upstream_hash(id), it.own)).collect()
+    }
+
+    /// Takes a peer's report.
+    pub fn hear(&mut self, peer: u64, report: &[(u32, InProgress)], now_ms: u64) {
+        let in_progress = report.iter().copied().collect();
+        self.peers.insert(peer, PeerReport { heard_ms: now_ms, in_progress });
+        self.peers.retain(|_, it| now_ms.saturating_sub(it.heard_ms) <= PEER_REPORT_KEPT_MS);
+    }
+
+    /// Requests in progress at an upstream, by all nodes as far as known.
+    pub fn n_requests(&self, upstream: &UpstreamName, now_ms: u64) -> u32 {
+        let sent = self.in_progress(upstream).n_requests;
+        let told = self.places.get(upstream).and_then(|it| it.told);
+        let told = told.filter(|it| now_ms.saturating_sub(it.1) <= TOLD_KEPT_MS);
+        sent.max(told.map_or(0, |it| it.0.n_running + it.0.n_waiting))
+    }
+
+    /// Prompt tokens that wait at an upstream, by all nodes as far as known.
+    pub fn waiting_tokens(&self, upstream: &UpstreamName) -> u64 {
+        u64::from(self.in_progress(upstream).waiting_tokens)
+    }
+
+    /// The expected time to the first token of so many uncached tokens at an upstream, in milliseconds.
+    pub fn first_token_ms(
+        &self,
+        upstream: &UpstreamName,
+        uncached_tokens: u64,
+        now_ms: u64,
+    ) -> f64 {
+        let place = self.places.get(upstream);
+        let tokens = (self.waiting_tokens(upstream) + uncached_tokens) as f64;
+        let running = f64::from(self.n_requests(upstream, now_ms));
+        let slowness = place.map_or(1.0, |it| it.slowness);
+        slowness
+            * (tokens * self.settings.prefill_ms_per_token + running * self.settings.running_ms)
+    }
+
+    fn engine_cost(
+        &self,
+        prompt: &Prompt,
+        upstream: &Upstream,
+        is_first: bool,
+        now_ms: u64,
+    ) -> (f64, u32) {
+        let listed = &upstream.listed;
+        let place = &self.places[&listed.id];
+        let mut cached = 0;
+        for part in &prompt.parts {
+            if !place.parts.contains(&part.id) {
+                break;
+            }
+            cached += u64::from(part.tokens);
+        }
+        let unknown_shared = prompt.shared_tokens().saturating_sub(cached);
+        let guessed =
+            if is_first { self.settings.affinity_hit } else { 0.0 } * unknown_shared as f64;
+        let uncached = prompt.input_tokens.saturating_sub(cached) as f64 - guessed;
+        let uncached = uncached.max(0.0) as u64;
+        let n_requests = self.n_requests(&listed.id, now_ms);
+        let over = n_requests.saturating_sub(listed.slots.saturating_sub(1));
+        let slot_wait_ms = f64::from(over) * 100.0;
+        let cost = self.first_token_ms(&listed.id, uncached, now_ms)
+            + slot_wait_ms
+            + self.settings.failure_ms * place.failure_share
+            + self.zone_cost(upstream);
+        (cost, uncached as u32)
+    }
+
+    fn plain_cost(&self, upstream: &Upstream, now_ms: u64) -> f64 {
+        let place = &self.places[&upstream.listed.id];
+        let n_requests = f64::from(self.n_requests(&upstream.listed.id, now_ms));
+        let pressure = n_requests / f64::from(upstream.listed.slots.max(1));
+        10.0 * pressure
+            + 30.0 * (pressure - 1.0).max(0.0)
+            + 40.0 * place.failure_share
+            + self.zone_cost(upstream)
+    }
+
+    fn zone_cost(&self, upstream: &Upstream) -> f64 {
+        if upstream.listed.zone == self.zone { 0.0 } else { self.settings.cross_zone_ms }
+    }
+
+    fn take(&mut self, id: &UpstreamName, prompt: Option<&Prompt>, uncached_tokens: u32) -> Placed {
+        let place = self.ensure(id);
+        place.own.n_requests += 1;
+        place.own.waiting_tokens += uncached_tokens;
+        for part in prompt.iter().flat_map(|it| &it.parts) {
+            place.parts.put(part.id, ());
+        }
+        Placed { upstream: id.clone(), uncached_tokens, is_waiting: true }
+    }
+
+    fn in_progress(&self, upstream: &UpstreamName) -> InProgress {
+        let mut sum = self.places.get(upstream).map(|it| it.own).unwrap_or_default();
+        let hash = upstream_hash(upstream);
+        for it in self.peers.values().filter_map(|it| it.in_progress.get(&hash)) {
+            sum.n_requests += it.n_requests;
+            sum.waiting_tokens += it.waiting_tokens;
+        }
+        sum
+    }
+
+    fn ensure(&mut self, id: &UpstreamName) -> &mut Place {
+        let parts_max = self.settings.parts_max.max(1);
+        self.places.entry(id.clone()).or_insert_with(|| Place {
+            own: InProgress::default(),
+            told: None,
+            parts: LruCache::with_hasher(
+                std::num::NonZeroUsize::new(parts_max).unwrap_or(std::num::NonZeroUsize::MIN),
+                FxBuildHasher,
+            ),
+            failure_share: 0.0,
+            n_unreachable: 0,
+            avoid_until_ms: 0,
+            slowness: 1.0,
+        })
+    }
+}
+
+/// A short name for an upstream in reports between nodes.
+pub fn upstream_hash(id: &UpstreamName) -> u32 {
+    xxh3_64(id.as_str().as_bytes()) as u32
+}
+
+/// The upstream that comes first for a key, the same at every node that knows it (rendezvous hashing; Thaler and
+/// Ravishankar, 1998).
+fn first_in_hash_order<'a>(key: u64, pool: &[&'a Upstream]) -> Option<&'a UpstreamName> {
+    let weight = |it: &&&'a Upstream| xxh3_64_with_seed(it.listed.id.as_str().as_bytes(), key);
+    pool.iter().max_by_key(weight).map(|it| &it.listed.id)
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -0,0 +1,128 @@
+//! A team's rate, kept by all nodes together without asking anybody.
+//!
+//! Every node admits from one bucket that all of them share: it takes out what the node admitted itself and what its
+//! peers said that they admitted. A peer that has not been heard of for a while is charged its even part of the rate, and
+//! so charges us; then the sum stays at the rate while nodes are cut off from each other. The sum passes the rate by no
+//! more than what is admitted while reports are under way.
+
+use rustc_hash::FxHashMap;
+
+use crate::traffic::TeamRate;
+
+/// How a shared rate behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// A peer that was heard of within this time is charged what it said; a few report intervals.
+    pub silent_after_ms: u64,
+    /// The part of the burst that is used, since what is under way isn't seen.
+    pub burst_share: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { silent_after_ms: 1_200, burst_share: 1.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    life: u64,
+    /// What the peer has admitted since it started.
+    admitted: f64,
+    heard_ms: u64,
+    /// Up to when it was charged.
+    charged_ms: u64,
+}
+
+/// The bucket of one team.
+#[derive(Clone, Debug)]
+pub struct SharedRate {
+    settings: Settings,
+    rate: TeamRate,
+    level: f64,
+    filled_ms: u64,
+    admitted: f64,
+    peers: FxHashMap<u64, Peer>,
+}
+
+impl SharedRate {
+    /// A full bucket.
+    pub fn new(settings: Settings, rate: TeamRate, now_ms: u64) -> Self {
+        let level = rate.burst * settings.burst_share;
+        Self {
+            settings,
+            rate,
+            level,
+            filled_ms: now_ms,
+            admitted: 0.0,
+            peers: FxHashMap::default(),
+        }
+    }
+
+    /// Changes the rate; a lower burst holds at once.
+    pub fn set_rate(&mut self, rate: TeamRate, now_ms: u64) {
+        self.fill(now_ms, self.peers.len() + 1);
+        self.rate = rate;
+        self.level = self.level.min(rate.burst * self.settings.burst_share);
+    }
+
+    /// What this node has admitted since it started.
+    pub fn admitted(&self) -> f64 {
+        self.admitted
+    }
+
+    /// Takes what a peer has admitted since it started.
+    pub fn hear(&mut self, peer: u64, life: u64, admitted: f64, now_ms: u64) {
+        let known = self.peers.entry(peer).or_default();
+        if known.life == life {
+            let new = (admitted - known.admitted).max(0.0);
+            self.level -= new;
+        }
+        let admitted = if known.life == life { admitted.max(known.admitted) } else { admitted };
+        *known = Peer { life, admitted, heard_ms: now_ms, charged_ms: now_ms };
+    }
+
+    /// Admits a request of this cost, or says in how many milliseconds there may be room. `n_nodes` counts the nodes that
+    /// are known to run.
+    pub fn take(&mut self, cost: f64, n_nodes: usize, now_ms: u64) -> Result<(), u64> {
+        self.fill(now_ms, n_nodes);
+        // A request larger than the bucket passes when the bucket is full.
+        let full = self.rate.burst * self.settings.burst_share;
+        if cost.min(full) <= self.level {
+            self.level -= cost;
+            self.admitted += cost;
+            return Ok(());
+        }
+        if self.rate.per_s <= 0.0 {
+            return Err(u64::MAX);
+        }
+        Err(((cost.min(full) - self.level) / self.rate.per_s * 1000.0).ceil() as u64)
+    }
+
+    /// Puts back what a request took that did not run after all. The peers are not told, so they stay on the safe side.
+    pub fn give_back(&mut self, cost: f64) {
+        self.level = (self.level + cost).min(self.rate.burst * self.settings.burst_share);
+    }
+
+    fn fill(&mut self, now_ms: u64, n_nodes: usize) {
+        let elapsed_ms = now_ms.saturating_sub(self.filled_ms);
+        self.filled_ms = self.filled_ms.max(now_ms);
+        let per_ms = self.rate.per_s / 1000.0;
+        self.level += per_ms * elapsed_ms as f64;
+        let even_per_ms = per_ms / n_nodes.max(1) as f64;
+        for peer in self.peers.values_mut() {
+            let silent_from_ms = peer.heard_ms + self.settings.silent_after_ms;
+            let from_ms = peer.charged_ms.max(silent_from_ms.min(now_ms));
+            if silent_from_ms < now_ms && from_ms < now_ms {
+                self.level -= even_per_ms * (now_ms - from_ms) as f64;
+                peer.charged_ms = now_ms;
+            }
+        }
+        self.level = self.level.min(self.rate.burst * self.settings.burst_share);
+    }
+
+    /// Forgets peers that no longer run.
+    pub fn retain_peers(&mut self, runs: impl Fn(u64) -> bool) {
+        self.peers.retain(|peer, _| runs(*peer));
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/true_time.rs
@@ -0,0 +1,40 @@
+//! True time of day, from the clocks of several nodes.
+//!
+//! A node's own time of day may jump. Each node tells the others its time of day; the median of the offsets against
+//! the steady clock is right as long as fewer than half of the clocks are wrong. Without fresh peers the offset that was
+//! last agreed on stays in use.
+
+/// How long a peer's clock counts after it was heard.
+const PEER_FRESH_MS: u64 = 5_000;
+/// A jump of the own clock by less than this is taken at once when no peer is heard.
+const JUMP_MS: i64 = 300;
+
+/// The offset between the steady clock and true time.
+#[derive(Clone, Debug, Default)]
+pub struct TrueTime {
+    offset_ms: Option<i64>,
+}
+
+impl TrueTime {
+    /// Takes the own time of day and those of the peers as (offset, heard at), all in milliseconds.
+    pub fn update(&mut self, own_wall_ms: u64, peers: &[(i64, u64)], now_ms: u64) {
+        let own = own_wall_ms as i64 - now_ms as i64;
+        let fresh = peers.iter().filter(|it| now_ms.saturating_sub(it.1) <= PEER_FRESH_MS);
+        let mut offsets: Vec<i64> = fresh.map(|it| it.0).collect();
+        if offsets.len() < 2 {
+            let jump_ms = self.offset_ms.map_or(0, |it| (own - it).abs());
+            if jump_ms < JUMP_MS {
+                self.offset_ms = Some(own);
+            }
+            return;
+        }
+        offsets.push(own);
+        offsets.sort_unstable();
+        self.offset_ms = Some(offsets[offsets.len() / 2]);
+    }
+
+    /// Milliseconds since 1970.
+    pub fn now_ms(&self, steady_ms: u64) -> Option<u64> {
+        self.offset_ms.map(|it| (steady_ms as i64 + it).max(0) as u64)
+    }
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/src/usage.rs
@@ -0,0 +1,186 @@
+//! Counts of begun requests by team and window of true time, and what is reported.
+//!
+//! Each node writes its counts of recent windows into a topic of the platform's log, again whenever they change; a later
+//! record of one life of a node replaces its earlier ones. The holder of the duty adds up the last records and writes
+//! its decision on a window into a second topic before it reports, so that a successor reports the same figures.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+use lentilhitch_types::{InstanceName, TeamName};
+
+/// Requests of each team.
+pub type Counts = BTreeMap<TeamName, u64>;
+
+/// The number of a window since 1970.
+pub type WindowNo = u64;
+
+/// Windows that a node keeps counts of.
+const WINDOWS_MAX: usize = 4;
+
+/// What one node counted, as it is written.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct NodeCounts {
+    pub node: Option<InstanceName>,
+    /// Drawn anew at each start of a process.
+    pub life: u64,
+    /// Up to when the counts are whole, in true time.
+    pub through_ms: u64,
+    pub windows: BTreeMap<WindowNo, Counts>,
+}
+
+/// The counts of this process.
+#[derive(Debug)]
+pub struct Tally {
+    window_ms: u64,
+    windows: BTreeMap<WindowNo, Counts>,
+    is_changed: bool,
+    written_window: WindowNo,
+}
+
+impl Tally {
+    /// Counts for windows of the given length.
+    pub fn new(window_ms: u64) -> Self {
+        Self { window_ms, windows: BTreeMap::new(), is_changed: false, written_window: 0 }
+    }
+
+    /// Counts a request that began to run.
+    pub fn count(&mut self, team: &TeamName, true_ms: u64) {
+        let window = true_ms / self.window_ms;
+        *self.windows.entry(window).or_default().entry(team.clone()).or_default() += 1;
+        self.is_changed = true;
+        while WINDOWS_MAX < self.windows.len() {
+            self.windows.pop_first();
+        }
+    }
+
+    /// What is to be written, if something is new: a count, or the end of a window.
+    pub fn take_record(&mut self, true_ms: u64) -> Option<NodeCounts> {
+        let window = true_ms / self.window_ms;
+        if !self.is_changed && window <= self.written_window {
+            return None;
+        }
+        self.is_changed = false;
+        self.written_window = window;
+        Some(NodeCounts {
+            through_ms: true_ms,
+            windows: self.windows.clone(),
+            ..NodeCounts::default()
+        })
+    }
+
+    /// The last record was not written.
+    pub fn put_back(&mut self) {
+        self.is_changed = true;
+    }
+}
+
+/// A decision on one window, as it is written.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Decision {
+    pub window: WindowNo,
+    pub counts: Counts,
+}
+
+/// How the holder decides.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    pub window_ms: u64,
+    /// A window is decided once every node has counted past its end by so much, or after `wait_max_ms`.
+    pub settle_ms: u64,
+    pub wait_max_ms: u64,
+    /// A window that ended longer ago is no longer reported.
+    pub late_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { window_ms: 5_000, settle_ms: 300, wait_max_ms: 5_000, late_ms: 10_000 }
+    }
+}
+
+/// The holder's view of all counts and decisions.
+#[derive(Debug)]
+pub struct Ledger {
+    settings: Settings,
+    nodes: FxHashMap<(InstanceName, u64), NodeCounts>,
+    decided: BTreeMap<WindowNo, Counts>,
+    reported: BTreeMap<WindowNo, ()>,
+}
+
+impl Ledger {
+    /// A ledger that knows nothing.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            nodes: FxHashMap::default(),
+            decided: BTreeMap::new(),
+            reported: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a record of a node.
+    pub fn take_counts(&mut self, counts: NodeCounts) {
+        let Some(node) = counts.node.clone() else { return };
+        let known = self.nodes.entry((node, counts.life)).or_default();
+        if known.through_ms <= counts.through_ms {
+            let mut windows = std::mem::take(&mut known.windows);
+            windows.extend(counts.windows.clone());
+            *known = NodeCounts { windows, ..counts };
+        }
+    }
+
+    /// Takes a decision, one's own or a predecessor's; the first on a window holds.
+    pub fn take_decision(&mut self, decision: Decision) {
+        self.decided.entry(decision.window).or_insert(decision.counts);
+    }
+
+    /// The next window to decide, with its counts.
+    pub fn next_decision(&self, true_ms: u64) -> Option<Decision> {
+        let Settings { window_ms, settle_ms, wait_max_ms, late_ms } = self.settings;
+        let current = true_ms / window_ms;
+        let first = (true_ms.saturating_sub(late_ms + window_ms) / window_ms) + 1;
+        let is_due = |window: &WindowNo| {
+            let end_ms = (window + 1) * window_ms;
+            let all_past = self
+                .nodes
+                .values()
+                .filter(|it| end_ms.saturating_sub(window_ms) <= it.through_ms)
+                .all(|it| end_ms + settle_ms <= it.through_ms);
+            end_ms + settle_ms <= true_ms && (all_past || end_ms + wait_max_ms <= true_ms)
+        };
+        let window = (first..current).find(|it| !self.decided.contains_key(it) && is_due(it))?;
+        let mut counts = Counts::new();
+        for node in self.nodes.values() {
+            for (team, n) in node.windows.get(&window).into_iter().flatten() {
+                *counts.entry(team.clone()).or_default() += n;
+            }
+        }
+        Some(Decision { window, counts })
+    }
+
+    /// The next decided window to report.
+    pub fn next_report(&self, true_ms: u64) -> Option<Decision> {
+        let late_ms = self.settings.late_ms + self.settings.window_ms;
+        let is_late = |it: WindowNo| (it + 1) * self.settings.window_ms + late_ms < true_ms;
+        let mut open = self.decided.iter().filter(|it| !self.reported.contains_key(it.0));
+        let (window, counts) = open.find(|it| !is_late(*it.0))?;
+        Some(Decision { window: *window, counts: counts.clone() })
+    }
+
+    /// A window was reported, or its report can't be taken any more.
+    pub fn close(&mut self, window: WindowNo) {
+        self.reported.insert(window, ());
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn tick(&mut self, true_ms: u64) {
+        let oldest = (true_ms / self.settings.window_ms).saturating_sub(20);
+        self.decided = self.decided.split_off(&oldest);
+        self.reported = self.reported.split_off(&oldest);
+        let oldest_ms = oldest * self.settings.window_ms;
+        self.nodes.retain(|_, it| oldest_ms <= it.through_ms);
+    }
+}
