Store calls spared, spot replicas held, no new work late in a planned stop

(3) Every store call is priced like a cloud call, and nodes made 8 a second each. (4) A refused zone counted as holding no spot replicas, so on-demand ones were ordered beside those that ran. Conclusion: news of upstreams and the holder's renewals go from node to node; the store is read rarely.

--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     answer::Refusal,
-    node::Node,
+    node::{Node, Stop},
     platform::{CallHead, Platform},
 };
 
@@ -58,6 +58,9 @@
     arrived_ms: u64,
 ) -> Result<Call, Refusal> {
     let head = P::read_call(&parts).map_err(|it| Refusal::Malformed(it.0))?;
+    if *node.stop.borrow() == Stop::Closing {
+        return Err(Refusal::Unavailable { why: "the node is stopping", wait_ms: 0 });
+    }
     let table = node.state.borrow().table.clone();
     let Some(table) = table else {
         return Err(Refusal::Unavailable {
--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use lentilhitch_policy::catalog::Change;
 use lentilhitch_types::LogOffset;
 
 use crate::{
@@ -15,11 +16,12 @@
 };
 
 /// How long a reading of the configuration waits for news. A connection that has gone silent is noticed this late.
-const CONFIG_WAIT_MS: u64 = 1_000;
+const CONFIG_WAIT_MS: u64 = 3_000;
 /// The pause between readings of the upstreams. Each one writes about once a second, so waiting would return at once.
-const UPSTREAMS_PAUSE_MS: u64 = 400;
+/// Nodes read at different times, and the first to see a change tells the others.
+const UPSTREAMS_PAUSE_MS: u64 = 1_200;
 /// How often a node lists itself and reads the list of nodes.
-const NODES_PAUSE_MS: u64 = 5_000;
+const NODES_PAUSE_MS: u64 = 12_000;
 /// Pauses after failed calls: the first, doubled up to the longest, each with jitter of a half.
 const BACKOFF_MIN_MS: u64 = 100;
 const BACKOFF_MAX_MS: u64 = 800;
@@ -106,7 +108,7 @@
     loop {
         let res = match next {
             None => node.platform.list(Topic::Upstreams).await.map(|it| {
-                node.take_upstream_list(&it.records);
+                node.take_upstream_list(&it.records, it.next);
                 Some(it.next)
             }),
             Some(from) => node.platform.read(Topic::Upstreams, from, 0).await.map(|it| match it {
@@ -122,7 +124,9 @@
             Ok(from) => {
                 backoff.succeed();
                 next = from;
-                sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS)).await;
+                let jitter_ms = UPSTREAMS_PAUSE_MS / 4;
+                let jittered_ms = node.state.borrow_mut().rng.random_range(0..=jitter_ms);
+                sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS - jittered_ms)).await;
             }
             Err(_) => backoff.pause(&node).await,
         }
@@ -142,6 +146,9 @@
 
 const TICK: Duration = Duration::from_millis(200);
 
+/// How often news is told, since datagrams get lost.
+const NEWS_TELLINGS: u8 = 3;
+
 /// How a node lists itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct NodeRecord {
@@ -177,26 +184,31 @@
     fn take_upstream_records(&self, records: &[Record]) {
         let now_ms = self.now_ms();
         self.state.borrow_mut().catalog.begin_reading(now_ms);
-        let changes: Vec<_> =
-            records.iter().filter_map(|it| self.take_upstream_record(it, now_ms)).collect();
-        self.take_changes(&changes);
+        for record in records {
+            if let Some(change) = self.take_upstream_record(record, now_ms) {
+                self.take_changes(std::slice::from_ref(&change));
+                self.pass_on(record);
+            }
+        }
+    }
+
+    /// Tells the peers of a changed entry at once.
+    fn pass_on(&self, record: &Record) {
+        self.state.borrow_mut().news.push((record.clone(), NEWS_TELLINGS));
+        self.tell.notify_one();
     }
 
     /// Takes one entry of an upstream, from the store or a peer.
-    pub(crate) fn take_upstream_record(
-        &self,
-        record: &Record,
-        now_ms: u64,
-    ) -> Option<lentilhitch_policy::catalog::Change> {
-        let Some(value) = &record.value else {
+    pub(crate) fn take_upstream_record(&self, record: &Record, now_ms: u64) -> Option<Change> {
+        let mut state = self.state.borrow_mut();
+        if record.value.is_none() {
             let id = record.key.parse().ok()?;
-            return self.state.borrow_mut().catalog.remove(&id, now_ms);
-        };
+            return state.catalog.remove(&id, record.offset, now_ms);
+        }
         match P::read_upstream(record) {
             Ok(listed) => {
-                let mut state = self.state.borrow_mut();
-                state.upstream_texts.insert(listed.id.clone(), value.clone());
-                state.catalog.insert(listed, now_ms)
+                state.entries.insert(listed.id.clone(), record.clone());
+                state.catalog.insert(listed, record.offset, now_ms)
             }
             Err(err) => {
                 log::debug!("unreadable entry of {}: {err}", record.key);
@@ -206,27 +218,26 @@
     }
 
     /// Takes the whole list; entries that can't be read leave what is known of their upstreams as it is.
-    fn take_upstream_list(&self, records: &[Record]) {
+    fn take_upstream_list(&self, records: &[Record], end: LogOffset) {
         let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
         let mut listed = Vec::new();
         for record in records {
             match P::read_upstream(record) {
                 Ok(it) => {
-                    let text = record.value.clone().unwrap_or_default();
-                    state.upstream_texts.insert(it.id.clone(), text);
-                    listed.push(it);
+                    state.entries.insert(it.id.clone(), record.clone());
+                    listed.push((it, record.offset));
                 }
                 Err(err) => {
                     log::debug!("unreadable entry of {}: {err}", record.key);
                     let known = record.key.parse().ok();
                     let known = known.and_then(|it| state.catalog.get(&it));
-                    listed.extend(known.map(|it| it.listed.clone()));
+                    listed.extend(known.map(|it| (it.listed.clone(), record.offset)));
                 }
             }
         }
         state.catalog.begin_reading(now_ms);
-        let changes = state.catalog.replace(listed, now_ms);
+        let changes = state.catalog.replace(listed, end, now_ms);
         drop(state);
         self.take_changes(&changes);
     }
@@ -243,7 +254,7 @@
             return Err(CallError::NotDone(err.to_string()));
         }
         let key = self.instance().to_string();
-        let record = Record { key, value: Some(Bytes::from(value)) };
+        let record = Record { key, value: Some(Bytes::from(value)), ..Record::default() };
         self.platform.append(Topic::Nodes, record, None).await?;
         let listing = self.platform.list(Topic::Nodes).await?;
         let now_ms = self.now_ms();
--- a/crates/lentilhitch_gateway/src/duties.rs
+++ b/crates/lentilhitch_gateway/src/duties.rs
@@ -13,7 +13,7 @@
     duty::{self, Duty, DutyRecord, DutyStep, Next},
     fleet::{self, Demand, Kind, Order, OrderResult, Plan, Slot},
     traffic::Scaling,
-    usage::{self, Decision, Ledger, NodeCounts},
+    usage::{self, Decision, Ledger},
 };
 use lentilhitch_types::{LogOffset, ServiceName};
 
@@ -22,12 +22,15 @@
     platform::{Appended, CallError, DutyResult, Permit, Platform, Reading, Record, Topic},
 };
 
-/// How often a node writes its counts, if there is something new.
-const COUNTS_PAUSE: Duration = Duration::from_millis(1_000);
+/// How often a node writes its counts, if there is something new. Peers hear them far more often; what is written
+/// outlives the loss of all nodes.
+const COUNTS_PAUSE: Duration = Duration::from_millis(2_500);
 /// How often the holder looks at usage.
 const USAGE_PAUSE: Duration = Duration::from_millis(700);
 /// How often the holder compares replicas with the need.
 const SCALING_PAUSE: Duration = Duration::from_millis(500);
+/// How often a node looks whether the holder was heard of.
+const LEASE_LOOK_MS: u64 = 250;
 /// The pause after a failed call for the lease.
 const LEASE_RETRY: Duration = Duration::from_millis(300);
 
@@ -57,10 +60,16 @@
             }
             return;
         }
+        let heard = node.state.borrow_mut().duty_heard.take();
+        if let Some((end, heard_ms)) = heard {
+            duty.borrow_mut().hear(end, heard_ms);
+        }
         let next = duty.borrow().next(now_ms);
+        node.state.borrow_mut().duty_news = is_held.then(|| duty.borrow().end());
         match next {
             Next::Wait { until_ms } => {
-                sleep(Duration::from_millis(until_ms.saturating_sub(now_ms).max(1))).await;
+                let wait_ms = until_ms.saturating_sub(now_ms).clamp(1, LEASE_LOOK_MS);
+                sleep(Duration::from_millis(wait_ms)).await;
             }
             Next::Read { from } => {
                 if let Err(err) = read_lease(&node, &duty, from).await {
@@ -132,9 +141,13 @@
 /// Writes the counts now, if there is something new.
 pub(crate) async fn flush_counts<P: Platform>(node: &Rc<Node<P>>) {
     let true_ms = node.true_ms();
-    let counts = node.state.borrow_mut().tally.take_record(true_ms);
-    let Some(counts) = counts else { return };
-    let counts = NodeCounts { node: Some(node.instance().clone()), life: node.life, ..counts };
+    let counts = {
+        let mut state = node.state.borrow_mut();
+        if !state.tally.take_is_due(true_ms) {
+            return;
+        }
+        state.tally.counts(node.instance(), node.life, true_ms)
+    };
     if let Err(err) = node.platform.append(Topic::Usage, encode(&counts), None).await {
         log::info!(error:% = err; "counts can't be written now");
         node.state.borrow_mut().tally.put_back();
@@ -169,12 +182,18 @@
     ledger: Ledger,
     counts_next: LogOffset,
     decisions_next: LogOffset,
+    has_read_decisions: bool,
 }
 
 impl UsageTerm {
     fn new(settings: usage::Settings) -> Self {
         let ledger = Ledger::new(settings);
-        Self { ledger, counts_next: LogOffset(0), decisions_next: LogOffset(0) }
+        Self {
+            ledger,
+            counts_next: LogOffset(0),
+            decisions_next: LogOffset(0),
+            has_read_decisions: false,
+        }
     }
 
     async fn step<P: Platform>(
@@ -182,13 +201,27 @@
         node: &Rc<Node<P>>,
         duty: &SharedDuty,
     ) -> Result<(), CallError> {
+        let true_ms = node.true_ms();
+        let (heard, own) = {
+            let mut state = node.state.borrow_mut();
+            let own = state.tally.counts(node.instance(), node.life, true_ms);
+            (std::mem::take(&mut state.peer_counts), own)
+        };
+        for counts in heard.into_iter().chain([own]) {
+            self.ledger.take_counts(counts);
+        }
+        self.ledger.tick(true_ms);
+        if !self.ledger.has_open_window(true_ms) {
+            return Ok(());
+        }
         for record in read_all(node, Topic::Usage, &mut self.counts_next).await? {
             if let Some(counts) = decode(&record) {
                 self.ledger.take_counts(counts);
             }
         }
-        self.read_decisions(node).await?;
-        self.ledger.tick(node.true_ms());
+        if !std::mem::replace(&mut self.has_read_decisions, true) {
+            self.read_decisions(node).await?;
+        }
         while let Some(decision) = self.ledger.next_decision(node.true_ms()) {
             if duty.borrow_mut().permit(node.now_ms()).is_none() {
                 return Ok(());
@@ -279,6 +312,7 @@
             let plan = plans
                 .entry(service.clone())
                 .or_insert_with(|| Plan::new(fleet::Settings::default(), service.clone()));
+            plan.measure(node.state.borrow().board.prefill_tokens_per_s());
             let now_ms = node.now_ms();
             let (present, reclaimed) = node.present(&service);
             if present.is_empty() {
@@ -391,7 +425,7 @@
     if let Err(err) = ciborium::into_writer(value, &mut bytes) {
         log::error!(error:% = err; "a record can't be written");
     }
-    Record { key: String::new(), value: Some(Bytes::from(bytes)) }
+    Record { value: Some(Bytes::from(bytes)), ..Record::default() }
 }
 
 fn decode<T: DeserializeOwned>(record: &Record) -> Option<T> {
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -29,8 +29,8 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Knowledge {
     config: Bytes,
-    /// Name and text of each upstream's entry, and how long ago the list was read.
-    upstreams: Vec<(String, Bytes)>,
+    upstreams: Vec<Record>,
+    /// How long ago the list of upstreams was read.
     upstreams_age_ms: u64,
     /// Gossip and exchange addresses.
     nodes: Vec<(u64, SocketAddr, SocketAddr)>,
@@ -89,10 +89,9 @@
     fn knowledge(&self) -> anyhow::Result<Bytes> {
         let now_ms = self.now_ms();
         let state = self.state.borrow();
-        let upstreams = state.upstream_texts.iter();
         let knowledge = Knowledge {
             config: state.config_text.clone(),
-            upstreams: upstreams.map(|it| (it.0.to_string(), it.1.clone())).collect(),
+            upstreams: state.entries.values().cloned().collect(),
             upstreams_age_ms: state.catalog.age_ms(now_ms).unwrap_or(u64::MAX),
             nodes: state.peers.iter().map(|it| (*it.0, it.1.gossip, it.1.exchange)).collect(),
         };
@@ -142,16 +141,14 @@
     fn take_knowledge(&self, knowledge: &Knowledge) {
         let now_ms = self.now_ms();
         if !knowledge.config.is_empty() {
-            let record = Record { key: String::new(), value: Some(knowledge.config.clone()) };
+            let record = Record { value: Some(knowledge.config.clone()), ..Record::default() };
             self.take_config_record(record, "peer");
         }
         let age_ms = self.state.borrow().catalog.age_ms(now_ms).unwrap_or(u64::MAX);
         if knowledge.upstreams_age_ms < age_ms {
             let records = knowledge.upstreams.iter();
-            let changes: Vec<_> = records
-                .map(|it| Record { key: it.0.clone(), value: Some(it.1.clone()) })
-                .filter_map(|it| self.take_upstream_record(&it, now_ms))
-                .collect();
+            let changes: Vec<_> =
+                records.filter_map(|it| self.take_upstream_record(it, now_ms)).collect();
             self.take_changes(&changes);
         }
         let mut state = self.state.borrow_mut();
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -8,13 +8,13 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
-use lentilhitch_policy::placement::InProgress;
-use lentilhitch_types::{Fingerprint, TeamName};
+use lentilhitch_policy::{placement::InProgress, usage::NodeCounts};
+use lentilhitch_types::{Fingerprint, LogOffset, TeamName};
 
 use crate::{
     clock::wall_ms,
     node::{Node, Peer, State, name_hash},
-    platform::Platform,
+    platform::{Platform, Record},
 };
 
 /// The pause between messages in a small deployment; it grows with the nodes, so that a node's traffic does not.
@@ -42,6 +42,12 @@
     /// Uncached prompt tokens a second, by hash of the service.
     demand: Vec<(u32, f32)>,
     evidence: Vec<(Fingerprint, u64)>,
+    /// Entries of upstreams that changed a moment ago.
+    news: Vec<Record>,
+    /// Where the topic of the duties ended at the sender's last renewal, if it holds them.
+    duty: Option<LogOffset>,
+    /// What the sender counted, for the holder of the duties.
+    counts: Option<NodeCounts>,
 }
 
 /// Tells and hears until the process ends.
@@ -54,6 +60,7 @@
                 Ok((n_bytes, from)) => node.hear(&buffer[..n_bytes], from),
                 Err(err) => log::debug!("can't receive: {err}"),
             },
+            () = node.tell.notified() => node.tell(&socket).await,
             () = &mut next => {
                 node.tell(&socket).await;
                 let n_nodes = node.n_nodes() as u64;
@@ -81,6 +88,7 @@
 
     fn message(&self) -> (Gossip, Vec<SocketAddr>) {
         let now_ms = self.now_ms();
+        let true_ms = self.true_ms();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let offsets: Vec<_> =
@@ -100,6 +108,9 @@
             admitted: state.rates.iter().map(|it| (it.0.clone(), it.1.admitted())).collect(),
             demand: demand.collect(),
             evidence: state.take_evidence(),
+            news: state.take_news(),
+            duty: state.duty_news,
+            counts: Some(state.tally.counts(self.instance(), self.life, true_ms)),
         };
         (message, state.peers.values().map(|it| it.gossip).collect())
     }
@@ -116,8 +127,8 @@
             return;
         }
         let now_ms = self.now_ms();
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
         let peer = state.peers.entry(message.node);
         let peer = peer.or_insert_with(|| Peer::new(from, message.exchange));
         peer.gossip = from;
@@ -136,10 +147,40 @@
         for (request, crash) in message.evidence {
             state.suspects.note(request, crash);
         }
+        state.peer_counts.extend(message.counts);
+        let n_over = state.peer_counts.len().saturating_sub(PEER_COUNTS_MAX);
+        state.peer_counts.drain(..n_over);
+        if message.duty.is_some() {
+            state.duty_heard = message.duty.map(|it| (it, now_ms));
+        }
+        drop(guard);
+        self.take_news(&message.news, now_ms);
+    }
+
+    fn take_news(&self, news: &[Record], now_ms: u64) {
+        let changes: Vec<_> =
+            news.iter().filter_map(|it| self.take_upstream_record(it, now_ms)).collect();
+        self.take_changes(&changes);
     }
 }
 
+/// Counts of peers that are kept for the case that this node gets the duties.
+const PEER_COUNTS_MAX: usize = 4_096;
+/// Changed entries in one message.
+const NEWS_MAX: usize = 32;
+
 impl State {
+    fn take_news(&mut self) -> Vec<Record> {
+        let told = self.news.iter_mut().take(NEWS_MAX);
+        let told = told.map(|it| {
+            it.1 -= 1;
+            it.0.clone()
+        });
+        let told = told.collect();
+        self.news.retain(|it| 0 < it.1);
+        told
+    }
+
     fn take_evidence(&mut self) -> Vec<(Fingerprint, u64)> {
         let told = self.evidence.iter_mut().take(EVIDENCE_MAX);
         let told = told.map(|it| {
--- a/crates/lentilhitch_gateway/src/ingress.rs
+++ b/crates/lentilhitch_gateway/src/ingress.rs
@@ -38,10 +38,16 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts clients until the process ends.
+/// Accepts clients until the balancer has had time to look elsewhere; later ones are turned away by the closed port,
+/// unread, so that they may safely go to another node.
 pub(crate) async fn serve_clients<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    let mut stop = node.stop.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|it| *it == Stop::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(serve_client(node.clone(), stream));
             }
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use rand::{SeedableRng, rngs::SmallRng};
 use rustc_hash::FxHashMap;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use lentilhitch_policy::{
@@ -20,11 +20,19 @@
     suspects::Suspects,
     traffic::{Config, Listed, RouteTable, Team},
     true_time::TrueTime,
-    usage::Tally,
+    usage::{NodeCounts, Tally},
+};
+use lentilhitch_types::{
+    Fingerprint, InstanceName, LogOffset, ServiceName, TeamName, UpstreamName,
 };
-use lentilhitch_types::{Fingerprint, InstanceName, ServiceName, TeamName, UpstreamName};
 
-use crate::{clock::Clock, clock::wall_ms, metrics::Metrics, pool::Pool, settings::NodeSettings};
+use crate::{
+    clock::{Clock, wall_ms},
+    metrics::Metrics,
+    platform::Record,
+    pool::Pool,
+    settings::NodeSettings,
+};
 
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,6 +57,8 @@
     /// Requests whose answers have not been sent to their end.
     pub(crate) n_in_flight: Rc<Cell<usize>>,
     pub(crate) stop: watch::Sender<Stop>,
+    /// Rung when peers should be told something at once.
+    pub(crate) tell: Notify,
     /// Changes whenever an upstream is found to be leaving.
     pub(crate) leaving: watch::Sender<()>,
 }
@@ -60,7 +70,8 @@
     /// When the store last said what the newest configuration is.
     pub(crate) config_read_ms: u64,
     pub(crate) catalog: Catalog,
-    pub(crate) upstream_texts: FxHashMap<UpstreamName, Bytes>,
+    /// Each upstream's entry as it was written.
+    pub(crate) entries: FxHashMap<UpstreamName, Record>,
     pub(crate) board: Board,
     pub(crate) rates: FxHashMap<TeamName, SharedRate>,
     pub(crate) budgets: FxHashMap<ServiceName, Budget>,
@@ -70,9 +81,17 @@
     pub(crate) suspects: Suspects,
     /// Evidence to pass on, with the number of times that it is still sent.
     pub(crate) evidence: Vec<(Fingerprint, u64, u8)>,
+    /// Changed entries of upstreams to pass on, with the number of times that each is still sent.
+    pub(crate) news: Vec<(Record, u8)>,
     pub(crate) peers: FxHashMap<u64, Peer>,
     pub(crate) rng: SmallRng,
     pub(crate) buffered_bytes: usize,
+    /// Where the topic of the duties ended at this node's last renewal, while it holds them.
+    pub(crate) duty_news: Option<LogOffset>,
+    /// Where a peer that holds the duties said that their topic ended, and when it said so.
+    pub(crate) duty_heard: Option<(LogOffset, u64)>,
+    /// What peers said that they counted, until the holder takes it.
+    pub(crate) peer_counts: Vec<NodeCounts>,
 }
 
 /// Another node.
@@ -163,7 +182,7 @@
             config_text: Bytes::new(),
             config_read_ms: 0,
             catalog: Catalog::new(catalog::Settings::default()),
-            upstream_texts: FxHashMap::default(),
+            entries: FxHashMap::default(),
             board: Board::new(placement::Settings::default(), settings.zone.clone()),
             rates: FxHashMap::default(),
             budgets: FxHashMap::default(),
@@ -172,6 +191,10 @@
             true_time: TrueTime::default(),
             suspects: Suspects::default(),
             evidence: Vec::new(),
+            news: Vec::new(),
+            duty_news: None,
+            duty_heard: None,
+            peer_counts: Vec::new(),
             peers: FxHashMap::default(),
             rng: SmallRng::seed_from_u64(seed),
             buffered_bytes: 0,
@@ -189,6 +212,7 @@
             state: RefCell::new(state),
             n_in_flight: Rc::default(),
             stop,
+            tell: Notify::new(),
             leaving,
         })
     }
@@ -231,7 +255,7 @@
         let n_routes = config.routes.len();
         let instance = self.settings.instance.as_str();
         log::info!(instance, version, n_routes, source; "configuration in force");
-        state.set_rates(&config.teams, now_ms);
+        state.set_rates(&config.teams, self.clock.running_ms(), now_ms);
         state.table = Some(Rc::new(RouteTable::new(config)));
         state.config_text = text;
     }
@@ -253,7 +277,7 @@
                 }
                 Change::Removed(id) => {
                     log::info!(upstream = id.as_str(); "upstream is gone");
-                    state.upstream_texts.remove(id);
+                    state.entries.remove(id);
                     state.board.forget(id);
                     self.pool.forget(id);
                 }
@@ -290,7 +314,7 @@
 const EVIDENCE_TELLINGS: u8 = 4;
 
 impl State {
-    fn set_rates(&mut self, teams: &[Team], now_ms: u64) {
+    fn set_rates(&mut self, teams: &[Team], running_ms: u64, now_ms: u64) {
         let mut rates = FxHashMap::default();
         for team in teams {
             let Some(limit) = team.limit else { continue };
@@ -299,7 +323,10 @@
                     known.set_rate(limit, now_ms);
                     known
                 }
-                None => SharedRate::new(shared_rate::Settings::default(), limit, now_ms),
+                None => {
+                    let settings = shared_rate::Settings::default();
+                    SharedRate::new(settings, limit, running_ms, now_ms)
+                }
             };
             rates.insert(team.name.clone(), rate);
         }
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, request, response};
+use serde::{Deserialize, Serialize};
 
 use lentilhitch_policy::{
     fleet::Order,
@@ -147,10 +148,12 @@
 }
 
 /// One record.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Of topics that keep the newest record of each key.
     pub key: String,
+    /// Where it was written; not used for appends.
+    pub offset: LogOffset,
     /// Absent if the key has ended.
     pub value: Option<Bytes>,
 }
--- a/crates/lentilhitch_gateway/src/upstream_try.rs
+++ b/crates/lentilhitch_gateway/src/upstream_try.rs
@@ -31,12 +31,14 @@
 pub(crate) struct PlaceGuard<P> {
     node: Rc<Node<P>>,
     placed: Option<Placed>,
+    since_ms: u64,
     result: TryResult,
 }
 
 impl<P> PlaceGuard<P> {
     pub(crate) fn new(node: &Rc<Node<P>>, placed: Placed) -> Self {
-        Self { node: node.clone(), placed: Some(placed), result: TryResult::Left }
+        let since_ms = node.now_ms();
+        Self { node: node.clone(), placed: Some(placed), since_ms, result: TryResult::Left }
     }
 
     /// How the try will be counted.
@@ -47,7 +49,10 @@
     /// The first answer came.
     pub(crate) fn began(&mut self) {
         if let Some(placed) = &mut self.placed {
-            self.node.state.borrow_mut().board.began(placed);
+            let elapsed_ms = self.node.now_ms() - self.since_ms;
+            let board = &mut self.node.state.borrow_mut().board;
+            board.measure(placed, elapsed_ms);
+            board.began(placed);
         }
     }
 
--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -3,10 +3,13 @@
 //! An entry that vanishes is gone at once while the list is read without a break. Entries also lapse while the list is
 //! out of reach; those that vanish around its return stay in use for a grace period, in which their upstreams list
 //! themselves again. A leaving upstream stays leaving for the rest of its life.
+//!
+//! Every entry carries the offset at which it was written. Entries may come from the list or from other nodes, in any
+//! order; the one with the highest offset holds.
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
-use lentilhitch_types::{ServiceName, UpstreamName};
+use lentilhitch_types::{LogOffset, ServiceName, UpstreamName};
 
 use crate::traffic::{Listed, ListedState};
 
@@ -61,8 +64,13 @@
     read_ms: Option<u64>,
     /// Until when vanished entries are only on notice.
     grace_until_ms: u64,
+    /// Where the newest known entry of each upstream was written, ended ones included.
+    versions: FxHashMap<UpstreamName, LogOffset>,
 }
 
+/// Ended upstreams whose versions are remembered.
+const VERSIONS_MAX: usize = 65_536;
+
 impl Catalog {
     /// An empty catalog.
     pub fn new(settings: Settings) -> Self {
@@ -99,7 +107,10 @@
     }
 
     /// Takes one entry.
-    pub fn insert(&mut self, listed: Listed, now_ms: u64) -> Option<Change> {
+    pub fn insert(&mut self, listed: Listed, at: LogOffset, now_ms: u64) -> Option<Change> {
+        if !self.is_news(&listed.id, at) {
+            return None;
+        }
         let ends_at_ms = listed.leaves_ms.map(|it| now_ms + it);
         let Some(known) = self.upstreams.get_mut(&listed.id) else {
             let id = listed.id.clone();
@@ -126,7 +137,10 @@
     }
 
     /// Takes the end of one entry.
-    pub fn remove(&mut self, id: &UpstreamName, now_ms: u64) -> Option<Change> {
+    pub fn remove(&mut self, id: &UpstreamName, at: LogOffset, now_ms: u64) -> Option<Change> {
+        if !self.is_news(id, at) {
+            return None;
+        }
         let known = self.upstreams.get_mut(id)?;
         if now_ms < self.grace_until_ms && known.is_ready() {
             known.lapses_at_ms = Some(self.grace_until_ms);
@@ -136,18 +150,39 @@
         Some(Change::Removed(id.clone()))
     }
 
-    /// Takes the whole list; what it does not hold has ended.
-    pub fn replace(&mut self, listed: Vec<Listed>, now_ms: u64) -> Vec<Change> {
-        let kept: rustc_hash::FxHashSet<UpstreamName> =
-            listed.iter().map(|it| it.id.clone()).collect();
+    /// Takes the whole list, as it was when the topic ended at `end`; what it does not hold has ended.
+    pub fn replace(
+        &mut self,
+        listed: Vec<(Listed, LogOffset)>,
+        end: LogOffset,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        if self.versions.values().any(|it| end < *it) {
+            // The topic has begun anew.
+            self.versions.clear();
+        }
+        let kept: FxHashSet<_> = listed.iter().map(|it| it.0.id.clone()).collect();
         let ended: Vec<_> =
             self.upstreams.keys().filter(|it| !kept.contains(*it)).cloned().collect();
+        let entries = listed.into_iter();
         let mut changes: Vec<_> =
-            listed.into_iter().filter_map(|it| self.insert(it, now_ms)).collect();
-        changes.extend(ended.iter().filter_map(|it| self.remove(it, now_ms)));
+            entries.filter_map(|(it, at)| self.insert(it, at, now_ms)).collect();
+        changes.extend(ended.iter().filter_map(|it| self.remove(it, end, now_ms)));
         changes
     }
 
+    /// Whether an entry is not older than what is known.
+    fn is_news(&mut self, id: &UpstreamName, at: LogOffset) -> bool {
+        if VERSIONS_MAX <= self.versions.len() {
+            let Self { versions, upstreams, .. } = self;
+            versions.retain(|id, _| upstreams.contains_key(id));
+        }
+        let version = self.versions.entry(id.clone()).or_default();
+        let is_news = *version <= at;
+        *version = at.max(*version);
+        is_news
+    }
+
     /// Drops the entries whose grace is over.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Change> {
         let over = |it: &Upstream| it.lapses_at_ms.is_some_and(|it| it <= now_ms);
--- a/crates/lentilhitch_policy/src/duty.rs
+++ b/crates/lentilhitch_policy/src/duty.rs
@@ -41,7 +41,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { ttl_ms: 3_000, margin_ms: 500, renew_after_ms: 1_000, watch_every_ms: 1_000 }
+        Self { ttl_ms: 3_000, margin_ms: 500, renew_after_ms: 1_000, watch_every_ms: 1_500 }
     }
 }
 
@@ -83,6 +83,8 @@
     renewed_ms: u64,
     /// When this node last had the lease while it acted.
     acted_ms: Option<u64>,
+    /// The end is known from the holder itself; the last record was not read.
+    is_heard: bool,
 }
 
 impl Duty {
@@ -99,6 +101,7 @@
             valid_until_ms: 0,
             renewed_ms: 0,
             acted_ms: None,
+            is_heard: false,
         }
     }
 
@@ -132,6 +135,10 @@
     /// Takes a reading: where the topic ends and its last record, if any is new.
     pub fn take_reading(&mut self, end: LogOffset, last: Option<DutyRecord>, now_ms: u64) {
         self.read_ms = Some(now_ms);
+        if end == self.end && self.is_heard {
+            return;
+        }
+        self.is_heard = false;
         if end == self.end && (last.is_none() || last == self.last) && self.last.is_some() {
             return;
         }
@@ -149,9 +156,21 @@
         }
     }
 
+    /// The holder said that the topic ended there when it last renewed. This spares a reading; a claim still needs one.
+    pub fn hear(&mut self, end: LogOffset, heard_ms: u64) {
+        if self.end < end && self.fence.is_none() {
+            self.end = end;
+            self.changed_ms = heard_ms;
+            self.read_ms = Some(heard_ms);
+            self.last = None;
+            self.is_heard = true;
+        }
+    }
+
     /// An append of this node took effect at `offset`; it was sent at `sent_ms`.
     pub fn take_append(&mut self, step: DutyStep, offset: LogOffset, sent_ms: u64) {
         self.end = offset.next();
+        self.is_heard = false;
         self.last = Some(self.record(step));
         self.changed_ms = sent_ms;
         self.renewed_ms = sent_ms;
@@ -197,7 +216,8 @@
     }
 
     fn free_from_ms(&self) -> u64 {
-        let is_released = self.last.as_ref().is_none_or(|it| it.step == DutyStep::Release);
+        let is_released =
+            !self.is_heard && self.last.as_ref().is_none_or(|it| it.step == DutyStep::Release);
         let lease_ms = self.settings.ttl_ms + self.settings.margin_ms;
         let quiet_ms = if is_released { 0 } else { self.changed_ms + lease_ms };
         let own_ms = self.acted_ms.map_or(0, |it| it + lease_ms);
--- a/crates/lentilhitch_policy/src/fleet.rs
+++ b/crates/lentilhitch_policy/src/fleet.rs
@@ -1,9 +1,10 @@
 //! How many replicas of a service to order, in which zones and of which kind.
 //!
-//! The number follows what the requests need: places in the batches, and time to read prompts. Reclaimable replicas are
-//! ordered so that the rest suffices when the zone with most of them is taken away. Where none are to be had, on-demand
-//! ones in the cheapest zones take their place; a refused kind is asked for again after a pause. Replicas are given up
-//! only after the need has been lower for a while.
+//! The number follows what the requests need: places in the batches, and time to read prompts. Reclaimable replicas cost
+//! a small part of the others, but a zone of them is taken away at a time and for a while none are to be had; so more are
+//! held than are needed, enough that the rest suffices when some zones are gone. On-demand ones in the cheapest zones
+//! make up for what lacks. A refused kind is asked for again after a pause. Replicas are given up only after the need has
+//! been lower for a while.
 
 use rustc_hash::FxHashMap;
 
@@ -26,6 +27,10 @@
     pub shrink_after_ms: u64,
     /// Replicas beyond the need, for the next rise.
     pub spare: u32,
+    /// Zones of reclaimable replicas that may be lost one after the other before on-demand ones are ordered.
+    pub zones_lost_max: u32,
+    /// The part of the need that must remain when the largest zone of reclaimable replicas is lost next.
+    pub remaining_share: f64,
     /// The need, as a part of the replicas that are there, until requests tell it.
     pub first_share: f64,
 }
@@ -35,11 +40,13 @@
         Self {
             slots_share: 0.35,
             prefill_tokens_per_s: 45_000.0,
-            prefill_share: 0.35,
+            prefill_share: 0.5,
             refused_pause_ms: 3_000,
             shrink_after_ms: 8_000,
             spare: 1,
-            first_share: 0.6,
+            zones_lost_max: 2,
+            remaining_share: 0.5,
+            first_share: 0.5,
         }
     }
 }
@@ -90,6 +97,7 @@
     refused_until_ms: FxHashMap<Slot, u64>,
     need: u32,
     need_since_ms: u64,
+    has_seen_demand: bool,
 }
 
 impl Plan {
@@ -102,6 +110,7 @@
             refused_until_ms: FxHashMap::default(),
             need: 0,
             need_since_ms: 0,
+            has_seen_demand: false,
         }
     }
 
@@ -115,12 +124,8 @@
         now_ms: u64,
     ) -> Vec<Order> {
         let n_ready: u32 = present.values().sum();
-        if self.need == 0 {
-            self.need = (f64::from(n_ready) * self.settings.first_share).ceil().max(1.0) as u32;
-            self.need_since_ms = now_ms;
-        }
-        self.update_need(demand, slots, now_ms);
-        let wanted = self.wanted(scaling, now_ms);
+        self.update_need(demand, slots, n_ready, now_ms);
+        let wanted = self.wanted(scaling, present, now_ms);
         let mut orders = Vec::new();
         for ((zone, kind), n_replicas) in wanted {
             let slot = (zone.clone(), kind);
@@ -142,6 +147,11 @@
         orders
     }
 
+    /// Takes how many prompt tokens a replica reads a second.
+    pub fn measure(&mut self, prefill_tokens_per_s: f64) {
+        self.settings.prefill_tokens_per_s = prefill_tokens_per_s;
+    }
+
     /// Takes how an order ended.
     pub fn take_result(&mut self, order: &Order, result: OrderResult, now_ms: u64) {
         let slot = (order.zone.clone(), order.kind);
@@ -171,17 +181,22 @@
         self.need
     }
 
-    fn update_need(&mut self, demand: Demand, slots: u32, now_ms: u64) {
+    fn update_need(&mut self, demand: Demand, slots: u32, n_ready: u32, now_ms: u64) {
         let Settings { slots_share, prefill_tokens_per_s, prefill_share, .. } = self.settings;
+        if demand == Demand::default() && !self.has_seen_demand {
+            // Nothing is known of the need yet but what the operator had running.
+            let first = (f64::from(n_ready) * self.settings.first_share).ceil() as u32;
+            self.need = self.need.max(first).max(1);
+            self.need_since_ms = now_ms;
+            return;
+        }
+        self.has_seen_demand = true;
         let by_slots = demand.n_in_progress / (f64::from(slots.max(1)) * slots_share);
         let by_prefill = demand.prefill_tokens_per_s / (prefill_tokens_per_s * prefill_share);
         let need = by_slots.max(by_prefill).ceil().max(1.0) as u32;
         if self.need <= need {
             self.need = need;
             self.need_since_ms = now_ms;
-        } else if demand == Demand::default() {
-            // Before the first requests nothing is known of the need.
-            self.need_since_ms = now_ms;
         } else if self.need_since_ms + self.settings.shrink_after_ms <= now_ms {
             self.need -= 1;
             self.need_since_ms = now_ms;
@@ -189,48 +204,67 @@
     }
 
     /// Replicas by zone and kind.
-    fn wanted(&self, scaling: &Scaling, now_ms: u64) -> Vec<(Slot, u32)> {
+    fn wanted(
+        &self,
+        scaling: &Scaling,
+        present: &FxHashMap<Slot, u32>,
+        now_ms: u64,
+    ) -> Vec<(Slot, u32)> {
         let mut zones: Vec<_> = scaling.zone_prices.iter().collect();
         zones.sort_by(|a, b| a.1.total_cmp(b.1).then(a.0.cmp(b.0)));
-        let is_refused = |zone: &Zone| {
-            let until_ms = self.refused_until_ms.get(&(zone.clone(), Kind::Spot));
-            until_ms.is_some_and(|it| now_ms < *it)
-        };
-        let spot_zones: Vec<_> = zones
-            .iter()
-            .filter(|it| scaling.spot_price.is_some() && !is_refused(it.0))
-            .map(|it| it.0)
-            .collect();
-        let total = self.need + self.settings.spare;
-        let spot = spread_spot(total, spot_zones.len() as u32, scaling.zone_max);
-        let mut wanted: FxHashMap<Slot, u32> = FxHashMap::default();
-        for zone in &spot_zones {
-            wanted.insert(((*zone).clone(), Kind::Spot), spot);
-        }
-        // What remains when the largest zone of reclaimable replicas is gone must suffice.
-        let n_spot = spot * spot_zones.len() as u32;
-        let mut lacking = self.need.saturating_sub(n_spot.saturating_sub(spot));
-        for (zone, _) in &zones {
-            let taken = wanted.get(&((*zone).clone(), Kind::Spot)).copied().unwrap_or(0);
-            let least = scaling.zone_min.saturating_sub(taken);
-            let n = lacking.min(scaling.zone_max.saturating_sub(taken)).max(least);
+        let spot = self.wanted_spot(scaling, &zones, present, now_ms);
+        let n_spot: u32 = spot.values().sum();
+        let largest = spot.values().copied().max().unwrap_or(0);
+        let remaining = (f64::from(self.need) * self.settings.remaining_share).ceil() as u32;
+        let lacking_now = self.need.saturating_sub(n_spot);
+        let lacking_later = remaining.saturating_sub(n_spot - largest);
+        let mut lacking = lacking_now.max(lacking_later);
+        let mut wanted = Vec::new();
+        for (zone, _) in zones {
+            let n_here = spot.get(zone).copied().unwrap_or(0);
+            let least = scaling.zone_min.saturating_sub(n_here);
+            let n = lacking.min(scaling.zone_max.saturating_sub(n_here)).max(least);
             lacking = lacking.saturating_sub(n);
-            wanted.insert(((*zone).clone(), Kind::OnDemand), n);
+            wanted.push(((zone.clone(), Kind::OnDemand), n));
+            if !self.is_refused(zone, now_ms) && scaling.spot_price.is_some() {
+                wanted.push(((zone.clone(), Kind::Spot), n_here));
+            }
         }
-        let mut wanted: Vec<_> = wanted.into_iter().collect();
-        wanted.sort_by(|a, b| a.0.cmp(&b.0));
         wanted
     }
+
+    /// Reclaimable replicas by zone: as many as are wanted, or as there are where no more are to be had.
+    fn wanted_spot<'a>(
+        &self,
+        scaling: &Scaling,
+        zones: &[(&'a Zone, &f64)],
+        present: &FxHashMap<Slot, u32>,
+        now_ms: u64,
+    ) -> FxHashMap<&'a Zone, u32> {
+        if scaling.spot_price.is_none() {
+            return FxHashMap::default();
+        }
+        let total = self.need + self.settings.spare;
+        let share = spread_spot(total, zones.len() as u32, self.settings.zones_lost_max);
+        let wanted = zones.iter().map(|(zone, _)| {
+            let n_present = present.get(&((*zone).clone(), Kind::Spot)).copied().unwrap_or(0);
+            let n_wanted = share.min(scaling.zone_max);
+            let n = if self.is_refused(zone, now_ms) { n_present } else { n_wanted };
+            (*zone, n)
+        });
+        wanted.collect()
+    }
+
+    fn is_refused(&self, zone: &Zone, now_ms: u64) -> bool {
+        let until_ms = self.refused_until_ms.get(&(zone.clone(), Kind::Spot));
+        until_ms.is_some_and(|it| now_ms < *it)
+    }
 }
 
 /// Time beyond the boot within which a replica that was ordered lists itself.
 const BOOT_SLACK_MS: u64 = 3_000;
 
-/// Reclaimable replicas in each zone, so that `total` remain when one zone is gone.
-fn spread_spot(total: u32, n_zones: u32, zone_max: u32) -> u32 {
-    match n_zones {
-        0 => 0,
-        1 => total.min(zone_max),
-        _ => total.div_ceil(n_zones - 1).min(zone_max),
-    }
+/// Reclaimable replicas in each zone, so that `total` remain when some zones are gone.
+fn spread_spot(total: u32, n_zones: u32, zones_lost_max: u32) -> u32 {
+    total.div_ceil(n_zones.saturating_sub(zones_lost_max).max(1))
 }
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -49,6 +49,8 @@
 pub struct Settings {
     /// Used until the engines' own speed has been measured.
     pub prefill_ms_per_token: f64,
+    /// What a token that is read costs beside the wait for it, since it delays the requests that come after.
+    pub work_weight: f64,
     /// How much each running request delays a newcomer, and so do its tokens the running ones.
     pub running_ms: f64,
     /// The chance that the first upstream in the hash order has a shared prefix that this node has not sent there.
@@ -68,6 +70,7 @@
     fn default() -> Self {
         Self {
             prefill_ms_per_token: 0.02,
+            work_weight: 1.0,
             running_ms: 2.0,
             affinity_hit: 0.7,
             cross_zone_ms: 2.0,
@@ -114,6 +117,8 @@
     pub upstream: UpstreamName,
     pub uncached_tokens: u32,
     is_waiting: bool,
+    /// No other prompt waited there.
+    is_alone: bool,
 }
 
 #[derive(Debug)]
@@ -125,8 +130,6 @@
     failure_share: f64,
     n_unreachable: u32,
     avoid_until_ms: u64,
-    /// Measured against expected time to the first token.
-    slowness: f64,
 }
 
 /// The life of a peer's report and what it has in progress, by hash of the upstream's name.
@@ -143,10 +146,16 @@
     zone: Zone,
     places: FxHashMap<UpstreamName, Place>,
     peers: FxHashMap<u64, PeerReport>,
+    /// The median of what prompts took that had an engine nearly to themselves.
+    prefill_ms_per_token: f64,
 }
 
 /// A peer's report is forgotten after this; a few report intervals.
 const PEER_REPORT_KEPT_MS: u64 = 2_000;
+/// Shorter prompts tell little of an engine's speed.
+const MEASURED_TOKENS_MIN: u32 = 2_000;
+/// The step of the followed median, as a part of it.
+const MEDIAN_STEP: f64 = 0.02;
 /// The weight of the newest result in smoothed shares.
 const SMOOTHING: f64 = 0.15;
 /// How long a told load counts.
@@ -155,7 +164,13 @@
 impl Board {
     /// A node that has sent nothing yet.
     pub fn new(settings: Settings, zone: Zone) -> Self {
-        Self { settings, zone, places: FxHashMap::default(), peers: FxHashMap::default() }
+        Self {
+            settings,
+            zone,
+            places: FxHashMap::default(),
+            peers: FxHashMap::default(),
+            prefill_ms_per_token: settings.prefill_ms_per_token,
+        }
     }
 
     /// Chooses an upstream and takes a place there. `excluded` were tried before for this request.
@@ -226,11 +241,20 @@
         self.ensure(upstream).told = Some((load, now_ms));
     }
 
-    /// Takes the time to the first token of a request that was alone enough to measure by.
-    pub fn measure(&mut self, upstream: &UpstreamName, expected_ms: f64, measured_ms: f64) {
-        let place = self.ensure(upstream);
-        let ratio = (measured_ms / expected_ms.max(1.0)).clamp(0.25, 8.0);
-        place.slowness += SMOOTHING * (ratio - place.slowness);
+    /// Takes the time to the first token. Only prompts that were long and had the engine nearly to themselves measure its
+    /// speed; the median is followed by small steps.
+    pub fn measure(&mut self, placed: &Placed, first_token_ms: u64) {
+        if placed.uncached_tokens < MEASURED_TOKENS_MIN || !placed.is_alone {
+            return;
+        }
+        let sample = first_token_ms as f64 / f64::from(placed.uncached_tokens);
+        let step = self.prefill_ms_per_token * MEDIAN_STEP;
+        self.prefill_ms_per_token += if sample < self.prefill_ms_per_token { -step } else { step };
+    }
+
+    /// Prompt tokens that an engine reads a second when it does nothing else.
+    pub fn prefill_tokens_per_s(&self) -> f64 {
+        1000.0 / self.prefill_ms_per_token
     }
 
     /// An upstream began a new life or is gone: what was known of it is void.
@@ -281,12 +305,9 @@
         uncached_tokens: u64,
         now_ms: u64,
     ) -> f64 {
-        let place = self.places.get(upstream);
         let tokens = (self.waiting_tokens(upstream) + uncached_tokens) as f64;
         let running = f64::from(self.n_requests(upstream, now_ms));
-        let slowness = place.map_or(1.0, |it| it.slowness);
-        slowness
-            * (tokens * self.settings.prefill_ms_per_token + running * self.settings.running_ms)
+        tokens * self.prefill_ms_per_token + running * self.settings.running_ms
     }
 
     fn engine_cost(
@@ -313,7 +334,9 @@
         let n_requests = self.n_requests(&listed.id, now_ms);
         let over = n_requests.saturating_sub(listed.slots.saturating_sub(1));
         let slot_wait_ms = f64::from(over) * 100.0;
+        let work_ms = uncached as f64 * self.prefill_ms_per_token;
         let cost = self.first_token_ms(&listed.id, uncached, now_ms)
+            + self.settings.work_weight * work_ms
             + slot_wait_ms
             + self.settings.failure_ms * place.failure_share
             + self.zone_cost(upstream);
@@ -335,13 +358,14 @@
     }
 
     fn take(&mut self, id: &UpstreamName, prompt: Option<&Prompt>, uncached_tokens: u32) -> Placed {
+        let is_alone = self.waiting_tokens(id) == 0;
         let place = self.ensure(id);
         place.own.n_requests += 1;
         place.own.waiting_tokens += uncached_tokens;
         for part in prompt.iter().flat_map(|it| &it.parts) {
             place.parts.put(part.id, ());
         }
-        Placed { upstream: id.clone(), uncached_tokens, is_waiting: true }
+        Placed { upstream: id.clone(), uncached_tokens, is_waiting: true, is_alone }
     }
 
     fn in_progress(&self, upstream: &UpstreamName) -> InProgress {
@@ -366,7 +390,6 @@
             failure_share: 0.0,
             n_unreachable: 0,
             avoid_until_ms: 0,
-            slowness: 1.0,
         })
     }
 }
--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -46,9 +46,11 @@
 }
 
 impl SharedRate {
-    /// A full bucket.
-    pub fn new(settings: Settings, rate: TeamRate, now_ms: u64) -> Self {
-        let level = rate.burst * settings.burst_share;
+    /// A bucket that holds what has accrued while this process runs: what was admitted before its start isn't known, and
+    /// many processes may start at once.
+    pub fn new(settings: Settings, rate: TeamRate, running_ms: u64, now_ms: u64) -> Self {
+        let accrued = rate.per_s * running_ms as f64 / 1000.0;
+        let level = accrued.min(rate.burst * settings.burst_share);
         Self {
             settings,
             rate,
--- a/crates/lentilhitch_policy/src/usage.rs
+++ b/crates/lentilhitch_policy/src/usage.rs
@@ -56,19 +56,19 @@
         }
     }
 
-    /// What is to be written, if something is new: a count, or the end of a window.
-    pub fn take_record(&mut self, true_ms: u64) -> Option<NodeCounts> {
+    /// What this process counted up to now.
+    pub fn counts(&self, node: &InstanceName, life: u64, true_ms: u64) -> NodeCounts {
+        let windows = self.windows.clone();
+        NodeCounts { node: Some(node.clone()), life, through_ms: true_ms, windows }
+    }
+
+    /// Whether something is to be written: a count, or the end of a window. The answer is given once.
+    pub fn take_is_due(&mut self, true_ms: u64) -> bool {
         let window = true_ms / self.window_ms;
-        if !self.is_changed && window <= self.written_window {
-            return None;
-        }
+        let is_due = self.is_changed || self.written_window < window;
         self.is_changed = false;
         self.written_window = window;
-        Some(NodeCounts {
-            through_ms: true_ms,
-            windows: self.windows.clone(),
-            ..NodeCounts::default()
-        })
+        is_due
     }
 
     /// The last record was not written.
@@ -161,6 +161,12 @@
         Some(Decision { window, counts })
     }
 
+    /// Whether a window has ended that is not decided yet.
+    pub fn has_open_window(&self, true_ms: u64) -> bool {
+        let last = (true_ms / self.settings.window_ms).saturating_sub(1);
+        !self.decided.contains_key(&last) || self.next_report(true_ms).is_some()
+    }
+
     /// The next decided window to report.
     pub fn next_report(&self, true_ms: u64) -> Option<Decision> {
         let late_ms = self.settings.late_ms + self.settings.window_ms;
