--- a/crates/lentilhitch_policy/src/fleet.rs
+++ b/crates/lentilhitch_policy/src/fleet.rs
@@ -125,26 +125,35 @@
     ) -> Vec<Order> {
         let n_ready: u32 = present.values().sum();
         self.update_need(demand, slots, n_ready, now_ms);
-        let wanted = self.wanted(scaling, present, now_ms);
-        let mut orders = Vec::new();
-        for ((zone, kind), n_replicas) in wanted {
-            let slot = (zone.clone(), kind);
-            let n_present = present.get(&slot).copied().unwrap_or(0);
-            let ordered = self.ordered.get(&slot).copied();
-            let n_last = ordered.map_or(n_present, |it| it.0);
-            // What is too much is kept until what replaces it is there.
-            if n_replicas < n_last && n_ready < self.need + self.settings.spare {
-                continue;
-            }
-            let boot_ms = scaling.boot_ms + BOOT_SLACK_MS;
-            let is_missing =
-                n_present < n_replicas && ordered.is_none_or(|it| it.1 + boot_ms <= now_ms);
-            if n_replicas != n_last || is_missing {
-                let service = self.service.clone();
-                orders.push(Order { service, zone, kind, n_replicas });
-            }
+        let spot = self.spot_by_zone(scaling, present, now_ms);
+        let on_demand = self.on_demand_by_zone(scaling, &spot, present, now_ms);
+        let mut wanted: Vec<(Slot, u32)> = Vec::new();
+        for (zone, it) in &spot {
+            wanted.extend(it.wanted.map(|n| (((*zone).clone(), Kind::Spot), n)));
         }
-        orders
+        wanted.extend(on_demand.into_iter().map(|(zone, n)| ((zone, Kind::OnDemand), n)));
+        let is_changed =
+            |(slot, n): &(Slot, u32)| self.is_order_due(slot, *n, scaling, present, now_ms);
+        let orders = wanted.into_iter().filter(is_changed).map(|((zone, kind), n_replicas)| {
+            Order { service: self.service.clone(), zone, kind, n_replicas }
+        });
+        orders.collect()
+    }
+
+    fn is_order_due(
+        &self,
+        slot: &Slot,
+        n_replicas: u32,
+        scaling: &Scaling,
+        present: &FxHashMap<Slot, u32>,
+        now_ms: u64,
+    ) -> bool {
+        let n_present = present.get(slot).copied().unwrap_or(0);
+        let Some((n_ordered, ordered_ms)) = self.ordered.get(slot) else {
+            return n_replicas != n_present;
+        };
+        let is_overdue = ordered_ms + scaling.boot_ms + BOOT_SLACK_MS <= now_ms;
+        n_replicas != *n_ordered || (n_present < n_replicas && is_overdue)
     }
 
     /// Takes how many prompt tokens a replica reads a second.
@@ -203,56 +212,80 @@
         }
     }
 
-    /// Replicas by zone and kind.
-    fn wanted(
+    /// Reclaimable replicas, cheapest zone first.
+    fn spot_by_zone<'a>(
         &self,
-        scaling: &Scaling,
+        scaling: &'a Scaling,
         present: &FxHashMap<Slot, u32>,
         now_ms: u64,
-    ) -> Vec<(Slot, u32)> {
+    ) -> Vec<(&'a Zone, Spot)> {
         let mut zones: Vec<_> = scaling.zone_prices.iter().collect();
         zones.sort_by(|a, b| a.1.total_cmp(b.1).then(a.0.cmp(b.0)));
-        let spot = self.wanted_spot(scaling, &zones, present, now_ms);
-        let n_spot: u32 = spot.values().sum();
-        let largest = spot.values().copied().max().unwrap_or(0);
-        let remaining = (f64::from(self.need) * self.settings.remaining_share).ceil() as u32;
-        let lacking_now = self.need.saturating_sub(n_spot);
-        let lacking_later = remaining.saturating_sub(n_spot - largest);
-        let mut lacking = lacking_now.max(lacking_later);
-        let mut wanted = Vec::new();
-        for (zone, _) in zones {
-            let n_here = spot.get(zone).copied().unwrap_or(0);
-            let least = scaling.zone_min.saturating_sub(n_here);
-            let n = lacking.min(scaling.zone_max.saturating_sub(n_here)).max(least);
-            lacking = lacking.saturating_sub(n);
-            wanted.push(((zone.clone(), Kind::OnDemand), n));
-            if !self.is_refused(zone, now_ms) && scaling.spot_price.is_some() {
-                wanted.push(((zone.clone(), Kind::Spot), n_here));
-            }
-        }
-        wanted
+        let total = self.need + self.settings.spare;
+        let share = spread_spot(total, zones.len() as u32, self.settings.zones_lost_max);
+        let spot = zones.into_iter().map(|(zone, _)| {
+            let slot = (zone.clone(), Kind::Spot);
+            let n_ready = present.get(&slot).copied().unwrap_or(0);
+            let may_order = scaling.spot_price.is_some() && !self.is_refused(zone, now_ms);
+            let n_soon = self.booting(&slot, scaling, now_ms).max(n_ready);
+            let wanted = may_order.then_some(share.min(scaling.zone_max));
+            (zone, Spot { n_ready, n_soon, wanted })
+        });
+        spot.collect()
     }
 
-    /// Reclaimable replicas by zone: as many as are wanted, or as there are where no more are to be had.
-    fn wanted_spot<'a>(
+    /// On-demand replicas by zone. Their number grows by what lacks when all that was ordered is there, and shrinks only
+    /// to what lacks beside what is ready.
+    fn on_demand_by_zone(
         &self,
         scaling: &Scaling,
-        zones: &[(&'a Zone, &f64)],
+        spot: &[(&Zone, Spot)],
         present: &FxHashMap<Slot, u32>,
         now_ms: u64,
-    ) -> FxHashMap<&'a Zone, u32> {
-        if scaling.spot_price.is_none() {
-            return FxHashMap::default();
+    ) -> Vec<(Zone, u32)> {
+        let last = |zone: &Zone| {
+            let slot = (zone.clone(), Kind::OnDemand);
+            let n_present = present.get(&slot).copied().unwrap_or(0);
+            self.ordered.get(&slot).map_or(n_present, |it| it.0)
+        };
+        let mut by_zone: Vec<_> = spot.iter().map(|(zone, _)| last(zone)).collect();
+        let least = self.lacking(spot.iter().map(|it| it.1.n_soon));
+        let most = self.lacking(spot.iter().map(|it| it.1.n_ready));
+        let total: u32 = by_zone.iter().sum();
+        let mut more = least.saturating_sub(total);
+        let mut less = total.saturating_sub(most);
+        for (n, (_, it)) in by_zone.iter_mut().zip(spot) {
+            let room = scaling.zone_max.saturating_sub(*n + it.n_soon);
+            *n += more.min(room);
+            more -= more.min(room);
         }
-        let total = self.need + self.settings.spare;
-        let share = spread_spot(total, zones.len() as u32, self.settings.zones_lost_max);
-        let wanted = zones.iter().map(|(zone, _)| {
-            let n_present = present.get(&((*zone).clone(), Kind::Spot)).copied().unwrap_or(0);
-            let n_wanted = share.min(scaling.zone_max);
-            let n = if self.is_refused(zone, now_ms) { n_present } else { n_wanted };
-            (*zone, n)
+        for n in by_zone.iter_mut().rev() {
+            let taken = less.min(*n);
+            *n -= taken;
+            less -= taken;
+        }
+        let bounded = by_zone.into_iter().zip(spot).map(|(n, (zone, it))| {
+            let is_kept = self.is_refused(zone, now_ms) || it.n_soon == 0;
+            let zone_least = if is_kept { scaling.zone_min.saturating_sub(it.n_soon) } else { 0 };
+            ((*zone).clone(), n.max(zone_least))
         });
-        wanted.collect()
+        bounded.collect()
+    }
+
+    /// On-demand replicas that are needed beside the reclaimable ones of each zone.
+    fn lacking(&self, spot: impl Iterator<Item = u32>) -> u32 {
+        let (n_spot, largest) = spot.fold((0, 0), |(sum, most), n| (sum + n, n.max(most)));
+        let remaining = (f64::from(self.need) * self.settings.remaining_share).ceil() as u32;
+        let lacking_now = self.need.saturating_sub(n_spot);
+        let lacking_later = remaining.saturating_sub(n_spot - largest);
+        lacking_now.max(lacking_later)
+    }
+
+    /// Replicas that were ordered and may still be booting.
+    fn booting(&self, slot: &Slot, scaling: &Scaling, now_ms: u64) -> u32 {
+        let ordered = self.ordered.get(slot);
+        let booting = ordered.filter(|it| now_ms < it.1 + scaling.boot_ms + BOOT_SLACK_MS);
+        booting.map_or(0, |it| it.0)
     }
 
     fn is_refused(&self, zone: &Zone, now_ms: u64) -> bool {
@@ -261,6 +294,16 @@
     }
 }
 
+/// Reclaimable replicas of a zone.
+#[derive(Clone, Copy, Debug)]
+struct Spot {
+    n_ready: u32,
+    /// When all that was ordered is there.
+    n_soon: u32,
+    /// What to order, unless none are to be had.
+    wanted: Option<u32>,
+}
+
 /// Time beyond the boot within which a replica that was ordered lists itself.
 const BOOT_SLACK_MS: u64 = 3_000;
 
--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -1,9 +1,10 @@
 //! A team's rate, kept by all nodes together without asking anybody.
 //!
 //! Every node admits from one bucket that all of them share: it takes out what the node admitted itself and what its
-//! peers said that they admitted. A peer that has not been heard of for a while is charged its even part of the rate, and
-//! so charges us; then the sum stays at the rate while nodes are cut off from each other. The sum passes the rate by no
-//! more than what is admitted while reports are under way.
+//! peers admitted. Between a peer's reports it is charged what it last admitted a second, and the difference is settled
+//! by its next report. A peer that has not been heard of for a while is charged its even part of the rate, and so charges
+//! us; then the sum stays at the rate while nodes are cut off from each other. The sum passes the rate by no more than
+//! demand shifts between nodes from one report to the next.
 
 use rustc_hash::FxHashMap;
 
@@ -30,10 +31,16 @@
     /// What the peer has admitted since it started.
     admitted: f64,
     heard_ms: u64,
-    /// Up to when it was charged.
+    /// What it admitted in a millisecond, smoothed.
+    per_ms: f64,
+    /// What it was charged since its last report, and up to when.
+    charged: f64,
     charged_ms: u64,
 }
 
+/// The weight of the newest report in a peer's smoothed rate.
+const SMOOTHING: f64 = 0.4;
+
 /// The bucket of one team.
 #[derive(Clone, Debug)]
 pub struct SharedRate {
@@ -75,13 +82,23 @@
 
     /// Takes what a peer has admitted since it started.
     pub fn hear(&mut self, peer: u64, life: u64, admitted: f64, now_ms: u64) {
-        let known = self.peers.entry(peer).or_default();
-        if known.life == life {
-            let new = (admitted - known.admitted).max(0.0);
-            self.level -= new;
+        let Some(known) = self.peers.get_mut(&peer) else {
+            // What it admitted before this node knew of it is not this node's to charge.
+            let known =
+                Peer { life, admitted, heard_ms: now_ms, charged_ms: now_ms, ..Peer::default() };
+            self.peers.insert(peer, known);
+            return;
+        };
+        let told_before = if known.life == life { known.admitted } else { 0.0 };
+        let new = (admitted - told_before).max(0.0);
+        let elapsed_ms = now_ms.saturating_sub(known.heard_ms);
+        if 0 < elapsed_ms {
+            known.per_ms += SMOOTHING * (new / elapsed_ms as f64 - known.per_ms);
         }
-        let admitted = if known.life == life { admitted.max(known.admitted) } else { admitted };
-        *known = Peer { life, admitted, heard_ms: now_ms, charged_ms: now_ms };
+        self.level += known.charged - new;
+        let admitted = told_before + new;
+        *known =
+            Peer { life, admitted, heard_ms: now_ms, charged: 0.0, charged_ms: now_ms, ..*known };
     }
 
     /// Admits a request of this cost, or says in how many milliseconds there may be room. `n_nodes` counts the nodes that
@@ -113,12 +130,12 @@
         self.level += per_ms * elapsed_ms as f64;
         let even_per_ms = per_ms / n_nodes.max(1) as f64;
         for peer in self.peers.values_mut() {
-            let silent_from_ms = peer.heard_ms + self.settings.silent_after_ms;
-            let from_ms = peer.charged_ms.max(silent_from_ms.min(now_ms));
-            if silent_from_ms < now_ms && from_ms < now_ms {
-                self.level -= even_per_ms * (now_ms - from_ms) as f64;
-                peer.charged_ms = now_ms;
-            }
+            let is_silent = peer.heard_ms + self.settings.silent_after_ms < now_ms;
+            let peer_per_ms = if is_silent { even_per_ms } else { peer.per_ms };
+            let charge = peer_per_ms * now_ms.saturating_sub(peer.charged_ms) as f64;
+            peer.charged_ms = now_ms;
+            peer.charged += charge;
+            self.level -= charge;
         }
         self.level = self.level.min(self.rate.burst * self.settings.burst_share);
     }
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -0,0 +1,213 @@
+//! Placement under load: flash crowds, hot prefixes, convoys of long prompts, grey and unreachable upstreams.
+
+use rand::{SeedableRng, rngs::SmallRng};
+use rustc_hash::FxHashMap;
+
+use lentilhitch_policy::{
+    catalog::{Catalog, Settings as CatalogSettings, Upstream},
+    placement::{Board, Placed, Prompt, PromptPart, Settings, TryResult},
+    traffic::{Listed, ListedState},
+};
+use lentilhitch_types::{LogOffset, UpstreamName};
+
+fn upstreams(n: usize) -> Vec<Upstream> {
+    let mut catalog = Catalog::new(CatalogSettings::default());
+    for idx in 0..n {
+        let listed = Listed {
+            id: format!("u{idx}").parse().unwrap(),
+            service: "draft".parse().unwrap(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            zone: ["a", "b"][idx % 2].parse().unwrap(),
+            state: ListedState::Ready,
+            slots: 64,
+            born_ms: 1,
+            is_spot: false,
+            leaves_ms: None,
+        };
+        catalog.insert(listed, LogOffset(idx as u64 + 1), 0);
+    }
+    catalog.iter().cloned().collect()
+}
+
+fn prompt(shared: u64, shared_tokens: u32, own: u64, own_tokens: u32) -> Prompt {
+    Prompt {
+        parts: vec![
+            PromptPart { id: shared, tokens: shared_tokens },
+            PromptPart { id: own, tokens: own_tokens },
+        ],
+        input_tokens: u64::from(shared_tokens + own_tokens),
+        output_tokens_max: 200,
+    }
+}
+
+struct Node {
+    board: Board,
+    rng: SmallRng,
+}
+
+impl Node {
+    fn new(seed: u64) -> Self {
+        let board = Board::new(Settings::default(), "a".parse().unwrap());
+        Self { board, rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    fn place(&mut self, prompt: Option<&Prompt>, upstreams: &[Upstream], now_ms: u64) -> Placed {
+        self.board.place(prompt, upstreams.iter(), &[], now_ms, &mut self.rng).unwrap()
+    }
+}
+
+fn most<'a>(placed: impl Iterator<Item = &'a UpstreamName>) -> (usize, usize) {
+    let mut counts: FxHashMap<&UpstreamName, usize> = FxHashMap::default();
+    for it in placed {
+        *counts.entry(it).or_default() += 1;
+    }
+    (counts.len(), counts.values().copied().max().unwrap_or(0))
+}
+
+#[test]
+fn a_flash_crowd_is_spread() {
+    let upstreams = upstreams(8);
+    let mut node = Node::new(1);
+    let placed: Vec<_> = (0..160)
+        .map(|it| node.place(Some(&prompt(it, 100, 1_000 + it, 900)), &upstreams, 0).upstream)
+        .collect();
+    let (n_used, n_most) = most(placed.iter());
+    assert_eq!(n_used, 8);
+    assert!(n_most <= 30, "{n_most} of 160 requests at one of 8 upstreams");
+}
+
+#[test]
+fn a_hot_prefix_does_not_overload_its_upstream() {
+    let upstreams = upstreams(8);
+    let mut node = Node::new(1);
+    let placed: Vec<_> = (0..160)
+        .map(|it| node.place(Some(&prompt(1, 4_000, 1_000 + it, 900)), &upstreams, 0).upstream)
+        .collect();
+    let (n_used, n_most) = most(placed.iter());
+    assert!(4 <= n_used && n_most <= 80, "{n_most} of 160 at one, {n_used} upstreams used");
+}
+
+#[test]
+fn nodes_agree_on_the_upstream_of_a_prefix() {
+    let upstreams = upstreams(8);
+    for shared in 0..20 {
+        let place = |seed| {
+            Node::new(seed).place(Some(&prompt(shared, 5_000, seed, 500)), &upstreams, 0).upstream
+        };
+        assert_eq!(place(1), place(2), "prefix {shared}");
+    }
+}
+
+#[test]
+fn a_request_goes_where_its_prefix_was_sent() {
+    let upstreams = upstreams(8);
+    let mut node = Node::new(1);
+    let mut first = node.place(Some(&prompt(1, 5_000, 10, 500)), &upstreams, 0);
+    node.board.began(&mut first);
+    let upstream = first.upstream.clone();
+    node.board.end(first, TryResult::Served, 100);
+    let second = node.place(Some(&prompt(1, 5_000, 11, 500)), &upstreams, 200);
+    assert_eq!(second.upstream, upstream);
+    assert_eq!(second.uncached_tokens, 500);
+}
+
+#[test]
+fn short_requests_avoid_a_convoy_of_long_prompts() {
+    let upstreams = upstreams(4);
+    let mut node = Node::new(1);
+    let long: Vec<_> = (0..2)
+        .map(|it| node.place(Some(&prompt(it, 10, 100 + it, 50_000)), &upstreams, 0).upstream)
+        .collect();
+    for it in 0..20 {
+        let short = node.place(Some(&prompt(500 + it, 100, 600 + it, 200)), &upstreams, 0);
+        assert!(!long.contains(&short.upstream), "request {it} behind a long prompt");
+    }
+}
+
+#[test]
+fn what_peers_sent_counts() {
+    let upstreams = upstreams(2);
+    let (mut here, mut there) = (Node::new(1), Node::new(2));
+    for it in 0..10 {
+        let only = std::slice::from_ref(&upstreams[0]);
+        there.place(Some(&prompt(it, 10, 100 + it, 5_000)), only, 0);
+    }
+    here.board.hear(9, &there.board.report(), 0);
+    for it in 0..10 {
+        let placed = here.place(Some(&prompt(50 + it, 10, 200 + it, 500)), &upstreams, 100);
+        assert_eq!(placed.upstream, upstreams[1].listed.id, "request {it}");
+    }
+    let late = here.board.n_requests(&upstreams[0].listed.id, 60_000);
+    assert_eq!(late, 10, "a report is forgotten when the next one of any peer comes");
+    here.board.hear(8, &[], 60_000);
+    assert_eq!(here.board.n_requests(&upstreams[0].listed.id, 60_000), 0);
+}
+
+#[test]
+fn a_grey_upstream_gets_little() {
+    let upstreams = upstreams(4);
+    let grey = upstreams[1].listed.id.clone();
+    let mut node = Node::new(3);
+    let mut n_grey = 0;
+    for it in 0..400 {
+        let now_ms = it * 20;
+        let placed = node.place(None, &upstreams, now_ms);
+        let is_grey = placed.upstream == grey;
+        n_grey += u64::from(is_grey && 100 < it);
+        let result = if is_grey && it % 2 == 0 { TryResult::Failed } else { TryResult::Served };
+        node.board.end(placed, result, now_ms + 15);
+    }
+    assert!(n_grey <= 40, "{n_grey} of 300 requests at an upstream that fails half of them");
+}
+
+#[test]
+fn an_unreachable_upstream_is_left_out_for_a_while() {
+    let upstreams = upstreams(2);
+    let mut node = Node::new(1);
+    let mut lost = node.place(None, &upstreams, 0);
+    let id = lost.upstream.clone();
+    node.board.began(&mut lost);
+    node.board.end(lost, TryResult::Unreachable, 0);
+    for it in 0..10 {
+        assert_ne!(node.place(None, &upstreams, 100).upstream, id, "request {it}");
+    }
+    let only: Vec<_> = upstreams.iter().filter(|it| it.listed.id == id).cloned().collect();
+    assert_eq!(node.place(None, &only, 100).upstream, id, "unless there is no other");
+}
+
+#[test]
+fn every_place_is_given_back() {
+    let upstreams = upstreams(3);
+    let mut node = Node::new(1);
+    let results = [
+        TryResult::Served,
+        TryResult::Full,
+        TryResult::Failed,
+        TryResult::Unreachable,
+        TryResult::Left,
+    ];
+    for (it, result) in results.into_iter().cycle().take(50).enumerate() {
+        let placed = node.place(Some(&prompt(it as u64, 10, 99, 500)), &upstreams, 0);
+        if it % 3 == 0 {
+            node.board.forget(&placed.upstream.clone());
+        }
+        node.board.end(placed, result, 0);
+    }
+    assert!(node.board.report().is_empty());
+    assert!(upstreams.iter().all(|it| node.board.waiting_tokens(&it.listed.id) == 0));
+}
+
+#[test]
+fn the_speed_of_engines_is_measured() {
+    let upstreams = upstreams(4);
+    let mut node = Node::new(1);
+    for it in 0..600 {
+        let mut placed = node.place(Some(&prompt(it, 10, 10_000 + it, 4_000)), &upstreams, 0);
+        // These engines read 20 tokens a millisecond.
+        node.board.measure(&placed, u64::from(placed.uncached_tokens) / 20);
+        node.board.began(&mut placed);
+        node.board.end(placed, TryResult::Served, 0);
+    }
+    let measured = node.board.prefill_tokens_per_s();
+    assert!((18_000.0..22_000.0).contains(&measured), "{measured} tokens a second");
+}
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/true_time.rs
@@ -0,0 +1,55 @@
+//! True time while some clocks jump.
+
+use lentilhitch_policy::true_time::TrueTime;
+
+const NOW_MS: u64 = 100_000;
+/// The offset of true time in these cases.
+const TRUE_MS: i64 = 5_000_000;
+
+#[test]
+fn the_median_of_fresh_clocks_holds() {
+    struct Case {
+        name: &'static str,
+        own_off_ms: i64,
+        /// Errors of the peers' clocks, and how long ago they were heard.
+        peers: Vec<(i64, u64)>,
+        error_max_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "all right",
+            own_off_ms: 0,
+            peers: vec![(1, 0), (-1, 0), (2, 0)],
+            error_max_ms: 2,
+        },
+        Case {
+            name: "own jumped",
+            own_off_ms: 2_400,
+            peers: vec![(0, 0), (1, 0), (0, 0)],
+            error_max_ms: 2,
+        },
+        Case {
+            name: "two of six jumped",
+            own_off_ms: 0,
+            peers: vec![(-2_400, 0), (2_400, 0), (0, 0), (1, 0), (0, 0)],
+            error_max_ms: 2,
+        },
+        Case { name: "no peers, own jumped", own_off_ms: 2_400, peers: vec![], error_max_ms: 2 },
+        Case {
+            name: "stale peers, own jumped",
+            own_off_ms: -2_400,
+            peers: vec![(0, 9_000), (0, 9_000)],
+            error_max_ms: 2,
+        },
+        Case { name: "no peers, own drifts", own_off_ms: 40, peers: vec![], error_max_ms: 40 },
+    ];
+    for case in cases {
+        let mut time = TrueTime::default();
+        let wall_ms = |off: i64| (NOW_MS as i64 + TRUE_MS + off) as u64;
+        time.update(wall_ms(0), &[], NOW_MS);
+        let peers: Vec<_> = case.peers.iter().map(|it| (TRUE_MS + it.0, NOW_MS - it.1)).collect();
+        time.update(wall_ms(case.own_off_ms), &peers, NOW_MS);
+        let error_ms = time.now_ms(NOW_MS).unwrap().abs_diff(wall_ms(0));
+        assert!(error_ms <= case.error_max_ms, "{}: off by {error_ms} ms", case.name);
+    }
+}
