Stand-ins of the users' platform; nodes proved through the real adapter

Ruled out: running the stand-ins as processes, since tests look into what upstreams saw and change how they answer.

--- /dev/null
+++ b/crates/lentilhitch/tests/edge_path.rs
@@ -0,0 +1,231 @@
+//! Nodes on the users' platform: routes, keys, headers, outcomes and limits, through the real adapter.
+
+use lentilhitch_standin::{
+    estate::{Behavior, Site, SiteOptions},
+    harness::until,
+};
+
+#[tokio::test]
+async fn answers_are_the_upstreams_and_refusals_say_why() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        change: fn(reqwest::RequestBuilder) -> reqwest::RequestBuilder,
+        status: u16,
+        n_runs: usize,
+    }
+    let same = |it: reqwest::RequestBuilder| it;
+    let cases = [
+        Case { name: "stream", path: "/review/1", change: same, status: 200, n_runs: 1 },
+        Case { name: "once", path: "/book/1?q=%2F", change: same, status: 200, n_runs: 1 },
+        Case { name: "idempotent", path: "/status/1", change: same, status: 200, n_runs: 1 },
+        Case { name: "no route", path: "/nothing/1", change: same, status: 404, n_runs: 0 },
+        Case {
+            name: "two keys",
+            path: "/book/1",
+            change: |it| it.header("authorization", "Bearer nobody"),
+            status: 400,
+            n_runs: 0,
+        },
+        Case {
+            name: "two ids",
+            path: "/book/1",
+            change: |it| it.header("x-attempt-id", "other"),
+            status: 400,
+            n_runs: 0,
+        },
+        Case {
+            name: "forged team",
+            path: "/status/2",
+            change: |it| it.header("x-tenant", "zisa").header("x-retain", "r1"),
+            status: 200,
+            n_runs: 1,
+        },
+        Case {
+            name: "body too large",
+            path: "/book/1",
+            change: |it| it.body(vec![b'x'; 200_000]),
+            status: 413,
+            n_runs: 0,
+        },
+        Case {
+            name: "two hosts",
+            path: "/book/1",
+            change: |it| it.header("host", "other.example"),
+            status: 400,
+            n_runs: 0,
+        },
+    ];
+    let site = Site::start(SiteOptions::default()).await.unwrap();
+    for (idx, case) in cases.iter().enumerate() {
+        let id = format!("c{idx}");
+        let answer = site.send((case.change)(site.request(0, &id, case.path))).await.unwrap();
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        assert_eq!(site.n_runs(&id), case.n_runs, "{}", case.name);
+        assert_eq!(answer.header("x-attempt-id") == id, case.n_runs == 1, "{}", case.name);
+        assert_eq!(answer.header("x-server-stamp").is_empty(), case.n_runs == 0, "{}", case.name);
+    }
+    let unknown = site.send(site.request_with_key(0, "k", "/book/1", "nobody")).await.unwrap();
+    assert_eq!((unknown.status, site.n_runs("k")), (401, 0), "unknown key");
+    let open = site.send(site.request_with_key(0, "a", "/open/1", "nobody")).await.unwrap();
+    assert_eq!((open.status, site.n_runs("a")), (200, 1), "a route without keys");
+    let upstreams = site.engines.iter().chain(&site.applications);
+    for ran in upstreams.flat_map(lentilhitch_standin::estate::Upstream::ran) {
+        let team = if ran.path.starts_with("/open/") { "" } else { "etna" };
+        assert_eq!(ran.header("x-tenant"), team, "{ran:?}");
+        assert_eq!(ran.header("authorization"), "", "{ran:?}");
+        assert_eq!(ran.header("x-retain"), "", "{ran:?}");
+        let remaining_ms: u64 = ran.header("x-deadline-ms").parse().unwrap();
+        assert!((1..=8_000).contains(&remaining_ms), "{ran:?}");
+        let is_get = ran.method == "GET";
+        assert_eq!(ran.body.is_empty(), is_get, "{ran:?}");
+    }
+    assert_eq!(site.applications[0].ran()[0].path, "/book/1?q=%2F");
+}
+
+#[tokio::test]
+async fn what_may_run_once_runs_once_and_is_never_told_not_run() {
+    struct Case {
+        name: &'static str,
+        behavior: Behavior,
+        status: u16,
+        n_runs: usize,
+    }
+    let cases = [
+        Case { name: "connection lost", behavior: Behavior::Drop, status: 502, n_runs: 1 },
+        Case { name: "another's answer", behavior: Behavior::OtherId, status: 502, n_runs: 1 },
+        Case { name: "own failure", behavior: Behavior::Fail, status: 500, n_runs: 1 },
+        Case { name: "full", behavior: Behavior::Full, status: 503, n_runs: 0 },
+        Case { name: "served", behavior: Behavior::Serve { work_ms: 1 }, status: 200, n_runs: 1 },
+    ];
+    let site =
+        Site::start(SiteOptions { n_applications: 2, ..SiteOptions::default() }).await.unwrap();
+    for (idx, case) in cases.iter().enumerate() {
+        site.applications.iter().for_each(|it| it.set(case.behavior));
+        let id = format!("o{idx}");
+        let answer = site.call(0, &id, "/book/x").await.unwrap();
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        assert_eq!(site.n_runs(&id), case.n_runs, "{}", case.name);
+        let tells_when = !answer.header("retry-after").is_empty();
+        assert_eq!(tells_when, case.status == 503, "{}: {answer:?}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn what_may_be_repeated_is_tried_elsewhere() {
+    let site =
+        Site::start(SiteOptions { n_applications: 2, ..SiteOptions::default() }).await.unwrap();
+    for (idx, behavior) in
+        [Behavior::Drop, Behavior::Fail, Behavior::Full, Behavior::OtherId, Behavior::Mute]
+            .into_iter()
+            .enumerate()
+    {
+        site.applications[0].set(behavior);
+        for turn in 0..4 {
+            let id = format!("r{idx}-{turn}");
+            let answer = site.call(0, &id, "/status/x").await.unwrap();
+            assert_eq!(answer.status, 200, "{behavior:?}: {answer:?}");
+            assert!(site.n_runs(&id) <= 2, "{behavior:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_crashed_upstream_is_passed_over() {
+    let site =
+        Site::start(SiteOptions { n_applications: 2, ..SiteOptions::default() }).await.unwrap();
+    for turn in 0..4 {
+        assert_eq!(site.call(0, &format!("w{turn}"), "/book/x").await.unwrap().status, 200);
+    }
+    site.applications[0].crash();
+    let mut n_unknown = 0;
+    for turn in 0..20 {
+        let answer = site.call(0, &format!("k{turn}"), "/book/x").await.unwrap();
+        n_unknown += u64::from(answer.status == 502);
+        assert!(matches!(answer.status, 200 | 502), "{answer:?}");
+    }
+    // Only a connection that was open when the upstream died leaves a doubt.
+    assert!(n_unknown <= 1, "{n_unknown} of 20 requests with unknown outcome");
+}
+
+#[tokio::test]
+async fn an_address_that_another_upstream_has_now_runs_nothing() {
+    let site = Site::start(SiteOptions::default()).await.unwrap();
+    // The address of the application is listed under another name.
+    site.store.delete("keyed.servers", "app-0");
+    let entry = serde_json::json!({
+        "service": "filing", "address": site.applications[0].address.to_string(), "zone": "a",
+        "version": "v1", "slots": 8, "state": "ready", "seq": 1, "born": 5,
+    });
+    site.store.put("keyed.servers", "app-of-before", &entry);
+    until("the entry is known", || async {
+        let answer = site.call(0, "probe", "/book/x").await.unwrap();
+        answer.status == 503
+    })
+    .await
+    .unwrap();
+    let ran = site.applications[0].ran();
+    assert!(ran.iter().all(|it| it.header("x-expect-instance") == "app-0"), "{ran:?}");
+}
+
+#[tokio::test]
+async fn unreadable_entries_and_configurations_lose_nothing() {
+    let site = Site::start(SiteOptions::default()).await.unwrap();
+    site.store.put("keyed.servers", "app-0", &serde_json::json!({ "service": 7 }));
+    site.store.put("keyed.servers", "stranger", &serde_json::json!({ "state": "lost" }));
+    site.store.put("keyed.op", "config", &serde_json::json!({ "version": "x" }));
+    site.store.put("keyed.op", "notes", &serde_json::json!({ "text": "not for us" }));
+    let n_calls = site.store.n_calls();
+    until("the store was read again", || async { n_calls + 6 < site.store.n_calls() })
+        .await
+        .unwrap();
+    assert_eq!(site.call(0, "u1", "/book/x").await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn a_slow_head_and_a_broken_request_are_turned_away() {
+    use std::io::{Read as _, Write as _};
+    let site = Site::start(SiteOptions::default()).await.unwrap();
+    let front = site.nodes[0].front;
+    for (name, text) in [
+        ("slow head", "POST /book/x HTTP/1.1\r\nHost: estate.example\r\nX-Attempt-Id: s1\r\n"),
+        ("no HTTP", "\u{1}\u{2}\u{3}\r\n\r\n"),
+        (
+            "two framings",
+            "POST /book/x HTTP/1.1\r\nHost: estate.example\r\nX-Attempt-Id: s2\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+        ),
+    ] {
+        let received = tokio::task::spawn_blocking(move || {
+            let mut stream = std::net::TcpStream::connect(front).unwrap();
+            stream.write_all(text.as_bytes()).unwrap();
+            let mut received = Vec::new();
+            // A reset ends the connection as well as its end does.
+            let _ = stream.read_to_end(&mut received);
+            String::from_utf8_lossy(&received).into_owned()
+        })
+        .await
+        .unwrap();
+        assert!(!received.contains(" 200 "), "{name}: {received}");
+    }
+    assert_eq!(site.n_runs("s1") + site.n_runs("s2"), 0);
+}
+
+#[tokio::test]
+async fn operators_see_metrics_and_state() {
+    let site = Site::start(SiteOptions::default()).await.unwrap();
+    site.call(0, "m1", "/book/x").await.unwrap();
+    let get = async |path: &str| {
+        let url = format!("http://{}{path}", site.nodes[0].metrics);
+        site.http.get(url).send().await.unwrap().text().await.unwrap()
+    };
+    let metrics = get("/metrics").await;
+    assert!(metrics.contains("lentilhitch_requests"), "{metrics}");
+    let status = get("/v1/status").await;
+    assert!(status.contains("\"is_ready\":true"), "{status}");
+    until("the request's lines are logged", || async {
+        let log = site.nodes[0].process.log_text();
+        log.contains("\"request\":\"m1\"") && log.contains("upstream answered")
+    })
+    .await
+    .unwrap();
+}
--- /dev/null
+++ b/crates/lentilhitch/tests/edge_streams.rs
@@ -0,0 +1,115 @@
+//! Streams on the users' platform: whole events only, resumed where allowed, moved with their memory, cut with the client.
+
+use lentilhitch_standin::{
+    estate::{Behavior, Site, SiteOptions},
+    harness::until,
+};
+use serde_json::json;
+
+const N_EVENTS: u64 = 6;
+
+fn whole() -> Vec<u64> {
+    (1..=N_EVENTS).collect()
+}
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_only_where_it_may() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        is_whole: bool,
+        n_runs: usize,
+    }
+    let cases = [
+        Case { name: "resumable", path: "/review/x", is_whole: true, n_runs: 2 },
+        Case { name: "not resumable", path: "/ask/x", is_whole: false, n_runs: 1 },
+    ];
+    for case in cases {
+        let site =
+            Site::start(SiteOptions { n_engines: 2, ..SiteOptions::default() }).await.unwrap();
+        for it in &site.engines {
+            it.set(Behavior::Stream { n_events: N_EVENTS, pause_ms: 5, break_after: Some(3) });
+        }
+        let answer = site.call(0, "s1", case.path).await.unwrap();
+        assert_eq!(answer.status, 200, "{}", case.name);
+        assert_eq!(answer.is_whole, case.is_whole, "{}: {answer:?}", case.name);
+        assert_eq!(site.n_runs("s1"), case.n_runs, "{}", case.name);
+        let ids = answer.event_ids();
+        assert!(whole().starts_with(&ids), "{}: {ids:?}", case.name);
+        assert_eq!(ids == whole(), case.is_whole, "{}: {ids:?}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn a_client_may_resume_by_itself() {
+    let site = Site::start(SiteOptions::default()).await.unwrap();
+    site.engines[0].set(Behavior::Stream { n_events: N_EVENTS, pause_ms: 1, break_after: None });
+    let request = site.request(0, "s2", "/review/x").header("last-event-id", "4");
+    let answer = site.send(request).await.unwrap();
+    assert_eq!(answer.event_ids(), [5, 6]);
+    assert_eq!(site.engines[0].ran()[0].header("last-event-id"), "4");
+}
+
+#[tokio::test]
+async fn a_leaving_engine_hands_its_streams_over_with_their_memory() {
+    let site = Site::start(SiteOptions { n_engines: 1, ..SiteOptions::default() }).await.unwrap();
+    let engine = &site.engines[0];
+    engine.set(Behavior::Stream { n_events: 400, pause_ms: 20, break_after: None });
+    let request = site.request(0, "s3", "/ask/x");
+    let call = async {
+        let mut response = request.send().await.unwrap();
+        let first = response.chunk().await.unwrap();
+        assert!(first.is_some());
+        // The engine learns that it leaves in a moment; another one is there.
+        engine.list(&site.store, &json!({ "state": "draining", "leaves_ms": 1_500, "seq": 2 }));
+        let mut text = String::new();
+        while let Ok(Some(piece)) = response.chunk().await {
+            text.push_str(&String::from_utf8_lossy(&piece));
+        }
+        text
+    };
+    let other = lentilhitch_standin::estate::Upstream::listed(
+        &site.store,
+        "engine-9",
+        "draft",
+        Behavior::Stream { n_events: 400, pause_ms: 1, break_after: None },
+    )
+    .await
+    .unwrap();
+    until("the other engine is known", || async {
+        site.nodes[0].process.log_text().contains("engine-9")
+    })
+    .await
+    .unwrap();
+    let text = call.await;
+    assert!(text.ends_with("id: 400\ndata: 400\n\n"), "{}", &text[text.len() - 80..]);
+    let ids: Vec<u64> =
+        text.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok()).collect();
+    assert!(ids.windows(2).all(|it| it[0] + 1 == it[1]), "a piece is missing or twice: {ids:?}");
+    let moved = engine.moved();
+    assert_eq!(moved.len(), 1, "{moved:?}");
+    assert_eq!(moved[0]["id"], "s3");
+    let ran = other.ran();
+    assert_eq!(ran[0].header("kv-from"), format!("{}/h1", engine.address));
+}
+
+#[tokio::test]
+async fn work_ends_with_its_client() {
+    let site = Site::start(SiteOptions::default()).await.unwrap();
+    let engine = &site.engines[0];
+    engine.set(Behavior::Stream { n_events: 100_000, pause_ms: 5, break_after: None });
+    let mut response = site.request(0, "s4", "/ask/x").send().await.unwrap();
+    response.chunk().await.unwrap();
+    drop(response);
+    until("the engine's run is cut", || async { engine.n_cut() == 1 }).await.unwrap();
+    engine.set(Behavior::Mute);
+    let mute = site.request(0, "s5", "/ask/x").timeout(std::time::Duration::from_millis(300));
+    assert!(mute.send().await.is_err());
+    until("the place is given back", || async {
+        let url = format!("http://{}/v1/status", site.nodes[0].metrics);
+        let status = site.http.get(url).send().await.unwrap().text().await.unwrap();
+        status.contains("\"n_in_flight\":0")
+    })
+    .await
+    .unwrap();
+}
--- /dev/null
+++ b/crates/lentilhitch_standin/src/estate.rs
@@ -0,0 +1,64 @@
+//! Stand-ins of the users' platform: log store, duties API, balancer's question, upstreams; and real nodes before them.
+//!
+//! They speak the published protocol and run inside the test, so that a test can look at what they saw and change how
+//! they behave; the nodes are processes of the shipped binary.
+
+mod log_store;
+mod site;
+mod upstream;
+
+pub use log_store::{LogStore, StoreFault};
+pub use site::{Answer, Site, SiteOptions};
+pub use upstream::{Behavior, Ran, Upstream};
+
+use std::{convert::Infallible, future::Future, net::SocketAddr};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, combinators::BoxBody};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// The body of a stand-in's answer. An error breaks the connection off.
+type StandInBody = BoxBody<Bytes, std::io::Error>;
+
+/// Serves HTTP on an address of its own. An answer of `None` closes the connection without a word.
+async fn serve_http<F, R>(answer: F) -> std::io::Result<(SocketAddr, tokio::task::JoinHandle<()>)>
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Option<Response<StandInBody>>> + Send,
+{
+    let listener = TcpListener::bind(crate::harness::free_address()?).await?;
+    let address = listener.local_addr()?;
+    let task = tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            connections.spawn(async move {
+                let service = service_fn(|request| {
+                    let answer = answer(request);
+                    async { answer.await.ok_or(std::io::Error::other("broken off")) }
+                });
+                // The end of a connection is what many tests bring about.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    Ok((address, task))
+}
+
+fn full(bytes: impl Into<Bytes>) -> StandInBody {
+    http_body_util::Full::new(bytes.into()).map_err(infallible).boxed()
+}
+
+fn infallible(never: Infallible) -> std::io::Error {
+    match never {}
+}
+
+async fn whole(body: Incoming) -> Option<Bytes> {
+    Some(body.collect().await.ok()?.to_bytes())
+}
+
+fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|it| it.strip_prefix(name)?.strip_prefix('='))
+}
--- /dev/null
+++ b/crates/lentilhitch_standin/src/estate/log_store.rs
@@ -0,0 +1,263 @@
+//! The log store and the duties API in memory.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use hyper::{Method, Request, Response, body::Incoming};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use crate::estate::{StandInBody, full, query_value, serve_http, whole};
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    #[default]
+    None,
+    /// Every call is refused.
+    Busy,
+    /// No call is answered.
+    Silent,
+    /// Appends are done and not answered.
+    LostAnswers,
+}
+
+#[derive(Default)]
+struct Topic {
+    records: Vec<Bytes>,
+    /// Records before this offset are no longer kept.
+    first: usize,
+    newest: BTreeMap<String, (usize, Bytes)>,
+}
+
+#[derive(Default)]
+struct State {
+    topics: BTreeMap<String, Topic>,
+    fault: StoreFault,
+    n_calls: u64,
+    duty_calls: Vec<(String, u64, String, Value)>,
+    fences: BTreeMap<String, u64>,
+}
+
+/// The store, shared with its server.
+#[derive(Clone)]
+pub struct LogStore {
+    state: Arc<Mutex<State>>,
+    written: Arc<Notify>,
+    pub address: SocketAddr,
+    pub cloud_address: SocketAddr,
+}
+
+impl LogStore {
+    /// Starts the store and the duties API.
+    pub async fn start() -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let written = Arc::new(Notify::new());
+        let shared = (state.clone(), written.clone());
+        let (address, _) = serve_http(move |request| {
+            let (state, written) = shared.clone();
+            async move { answer(&state, &written, request).await }
+        })
+        .await?;
+        let shared = state.clone();
+        let (cloud_address, _) = serve_http(move |request| {
+            let state = shared.clone();
+            async move { answer_duty(&state, request).await }
+        })
+        .await?;
+        Ok(Self { state, written, address, cloud_address })
+    }
+
+    /// Writes the newest record of a key, as operators and upstreams do.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        let mut content = BytesMut::new();
+        content.put_u8(key.len() as u8);
+        content.put_slice(key.as_bytes());
+        content.put_slice(value.to_string().as_bytes());
+        append(
+            self.state.lock().topics.entry(topic.to_owned()).or_default(),
+            content.freeze(),
+            true,
+        );
+        self.written.notify_waiters();
+    }
+
+    /// Ends a key.
+    pub fn delete(&self, topic: &str, key: &str) {
+        let mut content = BytesMut::new();
+        content.put_u8(key.len() as u8);
+        content.put_slice(key.as_bytes());
+        append(
+            self.state.lock().topics.entry(topic.to_owned()).or_default(),
+            content.freeze(),
+            true,
+        );
+        self.written.notify_waiters();
+    }
+
+    /// Forgets all records of a topic but the newest of each key.
+    pub fn forget_history(&self, topic: &str) {
+        if let Some(topic) = self.state.lock().topics.get_mut(topic) {
+            topic.first = topic.records.len();
+        }
+    }
+
+    /// Changes how the store behaves.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state.lock().fault = fault;
+    }
+
+    /// Calls up to now.
+    pub fn n_calls(&self) -> u64 {
+        self.state.lock().n_calls
+    }
+
+    /// Accepted calls of a duty: holder, fencing number, body.
+    pub fn duty_calls(&self, duty: &str) -> Vec<(String, u64, Value)> {
+        let state = self.state.lock();
+        let calls = state.duty_calls.iter().filter(|it| it.2 == duty);
+        calls.map(|it| (it.0.clone(), it.1, it.3.clone())).collect()
+    }
+}
+
+fn append(topic: &mut Topic, content: Bytes, is_keyed: bool) {
+    let offset = topic.records.len();
+    if is_keyed {
+        let mut rest = content.clone();
+        let key_bytes = rest.get_u8() as usize;
+        let key = String::from_utf8_lossy(&rest.split_to(key_bytes)).into_owned();
+        if rest.is_empty() {
+            topic.newest.remove(&key);
+        } else {
+            topic.newest.insert(key, (offset, rest));
+        }
+    }
+    topic.records.push(content);
+}
+
+async fn answer(
+    state: &Mutex<State>,
+    written: &Notify,
+    request: Request<Incoming>,
+) -> Option<Response<StandInBody>> {
+    let (parts, body) = request.into_parts();
+    let query = parts.uri.query().unwrap_or_default().to_owned();
+    let body = whole(body).await?;
+    let fault = {
+        let mut state = state.lock();
+        state.n_calls += 1;
+        state.fault
+    };
+    match fault {
+        StoreFault::Busy => return Some(status(503, &json!({}))),
+        StoreFault::Silent => std::future::pending().await,
+        StoreFault::None | StoreFault::LostAnswers => {}
+    }
+    match (parts.method, parts.uri.path()) {
+        (Method::POST, "/lentilhitch/log-append") => {
+            let answer = take_append(&mut state.lock(), &query, body);
+            written.notify_waiters();
+            if fault == StoreFault::LostAnswers {
+                std::future::pending().await
+            }
+            Some(answer)
+        }
+        (Method::GET, "/lentilhitch/log-read") => Some(read(state, written, &query).await),
+        (Method::GET, "/lentilhitch/log-newest") => Some(newest(&mut state.lock(), &query)),
+        _ => Some(status(404, &json!({}))),
+    }
+}
+
+fn take_append(state: &mut State, query: &str, mut body: Bytes) -> Response<StandInBody> {
+    let name = query_value(query, "topic").unwrap_or_default();
+    if matches!(name, "keyed.op" | "keyed.servers") {
+        return status(403, &json!({}));
+    }
+    let topic = state.topics.entry(name.to_owned()).or_default();
+    let offset = topic.records.len();
+    let at: Option<usize> = query_value(query, "at").and_then(|it| it.parse().ok());
+    if at.is_some_and(|it| it != offset) {
+        return status(412, &json!({ "end": offset }));
+    }
+    while 4 <= body.len() {
+        let n_bytes = body.get_u32() as usize;
+        append(topic, body.split_to(n_bytes), name.starts_with("keyed."));
+    }
+    status(200, &json!({ "offset": offset, "end": topic.records.len() }))
+}
+
+async fn read(state: &Mutex<State>, written: &Notify, query: &str) -> Response<StandInBody> {
+    let name = query_value(query, "topic").unwrap_or_default();
+    let from: usize = query_value(query, "from").and_then(|it| it.parse().ok()).unwrap_or_default();
+    let wait_ms = query_value(query, "waitMs").and_then(|it| it.parse().ok()).unwrap_or_default();
+    let limit = tokio::time::sleep(Duration::from_millis(wait_ms));
+    tokio::pin!(limit);
+    loop {
+        let news = written.notified();
+        {
+            let mut state = state.lock();
+            let topic = state.topics.entry(name.to_owned()).or_default();
+            if from < topic.first {
+                return status(410, &json!({ "first": topic.first }));
+            }
+            if from < topic.records.len() || wait_ms == 0 || limit.is_elapsed() {
+                return Response::new(full(page(topic, from)));
+            }
+        }
+        tokio::select! {
+            () = news => {}
+            () = &mut limit => {}
+        }
+    }
+}
+
+fn page(topic: &Topic, from: usize) -> Bytes {
+    let mut bytes = BytesMut::new();
+    bytes.put_u64(topic.records.len() as u64);
+    bytes.put_u64(topic.first as u64);
+    for record in topic.records.iter().skip(from) {
+        bytes.put_u32(record.len() as u32);
+        bytes.put_slice(record);
+    }
+    bytes.freeze()
+}
+
+fn newest(state: &mut State, query: &str) -> Response<StandInBody> {
+    let name = query_value(query, "topic").unwrap_or_default();
+    let topic = state.topics.entry(name.to_owned()).or_default();
+    let item = |(key, (offset, value)): (&String, &(usize, Bytes))| json!({ "key": key, "value": STANDARD.encode(value), "offset": offset });
+    let items: Vec<_> = topic.newest.iter().map(item).collect();
+    status(200, &json!({ "items": items, "truncated": false, "end": topic.records.len() }))
+}
+
+async fn answer_duty(
+    state: &Mutex<State>,
+    request: Request<Incoming>,
+) -> Option<Response<StandInBody>> {
+    let (parts, body) = request.into_parts();
+    let body: Value = serde_json::from_slice(&whole(body).await?).ok()?;
+    let header = |name: &str| parts.headers.get(name)?.to_str().ok().map(str::to_owned);
+    let holder = header("x-duty-holder")?;
+    let fence: u64 = header("x-fencing-token")?.parse().ok()?;
+    let duty = parts.uri.path().trim_start_matches('/').to_owned();
+    let subject = match duty.as_str() {
+        "scale" => format!("{duty} {} {}", body["service"], body["zone"]),
+        _ => duty.clone(),
+    };
+    let mut state = state.lock();
+    let highest = state.fences.entry(subject).or_default();
+    if fence < *highest {
+        return Some(status(409, &json!({ "reason": "fenced" })));
+    }
+    *highest = fence;
+    state.duty_calls.push((holder, fence, duty, body));
+    Some(status(200, &json!({})))
+}
+
+fn status(code: u16, body: &Value) -> Response<StandInBody> {
+    let mut response = Response::new(full(body.to_string()));
+    *response.status_mut() = code.try_into().expect("a status");
+    response
+}
--- /dev/null
+++ b/crates/lentilhitch_standin/src/estate/site.rs
@@ -0,0 +1,269 @@
+//! A whole deployment: store, upstreams and nodes.
+
+use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::{
+    estate::{Behavior, LogStore, Upstream},
+    harness::{Process, free_address, until},
+};
+
+/// The host, key and team of every request.
+const HOST: &str = "estate.example";
+const KEY: &str = "key-of-etna";
+const ZONES: [&str; 2] = ["a", "b"];
+
+/// What to start.
+#[derive(Clone, Copy, Debug)]
+pub struct SiteOptions {
+    pub n_nodes: usize,
+    pub n_engines: usize,
+    pub n_applications: usize,
+    /// Length of a usage window in seconds.
+    pub usage_window_s: f64,
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        Self { n_nodes: 1, n_engines: 1, n_applications: 1, usage_window_s: 1.0 }
+    }
+}
+
+/// One node's process.
+pub struct Node {
+    pub process: Process,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    settings: PathBuf,
+}
+
+/// A running deployment.
+pub struct Site {
+    pub store: LogStore,
+    pub engines: Vec<Upstream>,
+    pub applications: Vec<Upstream>,
+    pub nodes: Vec<Node>,
+    pub http: reqwest::Client,
+    version: u64,
+    folder: TempDir,
+}
+
+/// What a client got.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: reqwest::header::HeaderMap,
+    /// The body up to where it ended.
+    pub body: Bytes,
+    /// Whether the body ended as a whole.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    /// A header as text; empty if absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or_default()
+    }
+
+    /// The ids of the events in the body.
+    pub fn event_ids(&self) -> Vec<u64> {
+        let text = String::from_utf8_lossy(&self.body);
+        text.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok()).collect()
+    }
+}
+
+impl Site {
+    /// Starts everything and waits until all nodes are ready.
+    pub async fn start(options: SiteOptions) -> anyhow::Result<Self> {
+        let store = LogStore::start().await?;
+        let stream = Behavior::Stream { n_events: 5, pause_ms: 5, break_after: None };
+        let engines = start_upstreams("engine", "draft", options.n_engines, stream).await?;
+        let serve = Behavior::Serve { work_ms: 1 };
+        let applications = start_upstreams("app", "filing", options.n_applications, serve).await?;
+        for it in engines.iter().chain(&applications) {
+            it.list(&store, &json!({}));
+        }
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        let folder = tempfile::tempdir()?;
+        let nodes = Vec::new();
+        let mut site = Self { store, engines, applications, nodes, http, version: 0, folder };
+        site.put_config(|_| {});
+        for idx in 0..options.n_nodes {
+            site.start_node(idx, &options)?;
+        }
+        site.until_ready().await?;
+        Ok(site)
+    }
+
+    /// Writes a new configuration: the usual one, changed.
+    pub fn put_config(&mut self, change: impl FnOnce(&mut Value)) -> u64 {
+        self.version += 3;
+        let mut config = usual_config(self.version);
+        change(&mut config);
+        self.store.put("keyed.op", "config", &config);
+        self.version
+    }
+
+    fn start_node(&mut self, idx: usize, options: &SiteOptions) -> anyhow::Result<()> {
+        let name = format!("edge-{}-{idx}", ZONES[idx % 2]);
+        let front = free_address()?;
+        let ready = free_address()?;
+        let ip = front.ip();
+        // The ports of a node lie within one range of its own address.
+        let first_port = 20_000;
+        let settings = json!({
+            "nodeName": name, "role": "edge", "machineClass": "edge", "serves": ["edge"],
+            "ip": ip.to_string(), "zone": ZONES[idx % 2], "region": "r",
+            "listen": { "frontend": front.to_string(), "ready": ready.to_string() },
+            "portRange": [first_port, first_port + 15], "seeds": [], "bootstrap": true,
+            "limits": { "memoryMb": 260 },
+            "bounds": { "usageWindowS": options.usage_window_s, "usageDelayS": 4, "graceS": 6 },
+            "platform": { "address": self.store.address.to_string() },
+            "cloud": {
+                "address": self.store.cloud_address.to_string(),
+                "duties": ["usage_report", "autoscale"],
+            },
+            "aFieldOfLater": true,
+        });
+        let path = self.folder.path().join(format!("{name}.json"));
+        fs::write(&path, settings.to_string())?;
+        let process = start_process(&name, &path)?;
+        let metrics = SocketAddr::new(ip, first_port + 2);
+        self.nodes.push(Node { process, front, ready, metrics, settings: path });
+        Ok(())
+    }
+
+    /// Starts a node anew that has ended.
+    pub fn restart(&mut self, idx: usize) -> anyhow::Result<()> {
+        let node = &mut self.nodes[idx];
+        let name = node.process.name.clone();
+        node.process = start_process(&name, &node.settings)?;
+        Ok(())
+    }
+
+    /// Waits until every node says that it is ready.
+    pub async fn until_ready(&self) -> anyhow::Result<()> {
+        for node in &self.nodes {
+            until("a node is ready", || async { self.is_ready(node).await }).await?;
+        }
+        Ok(())
+    }
+
+    /// Whether a node says that it is ready.
+    pub async fn is_ready(&self, node: &Node) -> bool {
+        let url = format!("http://{}/lentilhitch/readiness", node.ready);
+        let response = self.http.get(url).timeout(Duration::from_secs(2)).send().await;
+        response.is_ok_and(|it| it.status().is_success())
+    }
+
+    /// A request of the usual team at a node.
+    pub fn request(&self, node: usize, id: &str, path: &str) -> reqwest::RequestBuilder {
+        self.request_with_key(node, id, path, KEY)
+    }
+
+    /// A request with some key at a node.
+    pub fn request_with_key(
+        &self,
+        node: usize,
+        id: &str,
+        path: &str,
+        key: &str,
+    ) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.nodes[node].front);
+        let request = if path.starts_with("/status/") {
+            self.http.get(url)
+        } else {
+            self.http.post(url).body("what the client says")
+        };
+        request
+            .header("host", HOST)
+            .header("x-attempt-id", id)
+            .header("x-deadline-ms", "8000")
+            .bearer_auth(key)
+    }
+
+    /// Sends a request and reads its answer as far as it comes.
+    pub async fn send(&self, request: reqwest::RequestBuilder) -> anyhow::Result<Answer> {
+        let mut response = request.send().await.context("no answer")?;
+        let (status, headers) = (response.status().as_u16(), response.headers().clone());
+        let mut body = Vec::new();
+        let is_whole = loop {
+            match response.chunk().await {
+                Ok(Some(piece)) => body.extend_from_slice(&piece),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        Ok(Answer { status, headers, body: body.into(), is_whole })
+    }
+
+    /// Sends the usual request for a path.
+    pub async fn call(&self, node: usize, id: &str, path: &str) -> anyhow::Result<Answer> {
+        self.send(self.request(node, id, path)).await
+    }
+
+    /// How often upstreams ran the request with this id.
+    pub fn n_runs(&self, id: &str) -> usize {
+        let upstreams = self.engines.iter().chain(&self.applications);
+        upstreams.flat_map(Upstream::ran).filter(|it| it.id == id).count()
+    }
+}
+
+fn start_process(name: &str, settings: &std::path::Path) -> anyhow::Result<Process> {
+    let folder = settings.parent().context("settings in no folder")?;
+    let args = ["edge".to_owned(), "--settings".to_owned(), settings.display().to_string()];
+    Process::start(name, folder, "lentilhitch", &args)
+}
+
+async fn start_upstreams(
+    name: &str,
+    service: &str,
+    n: usize,
+    behavior: Behavior,
+) -> anyhow::Result<Vec<Upstream>> {
+    let mut upstreams = Vec::new();
+    for idx in 0..n {
+        let id = format!("{name}-{idx}");
+        upstreams.push(Upstream::start(&id, service, ZONES[idx % 2], behavior).await?);
+    }
+    Ok(upstreams)
+}
+
+/// Routes of each kind: `/review/` is a stream that may be resumed, `/ask/` one that may not, `/book/` runs at most once,
+/// `/status/` may be repeated, `/open/` needs no key.
+fn usual_config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "routeKind": kind,
+            "timeoutMs": 8_000, "ttftTargetMs": 500, "priority": 1, "service": service,
+            "attempts": attempts, "anonymous": name == "open", "sticky": false,
+            "resumable": name == "review", "itlTargetMs": 500,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("review", "streaming", "draft", 2),
+            route("ask", "streaming", "draft", 1),
+            route("book", "non_idempotent", "filing", 1),
+            route("status", "idempotent", "filing", 2),
+            route("open", "idempotent", "filing", 1),
+        ],
+        "services": [
+            { "name": "draft", "healthPath": "/health", "maxConns": 100,
+              "engine": { "slots": 8, "kvCapacity": 100_000, "moves": true, "backups": true } },
+            { "name": "filing", "healthPath": "/health", "maxConns": 100 },
+        ],
+        "limits": { "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000,
+                    "headerTimeoutMs": 500, "idleTimeoutMs": 15_000 },
+        "tenants": [
+            { "name": "etna", "apiKeys": [KEY], "priority": 1, "unit": "token_count",
+              "uncachedTokens": 200, "ratePerS": 1_000_000, "burst": 1_000_000 },
+        ],
+    })
+}
--- /dev/null
+++ b/crates/lentilhitch_standin/src/estate/upstream.rs
@@ -0,0 +1,275 @@
+//! An upstream that lists itself, answers as it is told to, and remembers what it ran.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    HeaderMap, Request, Response,
+    body::{Frame, Incoming},
+};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+use crate::estate::{LogStore, StandInBody, full, serve_http, whole};
+
+/// How an upstream answers a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behavior {
+    /// A whole plain answer after a while.
+    Serve { work_ms: u64 },
+    /// A stream of events with a pause before each; broken off after `break_after` of them, if set.
+    Stream { n_events: u64, pause_ms: u64, break_after: Option<u64> },
+    /// It runs the request and closes the connection without an answer.
+    Drop,
+    /// It does not run the request and says so.
+    Full,
+    /// It answers with a failure of its own.
+    Fail,
+    /// It answers with the id of another request.
+    OtherId,
+    /// It runs the request and never answers.
+    Mute,
+}
+
+/// A request that an upstream ran.
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub id: String,
+    pub method: String,
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Whether the upstream sent its answer to the end.
+    pub is_answered: bool,
+}
+
+impl Ran {
+    /// A header as text; empty if absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or_default()
+    }
+}
+
+struct State {
+    behavior: Behavior,
+    ran: Vec<Ran>,
+    /// Streams whose connection ended before they did.
+    n_cut: u64,
+    moved: Vec<Value>,
+}
+
+/// An upstream in the test's process.
+pub struct Upstream {
+    pub id: String,
+    pub address: SocketAddr,
+    service: String,
+    zone: String,
+    state: Arc<Mutex<State>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Upstream {
+    pub(super) async fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        behavior: Behavior,
+    ) -> std::io::Result<Self> {
+        let state = State { behavior, ran: Vec::new(), n_cut: 0, moved: Vec::new() };
+        let state = Arc::new(Mutex::new(state));
+        let (shared, own) = (state.clone(), id.to_owned());
+        let (address, task) = serve_http(move |request| {
+            let (state, own) = (shared.clone(), own.clone());
+            async move { answer(&state, &own, request).await }
+        })
+        .await?;
+        let (id, service, zone) = (id.to_owned(), service.to_owned(), zone.to_owned());
+        Ok(Self { id, address, service, zone, state, task })
+    }
+
+    /// Starts another one beside those of the deployment and lists it.
+    pub async fn listed(
+        store: &LogStore,
+        id: &str,
+        service: &str,
+        behavior: Behavior,
+    ) -> std::io::Result<Self> {
+        let upstream = Self::start(id, service, "a", behavior).await?;
+        upstream.list(store, &json!({}));
+        Ok(upstream)
+    }
+
+    /// Writes its entry into the store; `extra` replaces fields.
+    pub fn list(&self, store: &LogStore, extra: &Value) {
+        let mut entry = json!({
+            "service": self.service, "address": self.address.to_string(), "zone": self.zone,
+            "version": "v1", "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1,
+        });
+        for (name, value) in extra.as_object().into_iter().flatten() {
+            entry[name] = value.clone();
+        }
+        store.put("keyed.servers", &self.id, &entry);
+    }
+
+    /// Changes how it answers from now on.
+    pub fn set(&self, behavior: Behavior) {
+        self.state.lock().behavior = behavior;
+    }
+
+    /// What it ran up to now.
+    pub fn ran(&self) -> Vec<Ran> {
+        self.state.lock().ran.clone()
+    }
+
+    /// Streams whose connection ended before they did.
+    pub fn n_cut(&self) -> u64 {
+        self.state.lock().n_cut
+    }
+
+    /// Runs whose memory it was asked to copy.
+    pub fn moved(&self) -> Vec<Value> {
+        self.state.lock().moved.clone()
+    }
+
+    /// Ends it: its port is closed and all its connections are.
+    pub fn crash(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn answer(
+    state: &Arc<Mutex<State>>,
+    own: &str,
+    request: Request<Incoming>,
+) -> Option<Response<StandInBody>> {
+    let (parts, body) = request.into_parts();
+    let body = whole(body).await?;
+    if parts.uri.path() == "/lentilhitch/kv-move" {
+        return Some(take_move(state, &body));
+    }
+    let header = |name: &str| parts.headers.get(name).and_then(|it| it.to_str().ok());
+    if header("x-expect-instance").is_some_and(|it| it != own) {
+        return Some(with_status(421, full("")));
+    }
+    let behavior = state.lock().behavior;
+    if behavior == Behavior::Full {
+        let mut response = with_status(503, full(""));
+        response.headers_mut().insert("x-not-executed", "1".parse().ok()?);
+        return Some(response);
+    }
+    let id = header("x-attempt-id").unwrap_or_default().to_owned();
+    let index = {
+        let mut state = state.lock();
+        state.ran.push(Ran {
+            id: id.clone(),
+            method: parts.method.to_string(),
+            path: parts.uri.to_string(),
+            headers: parts.headers.clone(),
+            body,
+            is_answered: false,
+        });
+        state.ran.len() - 1
+    };
+    let after = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or_default();
+    let response = match behavior {
+        Behavior::Serve { work_ms } => {
+            tokio::time::sleep(Duration::from_millis(work_ms)).await;
+            state.lock().ran[index].is_answered = true;
+            Response::new(full(format!("answer of {own}")))
+        }
+        Behavior::Stream { n_events, pause_ms, break_after } => {
+            Response::new(events(state.clone(), index, (after, n_events), pause_ms, break_after))
+        }
+        Behavior::Fail => with_status(500, full("no")),
+        Behavior::OtherId => return stamped(Response::new(full("another's")), "another", own),
+        Behavior::Drop => return None,
+        Behavior::Mute => std::future::pending().await,
+        Behavior::Full => return None,
+    };
+    stamped(response, &id, own)
+}
+
+fn take_move(state: &Mutex<State>, body: &[u8]) -> Response<StandInBody> {
+    let call: Value = serde_json::from_slice(body).unwrap_or_default();
+    state.lock().moved.push(call);
+    Response::new(full(json!({ "handle": "h1", "created": 1 }).to_string()))
+}
+
+fn with_status(code: u16, body: StandInBody) -> Response<StandInBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = code.try_into().expect("a status");
+    response
+}
+
+fn stamped(
+    mut response: Response<StandInBody>,
+    id: &str,
+    own: &str,
+) -> Option<Response<StandInBody>> {
+    let headers = response.headers_mut();
+    headers.insert("x-attempt-id", id.parse().ok()?);
+    headers.insert("x-server-stamp", format!("stamp.{own}").parse().ok()?);
+    Some(response)
+}
+
+/// Counts a stream that is dropped before its end.
+struct CutWatch(Arc<Mutex<State>>, bool);
+
+impl Drop for CutWatch {
+    fn drop(&mut self) {
+        if !self.1 {
+            self.0.lock().n_cut += 1;
+        }
+    }
+}
+
+fn events(
+    state: Arc<Mutex<State>>,
+    index: usize,
+    (after, last): (u64, u64),
+    pause_ms: u64,
+    break_after: Option<u64>,
+) -> StandInBody {
+    let start = (after + 1, CutWatch(state.clone(), false));
+    let pieces = stream::unfold(Some(start), move |at| {
+        let state = state.clone();
+        async move {
+            let (id, mut watch) = at?;
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            if last < id {
+                watch.1 = true;
+                state.lock().ran[index].is_answered = true;
+                return None;
+            }
+            if break_after.is_some_and(|it| after + it < id) {
+                watch.1 = true;
+                return Some((Err(std::io::Error::other("broken off")), None));
+            }
+            let event = Bytes::from(format!("id: {id}\ndata: {id}\n\n"));
+            Some((Ok(Frame::data(event)), Some((id + 1, watch))))
+        }
+    });
+    BodyExt::boxed(StreamBody::new(Box::pin(SyncStream(Mutex::new(Box::pin(pieces))))))
+}
+
+/// Makes a stream that is polled by one task at a time shareable, as the body type asks.
+struct SyncStream<S>(Mutex<S>);
+
+impl<S: stream::Stream + Unpin> stream::Stream for SyncStream<S> {
+    type Item = S::Item;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<S::Item>> {
+        std::pin::Pin::new(self.0.get_mut()).poll_next(cx)
+    }
+}
--- a/crates/lentilhitch_standin/src/harness.rs
+++ b/crates/lentilhitch_standin/src/harness.rs
@@ -16,6 +16,7 @@
 pub use cluster::{Cluster, Entry, Upstream};
 pub use events::{Events, read_events, read_events_until};
 pub use options::Options;
+pub(crate) use process::free_address;
 pub use process::{Process, resident_kib};
 
 /// Longest wait for a condition.
--- a/crates/lentilhitch_standin/src/harness/process.rs
+++ b/crates/lentilhitch_standin/src/harness/process.rs
@@ -33,7 +33,7 @@
 }
 
 impl Process {
-    pub(super) fn start(
+    pub(crate) fn start(
         name: &str,
         folder: &Path,
         binary: &str,
@@ -142,7 +142,7 @@
 }
 
 /// A loopback address of its own, with a port that the system chose.
-pub(super) fn free_address() -> io::Result<SocketAddr> {
+pub(crate) fn free_address() -> io::Result<SocketAddr> {
     let pid = std::process::id().to_le_bytes();
     let host = N_ADDRESSES.fetch_add(1, Ordering::Relaxed).max(1);
     let ip = IpAddr::V4(Ipv4Addr::new(127, pid[1] | 1, pid[0], host));
--- a/crates/lentilhitch_standin/src/lib.rs
+++ b/crates/lentilhitch_standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod application;
 pub mod demo;
 pub mod engine;
+pub mod estate;
 pub mod harness;
 pub mod load;
 pub mod platform;
