One reader of the store in each zone; slim messages between nodes; counts go to the holder

Ruled out: longer pauses alone, since the list must be known within the drain bound. Conclusion: digests let nodes vouch for each other's lists; silence is measured in pauses.

--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -9,7 +9,10 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use lentilhitch_policy::traffic::{Route, RouteTable};
+use lentilhitch_policy::{
+    shared_rate::Peering,
+    traffic::{Route, RouteTable},
+};
 use lentilhitch_types::{Fingerprint, ServiceName, TeamName};
 
 use crate::{
@@ -215,10 +218,11 @@
         let limit = table.config.teams.iter().find(|it| it.name == *team).and_then(|it| it.limit);
         let Some(limit) = limit else { return Ok(0.0) };
         let cost = limit.unit.cost(head.total_tokens());
-        let (now_ms, n_nodes) = (self.now_ms(), self.n_nodes());
+        let now_ms = self.now_ms();
+        let peering = Peering { n_nodes: self.n_nodes(), silent_after_ms: self.silent_after_ms() };
         let mut state = self.state.borrow_mut();
         let Some(rate) = state.rates.get_mut(team) else { return Ok(0.0) };
-        match rate.take(cost, n_nodes, now_ms) {
+        match rate.take(cost, peering, now_ms) {
             Ok(()) => Ok(cost),
             Err(wait_ms) => Err(Refusal::OverLimit { wait_ms: wait_ms.min(WAIT_MAX_MS) }),
         }
@@ -236,4 +240,4 @@
 /// The longest time after which a refused client is asked to come back.
 const WAIT_MAX_MS: u64 = 10_000;
 /// Age of the last word on the configuration up to which unknown routes and keys are refused for good.
-const CONFIG_FRESH_MS: u64 = 4_000;
+const CONFIG_FRESH_MS: u64 = 6_000;
--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -19,9 +19,14 @@
 const CONFIG_WAIT_MS: u64 = 3_000;
 /// The pause between readings of the upstreams. Each one writes about once a second, so waiting would return at once.
 /// Nodes read at different times, and the first to see a change tells the others.
-const UPSTREAMS_PAUSE_MS: u64 = 1_200;
+pub(crate) const UPSTREAMS_PAUSE_MS: u64 = 1_200;
 /// How often a node lists itself and reads the list of nodes.
+/// In a larger deployment the pause grows with the nodes.
 const NODES_PAUSE_MS: u64 = 12_000;
+/// Nodes up to which that pause is the shortest.
+const NODES_PAUSE_NODES: u64 = 12;
+/// How often a node that does not read looks whether it has to.
+const LOOK: Duration = Duration::from_millis(200);
 /// Pauses after failed calls: the first, doubled up to the longest, each with jitter of a half.
 const BACKOFF_MIN_MS: u64 = 100;
 const BACKOFF_MAX_MS: u64 = 800;
@@ -78,6 +83,10 @@
     let mut contact = Contact::new("config");
     let mut next: Option<LogOffset> = None;
     loop {
+        if node.is_config_vouched() {
+            sleep(LOOK).await;
+            continue;
+        }
         let res = match next {
             None => node.platform.list(Topic::Config).await.map(|it| (it.records, Some(it.next))),
             Some(from) => match node.platform.read(Topic::Config, from, CONFIG_WAIT_MS).await {
@@ -93,7 +102,12 @@
         };
         backoff.succeed();
         next = from;
-        node.state.borrow_mut().config_read_ms = node.now_ms();
+        let now_ms = node.now_ms();
+        {
+            let mut state = node.state.borrow_mut();
+            state.config_read_ms = now_ms;
+            state.own_config_read_ms = now_ms;
+        }
         for record in records {
             node.take_config_record(record, "store");
         }
@@ -106,6 +120,10 @@
     let mut contact = Contact::new("upstreams");
     let mut next: Option<LogOffset> = None;
     loop {
+        if node.is_list_vouched() {
+            sleep(LOOK).await;
+            continue;
+        }
         let res = match next {
             None => node.platform.list(Topic::Upstreams).await.map(|it| {
                 node.take_upstream_list(&it.records, it.next);
@@ -166,12 +184,32 @@
         let res = node.list_nodes().await;
         contact.note(&node, &res);
         node.drop_peers(res.is_ok());
-        let pause_ms = if res.is_ok() { NODES_PAUSE_MS } else { NODES_PAUSE_MS / 5 };
+        let pause_ms = if res.is_ok() { node.nodes_pause_ms() } else { NODES_PAUSE_MS / 5 };
         let jittered_ms = node.state.borrow_mut().rng.random_range(pause_ms / 2..=pause_ms);
         sleep(Duration::from_millis(jittered_ms)).await;
     }
 }
 
+impl<P> Node<P> {
+    /// The pause between entries of this node in the list of nodes.
+    pub(crate) fn nodes_pause_ms(&self) -> u64 {
+        NODES_PAUSE_MS * (self.n_nodes() as u64).max(NODES_PAUSE_NODES) / NODES_PAUSE_NODES
+    }
+
+    /// Whether another node reads the list of upstreams for this one.
+    fn is_list_vouched(&self) -> bool {
+        let age_ms = self.state.borrow().catalog.age_ms(self.now_ms());
+        age_ms.is_some_and(|it| it <= self.vouched_ms()) && !self.is_reader()
+    }
+
+    /// Whether another node waits for the next configuration for this one.
+    fn is_config_vouched(&self) -> bool {
+        let read_ms = self.state.borrow().config_read_ms;
+        let is_fresh = self.now_ms() <= read_ms + CONFIG_WAIT_MS + self.vouched_ms();
+        is_fresh && self.state.borrow().table.is_some() && !self.is_reader()
+    }
+}
+
 impl<P: Platform> Node<P> {
     pub(crate) fn take_config_record(&self, record: Record, source: &'static str) {
         let Some(value) = record.value else { return };
@@ -183,7 +221,11 @@
 
     fn take_upstream_records(&self, records: &[Record]) {
         let now_ms = self.now_ms();
-        self.state.borrow_mut().catalog.begin_reading(now_ms);
+        {
+            let mut state = self.state.borrow_mut();
+            state.own_list_read_ms = now_ms;
+            state.catalog.begin_reading(now_ms);
+        }
         for record in records {
             if let Some(change) = self.take_upstream_record(record, now_ms) {
                 self.take_changes(std::slice::from_ref(&change));
@@ -236,6 +278,7 @@
                 }
             }
         }
+        state.own_list_read_ms = now_ms;
         state.catalog.begin_reading(now_ms);
         let changes = state.catalog.replace(listed, end, now_ms);
         drop(state);
--- a/crates/lentilhitch_gateway/src/duties.rs
+++ b/crates/lentilhitch_gateway/src/duties.rs
@@ -7,13 +7,13 @@
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::time::sleep;
+use tokio::{net::UdpSocket, time::sleep};
 
 use lentilhitch_policy::{
     duty::{self, Duty, DutyRecord, DutyStep, Next},
     fleet::{self, Demand, Kind, Order, OrderResult, Plan, Slot},
     traffic::Scaling,
-    usage::{self, Decision, Ledger},
+    usage::{self, Decision, Ledger, NodeCounts},
 };
 use lentilhitch_types::{LogOffset, ServiceName};
 
@@ -22,9 +22,10 @@
     platform::{Appended, CallError, DutyResult, Permit, Platform, Reading, Record, Topic},
 };
 
-/// How often a node writes its counts, if there is something new. Peers hear them far more often; what is written
-/// outlives the loss of all nodes.
-const COUNTS_PAUSE: Duration = Duration::from_millis(2_500);
+/// How often a node tells the holder its counts.
+const COUNTS_PAUSE: Duration = Duration::from_millis(800);
+/// How often the holder writes what it heard; that outlives the loss of all nodes.
+const CHECKPOINT_MS: u64 = 2_500;
 /// How often the holder looks at usage.
 const USAGE_PAUSE: Duration = Duration::from_millis(700);
 /// How often the holder compares replicas with the need.
@@ -130,15 +131,22 @@
     }
 }
 
-/// Writes what this node counted.
-pub(crate) async fn write_counts<P: Platform>(node: Rc<Node<P>>) {
+/// Tells the holder what this node counted, or writes it while no holder is in reach.
+pub(crate) async fn tell_counts<P: Platform>(
+    node: Rc<Node<P>>,
+    duty: SharedDuty,
+    socket: Rc<UdpSocket>,
+) {
     loop {
         sleep(COUNTS_PAUSE).await;
-        flush_counts(&node).await;
+        let is_own = duty.borrow().is_held(node.now_ms());
+        if !is_own && !node.tell_counts(&socket).await {
+            flush_counts(&node).await;
+        }
     }
 }
 
-/// Writes the counts now, if there is something new.
+/// Writes this node's counts now, if there is something new.
 pub(crate) async fn flush_counts<P: Platform>(node: &Rc<Node<P>>) {
     let true_ms = node.true_ms();
     let counts = {
@@ -148,12 +156,25 @@
         }
         state.tally.counts(node.instance(), node.life, true_ms)
     };
-    if let Err(err) = node.platform.append(Topic::Usage, encode(&counts), None).await {
+    if let Err(err) = write_counts(node, vec![counts]).await {
         log::info!(error:% = err; "counts can't be written now");
         node.state.borrow_mut().tally.put_back();
     }
 }
 
+async fn write_counts<P: Platform>(
+    node: &Rc<Node<P>>,
+    counts: Vec<NodeCounts>,
+) -> Result<(), CallError> {
+    for some in counts.chunks(RECORD_NODES_MAX) {
+        node.platform.append(Topic::Usage, encode(&some), None).await?;
+    }
+    Ok(())
+}
+
+/// Nodes whose counts are written as one record; a record of the store holds a quarter of a megabyte.
+const RECORD_NODES_MAX: usize = 100;
+
 /// Reports usage while the lease is held.
 pub(crate) async fn report_usage<P: Platform>(node: Rc<Node<P>>, duty: SharedDuty) {
     let bounds = node.settings.bounds;
@@ -183,6 +204,7 @@
     counts_next: LogOffset,
     decisions_next: LogOffset,
     has_read_decisions: bool,
+    written_ms: u64,
 }
 
 impl UsageTerm {
@@ -193,6 +215,7 @@
             counts_next: LogOffset(0),
             decisions_next: LogOffset(0),
             has_read_decisions: false,
+            written_ms: 0,
         }
     }
 
@@ -211,12 +234,18 @@
             self.ledger.take_counts(counts);
         }
         self.ledger.tick(true_ms);
+        let now_ms = node.now_ms();
+        if self.written_ms + CHECKPOINT_MS <= now_ms {
+            self.written_ms = now_ms;
+            write_counts(node, self.ledger.open_counts()).await?;
+        }
         if !self.ledger.has_open_window(true_ms) {
             return Ok(());
         }
         for record in read_all(node, Topic::Usage, &mut self.counts_next).await? {
-            if let Some(counts) = decode(&record) {
-                self.ledger.take_counts(counts);
+            let counts: Option<Vec<NodeCounts>> = decode(&record);
+            for it in counts.into_iter().flatten() {
+                self.ledger.take_counts(it);
             }
         }
         if !std::mem::replace(&mut self.has_read_decisions, true) {
@@ -406,7 +435,7 @@
     }
 
     fn demand(&self, service: &ServiceName) -> Demand {
-        let now_ms = self.now_ms();
+        let (now_ms, silent_ms) = (self.now_ms(), self.silent_after_ms());
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let upstreams = state.catalog.iter().filter(|it| it.listed.service == *service);
@@ -414,7 +443,7 @@
             upstreams.map(|it| f64::from(state.board.n_requests(&it.listed.id, now_ms))).sum();
         let own = state.demand.get_mut(service).map_or(0.0, |it| it.per_s(now_ms));
         let hash = name_hash(service.as_str()) as u32;
-        let peers = state.peers.values().filter(|it| it.is_heard(now_ms));
+        let peers = state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms));
         let others: f64 = peers.filter_map(|it| it.demand.get(&hash)).sum();
         Demand { n_in_progress, prefill_tokens_per_s: own + others }
     }
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 /// How often a node checks whether its peers know more.
 const CHECK_MS: u64 = 250;
 /// Age of the last reading of the store from which on peers are asked.
-const STORE_OLD_MS: u64 = 1_600;
+const STORE_OLD_MS: u64 = 3_000;
 /// The pause between questions while the store is out of reach.
 const ASK_PAUSE_MS: u64 = 1_000;
 /// How long a peer may take to answer.
@@ -115,9 +115,11 @@
     }
 
     fn whom_to_ask(&self, asked_ms: u64, now_ms: u64) -> Option<SocketAddr> {
+        let silent_ms = self.silent_after_ms();
         let state = self.state.borrow();
         let version = state.table.as_ref().map_or(0, |it| it.config.version);
-        let newest = state.peers.values().max_by_key(|it| (it.version, it.heard_ms));
+        let heard = state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms));
+        let newest = heard.max_by_key(|it| (it.version, it.heard_ms));
         let is_behind = newest.is_some_and(|it| version < it.version);
         let read_age_ms = state.catalog.age_ms(now_ms).unwrap_or(u64::MAX);
         let is_cut_off = STORE_OLD_MS <= read_age_ms && asked_ms + ASK_PAUSE_MS <= now_ms;
@@ -127,7 +129,8 @@
         if !is_cut_off {
             return None;
         }
-        let heard: Vec<_> = state.peers.values().filter(|it| it.is_heard(now_ms)).collect();
+        let heard: Vec<_> =
+            state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms)).collect();
         let turn = (now_ms / ASK_PAUSE_MS) as usize;
         let own = self.settings.exchange_address;
         let seeds: Vec<_> = self.settings.seeds.iter().filter(|it| **it != own).collect();
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -1,7 +1,11 @@
 //! What nodes tell each other a few times a second: load, admitted work, clocks and evidence of crashes.
 //!
 //! Each message is one datagram with the sender's whole state, so a lost one does no harm. Nothing that must be agreed
-//! on goes this way.
+//! on goes this way. Names travel as hashes and fields under short names, since every node tells every other.
+//!
+//! In each zone one node reads the store for the others: the first in hash order that reaches it. It tells what changed at
+//! once, and with each message a digest of its list; a node with the same digest knows that its own list is as fresh, and
+//! one that hears of no fresh reading reads by itself.
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -9,10 +13,11 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use lentilhitch_policy::{placement::InProgress, usage::NodeCounts};
-use lentilhitch_types::{Fingerprint, LogOffset, TeamName};
+use lentilhitch_types::{Fingerprint, LogOffset};
 
 use crate::{
     clock::wall_ms,
+    discovery::UPSTREAMS_PAUSE_MS,
     node::{Node, Peer, State, name_hash},
     platform::{Platform, Record},
 };
@@ -20,38 +25,68 @@
 /// The pause between messages in a small deployment; it grows with the nodes, so that a node's traffic does not.
 const PAUSE_MS: u64 = 250;
 /// Nodes up to which the pause is the shortest.
-const PAUSE_NODES: u64 = 10;
+const PAUSE_NODES: u64 = 20;
+/// The pause between tellings of news.
+const NEWS_PAUSE_MS: u64 = 150;
+/// A node is out of reach after so many pauses without a message, and some time for delays.
+const SILENT_PAUSES: u64 = 4;
+const SILENT_SLACK_MS: u64 = 300;
 /// The largest datagram that is read.
 const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
 /// Pieces of evidence in one message.
 const EVIDENCE_MAX: usize = 32;
 
+/// What travels in a datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Message {
+    #[serde(rename = "s")]
+    State(Box<Gossip>),
+    /// What the sender counted, for the holder of the duties.
+    #[serde(rename = "c")]
+    Counts(NodeCounts),
+}
+
 /// One node's state.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Gossip {
-    /// The sender, by hash of its name.
+struct Gossip {
+    /// The sender and its zone, by hash of their names.
+    #[serde(rename = "n")]
     node: u64,
+    #[serde(rename = "z")]
+    zone: u32,
+    #[serde(rename = "l")]
     life: u64,
+    #[serde(rename = "w")]
     wall_ms: u64,
-    config_version: u64,
+    #[serde(rename = "x")]
     exchange: SocketAddr,
+    /// The version in force, and how long ago the store told the sender itself that it is the newest.
+    #[serde(rename = "v")]
+    config: (u64, u64),
+    /// A digest of the list of upstreams, and how long ago the sender itself read it.
+    #[serde(rename = "u")]
+    upstreams: (u64, u64),
     /// Requests and waiting prompt tokens at upstreams, by hash of their names.
-    in_progress: Vec<(u32, InProgress)>,
-    /// What each team was admitted since the start.
-    admitted: Vec<(TeamName, f64)>,
+    #[serde(rename = "p")]
+    in_progress: Vec<(u32, u32, u32)>,
+    /// What each team was admitted since the start, by hash of its name.
+    #[serde(rename = "a")]
+    admitted: Vec<(u32, f64)>,
     /// Uncached prompt tokens a second, by hash of the service.
+    #[serde(rename = "d")]
     demand: Vec<(u32, f32)>,
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     evidence: Vec<(Fingerprint, u64)>,
     /// Entries of upstreams that changed a moment ago.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     news: Vec<Record>,
     /// Where the topic of the duties ended at the sender's last renewal, if it holds them.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     duty: Option<LogOffset>,
-    /// What the sender counted, for the holder of the duties.
-    counts: Option<NodeCounts>,
 }
 
 /// Tells and hears until the process ends.
-pub(crate) async fn run<P: Platform>(node: Rc<Node<P>>, socket: UdpSocket) -> io::Result<()> {
+pub(crate) async fn run<P: Platform>(node: Rc<Node<P>>, socket: Rc<UdpSocket>) -> io::Result<()> {
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     let mut next = Box::pin(sleep(Duration::from_millis(PAUSE_MS)));
     loop {
@@ -60,22 +95,71 @@
                 Ok((n_bytes, from)) => node.hear(&buffer[..n_bytes], from),
                 Err(err) => log::debug!("can't receive: {err}"),
             },
-            () = node.tell.notified() => node.tell(&socket).await,
+            () = node.tell.notified() => {
+                node.tell(&socket).await;
+                next = Box::pin(sleep(Duration::from_millis(NEWS_PAUSE_MS)));
+            }
             () = &mut next => {
                 node.tell(&socket).await;
-                let n_nodes = node.n_nodes() as u64;
-                let pause_ms = PAUSE_MS * n_nodes.max(PAUSE_NODES) / PAUSE_NODES;
+                let has_news = !node.state.borrow().news.is_empty();
+                let pause_ms = if has_news { NEWS_PAUSE_MS } else { node.pause_ms() };
                 next = Box::pin(sleep(Duration::from_millis(pause_ms)));
             }
         }
     }
 }
 
+impl<P> Node<P> {
+    /// The pause between messages.
+    fn pause_ms(&self) -> u64 {
+        PAUSE_MS * (self.n_nodes() as u64).max(PAUSE_NODES) / PAUSE_NODES
+    }
+
+    /// A peer that was not heard for so long is out of reach.
+    pub(crate) fn silent_after_ms(&self) -> u64 {
+        SILENT_PAUSES * self.pause_ms() + SILENT_SLACK_MS
+    }
+
+    /// Whether this node reads the store for its zone.
+    pub(crate) fn is_reader(&self) -> bool {
+        let now_ms = self.now_ms();
+        let fresh_ms = self.vouched_ms();
+        let own =
+            (name_hash(self.settings.zone.as_str()) as u32, name_hash(self.instance().as_str()));
+        let state = self.state.borrow();
+        let mut before = state.peers.iter().filter(|it| it.1.zone == own.0 && *it.0 < own.1);
+        !before.any(|it| now_ms <= it.1.upstreams_read_ms + fresh_ms)
+    }
+
+    /// How old a reading may be that a peer vouches for: its pause, and that of its messages.
+    pub(crate) fn vouched_ms(&self) -> u64 {
+        UPSTREAMS_PAUSE_MS + self.pause_ms() + SILENT_SLACK_MS
+    }
+}
+
 impl<P: Platform> Node<P> {
     async fn tell(&self, socket: &UdpSocket) {
         let (message, addresses) = self.message();
+        self.send(socket, &Message::State(Box::new(message)), &addresses).await;
+    }
+
+    /// Tells the holder of the duties what this node counted; says whether a holder is in reach.
+    pub(crate) async fn tell_counts(&self, socket: &UdpSocket) -> bool {
+        let (now_ms, true_ms, silent_ms) = (self.now_ms(), self.true_ms(), self.silent_after_ms());
+        let (counts, holder) = {
+            let state = self.state.borrow();
+            let heard = state.duty_holder.filter(|it| now_ms <= it.1 + silent_ms);
+            let holder = heard.and_then(|it| state.peers.get(&it.0)).map(|it| it.gossip);
+            (state.tally.counts(self.instance(), self.life, true_ms), holder)
+        };
+        let Some(holder) = holder else { return false };
+        self.send(socket, &Message::Counts(counts), &[holder]).await;
+        true
+    }
+
+    async fn send(&self, socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
         let mut bytes = Vec::new();
-        if let Err(err) = ciborium::into_writer(&message, &mut bytes) {
+        if let Err(err) = ciborium::into_writer(message, &mut bytes) {
             log::error!(error:% = err; "can't write a message to nodes");
             return;
         }
@@ -88,7 +172,6 @@
 
     fn message(&self) -> (Gossip, Vec<SocketAddr>) {
         let now_ms = self.now_ms();
-        let true_ms = self.true_ms();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let offsets: Vec<_> =
@@ -98,63 +181,90 @@
         let demand = demand.map(|(service, meter)| {
             (name_hash(service.as_str()) as u32, meter.per_s(now_ms) as f32)
         });
+        let in_progress = state.board.report().into_iter();
+        let admitted = state.rates.iter();
+        let version = state.table.as_ref().map_or(0, |it| it.config.version);
         let message = Gossip {
             node: name_hash(self.instance().as_str()),
+            zone: name_hash(self.settings.zone.as_str()) as u32,
             life: self.life,
             wall_ms: wall_ms(),
-            config_version: state.table.as_ref().map_or(0, |it| it.config.version),
             exchange: self.settings.exchange_address,
-            in_progress: state.board.report(),
-            admitted: state.rates.iter().map(|it| (it.0.clone(), it.1.admitted())).collect(),
+            config: (version, now_ms.saturating_sub(state.own_config_read_ms)),
+            upstreams: (state.catalog.digest(), now_ms.saturating_sub(state.own_list_read_ms)),
+            in_progress: in_progress
+                .map(|(id, it)| (id, it.n_requests, it.waiting_tokens))
+                .collect(),
+            admitted: admitted
+                .map(|(team, it)| (name_hash(team.as_str()) as u32, it.admitted()))
+                .collect(),
             demand: demand.collect(),
             evidence: state.take_evidence(),
             news: state.take_news(),
             duty: state.duty_news,
-            counts: Some(state.tally.counts(self.instance(), self.life, true_ms)),
         };
         (message, state.peers.values().map(|it| it.gossip).collect())
     }
 
     fn hear(&self, bytes: &[u8], from: SocketAddr) {
-        let message: Gossip = match ciborium::from_reader(bytes) {
+        let message: Message = match ciborium::from_reader(bytes) {
             Ok(it) => it,
             Err(err) => {
                 log::debug!("unreadable message from {from}: {err}");
                 return;
             }
         };
+        match message {
+            Message::State(it) => self.hear_state(&it, from),
+            Message::Counts(counts) => {
+                let mut state = self.state.borrow_mut();
+                state.peer_counts.push(counts);
+                let n_over = state.peer_counts.len().saturating_sub(PEER_COUNTS_MAX);
+                state.peer_counts.drain(..n_over);
+            }
+        }
+    }
+
+    fn hear_state(&self, message: &Gossip, from: SocketAddr) {
         if message.node == name_hash(self.instance().as_str()) {
             return;
         }
         let now_ms = self.now_ms();
+        self.take_news(&message.news, now_ms);
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let peer = state.peers.entry(message.node);
         let peer = peer.or_insert_with(|| Peer::new(from, message.exchange));
         peer.gossip = from;
         peer.exchange = message.exchange;
+        peer.zone = message.zone;
         peer.heard_ms = now_ms;
         peer.life = message.life;
         peer.wall_offset_ms = message.wall_ms as i64 - now_ms as i64;
-        peer.version = message.config_version;
+        peer.version = message.config.0;
+        peer.upstreams_read_ms = now_ms.saturating_sub(message.upstreams.1);
         peer.demand = message.demand.iter().map(|it| (it.0, f64::from(it.1))).collect();
-        state.board.hear(message.node, &message.in_progress, now_ms);
+        state.vouch(message, now_ms);
+        let in_progress = message.in_progress.iter();
+        let in_progress: Vec<_> = in_progress
+            .map(|(id, n_requests, waiting_tokens)| {
+                (*id, InProgress { n_requests: *n_requests, waiting_tokens: *waiting_tokens })
+            })
+            .collect();
+        state.board.hear(message.node, &in_progress, now_ms);
         for (team, admitted) in &message.admitted {
-            if let Some(rate) = state.rates.get_mut(team) {
+            let rate = state.rate_names.get(team).and_then(|it| state.rates.get_mut(it));
+            if let Some(rate) = rate {
                 rate.hear(message.node, message.life, *admitted, now_ms);
             }
         }
-        for (request, crash) in message.evidence {
-            state.suspects.note(request, crash);
+        for (request, crash) in &message.evidence {
+            state.suspects.note(*request, *crash);
         }
-        state.peer_counts.extend(message.counts);
-        let n_over = state.peer_counts.len().saturating_sub(PEER_COUNTS_MAX);
-        state.peer_counts.drain(..n_over);
-        if message.duty.is_some() {
-            state.duty_heard = message.duty.map(|it| (it, now_ms));
+        if let Some(end) = message.duty {
+            state.duty_heard = Some((end, now_ms));
+            state.duty_holder = Some((message.node, now_ms));
         }
-        drop(guard);
-        self.take_news(&message.news, now_ms);
     }
 
     fn take_news(&self, news: &[Record], now_ms: u64) {
@@ -170,6 +280,20 @@
 const NEWS_MAX: usize = 32;
 
 impl State {
+    /// A peer that knows the same knows how fresh it is.
+    fn vouch(&mut self, message: &Gossip, now_ms: u64) {
+        let version = self.table.as_ref().map_or(0, |it| it.config.version);
+        if version == message.config.0 {
+            self.config_read_ms = self.config_read_ms.max(now_ms.saturating_sub(message.config.1));
+        }
+        let read_ms = now_ms.saturating_sub(message.upstreams.1);
+        let own_age_ms = self.catalog.age_ms(now_ms);
+        let is_newer = own_age_ms.is_some_and(|it| now_ms.saturating_sub(it) < read_ms);
+        if is_newer && self.catalog.digest() == message.upstreams.0 {
+            self.catalog.begin_reading(read_ms);
+        }
+    }
+
     fn take_news(&mut self) -> Vec<Record> {
         let told = self.news.iter_mut().take(NEWS_MAX);
         let told = told.map(|it| {
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -67,13 +67,18 @@
 pub(crate) struct State {
     pub(crate) table: Option<Rc<RouteTable>>,
     pub(crate) config_text: Bytes,
-    /// When the store last said what the newest configuration is.
+    /// When the store last said what the newest configuration is, to this node or to one that vouched for it.
     pub(crate) config_read_ms: u64,
+    /// When this node itself last read the configuration and the list of upstreams.
+    pub(crate) own_config_read_ms: u64,
+    pub(crate) own_list_read_ms: u64,
     pub(crate) catalog: Catalog,
     /// Each upstream's entry as it was written.
     pub(crate) entries: FxHashMap<UpstreamName, Record>,
     pub(crate) board: Board,
     pub(crate) rates: FxHashMap<TeamName, SharedRate>,
+    /// Teams by hash of their names.
+    pub(crate) rate_names: FxHashMap<u32, TeamName>,
     pub(crate) budgets: FxHashMap<ServiceName, Budget>,
     pub(crate) demand: FxHashMap<ServiceName, DemandMeter>,
     pub(crate) tally: Tally,
@@ -90,6 +95,8 @@
     pub(crate) duty_news: Option<LogOffset>,
     /// Where a peer that holds the duties said that their topic ended, and when it said so.
     pub(crate) duty_heard: Option<(LogOffset, u64)>,
+    /// The peer that holds the duties, and when it last said so.
+    pub(crate) duty_holder: Option<(u64, u64)>,
     /// What peers said that they counted, until the holder takes it.
     pub(crate) peer_counts: Vec<NodeCounts>,
 }
@@ -97,8 +104,12 @@
 /// Another node.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
+    /// By hash of its name.
+    pub(crate) zone: u32,
     pub(crate) gossip: SocketAddr,
     pub(crate) exchange: SocketAddr,
+    /// When it last read the list of upstreams itself.
+    pub(crate) upstreams_read_ms: u64,
     pub(crate) heard_ms: u64,
     /// When the store last showed a new record of it.
     pub(crate) listed_ms: u64,
@@ -111,15 +122,14 @@
     pub(crate) listed: (u64, u64),
 }
 
-/// A peer that was heard of within this time is in reach; a few messages.
-const PEER_HEARD_MS: u64 = 1_500;
-
 impl Peer {
     /// A peer that has said nothing yet.
     pub(crate) fn new(gossip: SocketAddr, exchange: SocketAddr) -> Self {
         Self {
+            zone: 0,
             gossip,
             exchange,
+            upstreams_read_ms: 0,
             heard_ms: 0,
             listed_ms: 0,
             life: 0,
@@ -130,9 +140,9 @@
         }
     }
 
-    /// Whether it is in reach.
-    pub(crate) fn is_heard(&self, now_ms: u64) -> bool {
-        now_ms <= self.heard_ms + PEER_HEARD_MS
+    /// Whether it was heard of lately enough.
+    pub(crate) fn is_heard(&self, silent_after_ms: u64, now_ms: u64) -> bool {
+        now_ms <= self.heard_ms + silent_after_ms
     }
 }
 
@@ -181,10 +191,13 @@
             table: None,
             config_text: Bytes::new(),
             config_read_ms: 0,
+            own_config_read_ms: 0,
+            own_list_read_ms: 0,
             catalog: Catalog::new(catalog::Settings::default()),
             entries: FxHashMap::default(),
             board: Board::new(placement::Settings::default(), settings.zone.clone()),
             rates: FxHashMap::default(),
+            rate_names: FxHashMap::default(),
             budgets: FxHashMap::default(),
             demand: FxHashMap::default(),
             tally: Tally::new(settings.bounds.usage_window_ms),
@@ -194,6 +207,7 @@
             news: Vec::new(),
             duty_news: None,
             duty_heard: None,
+            duty_holder: None,
             peer_counts: Vec::new(),
             peers: FxHashMap::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -301,8 +315,9 @@
             return;
         }
         let now_ms = self.now_ms();
+        let kept_ms = PEER_KEPT_MS.max(3 * self.nodes_pause_ms());
         let mut state = self.state.borrow_mut();
-        state.peers.retain(|_, it| now_ms <= it.heard_ms.max(it.listed_ms) + PEER_KEPT_MS);
+        state.peers.retain(|_, it| now_ms <= it.heard_ms.max(it.listed_ms) + kept_ms);
         let State { peers, rates, .. } = &mut *state;
         for rate in rates.values_mut() {
             rate.retain_peers(|it| peers.contains_key(&it));
@@ -330,6 +345,8 @@
             };
             rates.insert(team.name.clone(), rate);
         }
+        self.rate_names =
+            rates.keys().map(|it| (name_hash(it.as_str()) as u32, it.clone())).collect();
         self.rates = rates;
     }
 
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -46,7 +46,8 @@
     spawn_local(ingress::serve_exchange(node.clone(), exchange));
     spawn_local(ingress::serve_exchange(node.clone(), admin));
     spawn_local(ingress::serve_clients(node.clone(), front));
-    spawn_local(gossip::run(node.clone(), gossip));
+    let gossip = Rc::new(gossip);
+    spawn_local(gossip::run(node.clone(), gossip.clone()));
     spawn_local(discovery::follow_config(node.clone()));
     spawn_local(discovery::follow_upstreams(node.clone()));
     spawn_local(discovery::follow_nodes(node.clone()));
@@ -56,7 +57,7 @@
         spawn_local(duties::keep_lease(node.clone(), duty.clone()));
     }
     if settings.has_usage_duty {
-        spawn_local(duties::write_counts(node.clone()));
+        spawn_local(duties::tell_counts(node.clone(), duty.clone(), gossip));
         spawn_local(duties::report_usage(node.clone(), duty.clone()));
     }
     if settings.has_scaling_duty {
--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -8,6 +8,7 @@
 //! order; the one with the highest offset holds.
 
 use rustc_hash::{FxHashMap, FxHashSet};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use lentilhitch_types::{LogOffset, ServiceName, UpstreamName};
 
@@ -97,6 +98,15 @@
         self.read_ms.map(|it| now_ms.saturating_sub(it))
     }
 
+    /// A number that is the same wherever the same lives of upstreams stand the same way.
+    pub fn digest(&self) -> u64 {
+        let one = |it: &Upstream| {
+            let seed = it.listed.born_ms << 1 | u64::from(it.is_ready());
+            xxh3_64_with_seed(it.listed.id.as_str().as_bytes(), seed)
+        };
+        self.upstreams.values().fold(0, |sum, it| sum ^ one(it))
+    }
+
     /// Notes that the list was read, before the entries of this reading are applied.
     pub fn begin_reading(&mut self, now_ms: u64) {
         let gap_ms = self.read_ms.map_or(0, |it| now_ms.saturating_sub(it));
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -151,7 +151,7 @@
 }
 
 /// A peer's report is forgotten after this; a few report intervals.
-const PEER_REPORT_KEPT_MS: u64 = 2_000;
+const PEER_REPORT_KEPT_MS: u64 = 5_000;
 /// Shorter prompts tell little of an engine's speed.
 const MEASURED_TOKENS_MIN: u32 = 2_000;
 /// The step of the followed median, as a part of it.
--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -13,18 +13,25 @@
 /// How a shared rate behaves.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// A peer that was heard of within this time is charged what it said; a few report intervals.
-    pub silent_after_ms: u64,
     /// The part of the burst that is used, since what is under way isn't seen.
     pub burst_share: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { silent_after_ms: 1_200, burst_share: 1.0 }
+        Self { burst_share: 1.0 }
     }
 }
 
+/// The nodes that share a rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Peering {
+    /// Nodes that are known to run, this one included.
+    pub n_nodes: usize,
+    /// A peer that was heard of within this time is charged what it said; a few report intervals.
+    pub silent_after_ms: u64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     life: u64,
@@ -70,7 +77,7 @@
 
     /// Changes the rate; a lower burst holds at once.
     pub fn set_rate(&mut self, rate: TeamRate, now_ms: u64) {
-        self.fill(now_ms, self.peers.len() + 1);
+        self.fill(now_ms, None);
         self.rate = rate;
         self.level = self.level.min(rate.burst * self.settings.burst_share);
     }
@@ -101,10 +108,9 @@
             Peer { life, admitted, heard_ms: now_ms, charged: 0.0, charged_ms: now_ms, ..*known };
     }
 
-    /// Admits a request of this cost, or says in how many milliseconds there may be room. `n_nodes` counts the nodes that
-    /// are known to run.
-    pub fn take(&mut self, cost: f64, n_nodes: usize, now_ms: u64) -> Result<(), u64> {
-        self.fill(now_ms, n_nodes);
+    /// Admits a request of this cost, or says in how many milliseconds there may be room.
+    pub fn take(&mut self, cost: f64, peering: Peering, now_ms: u64) -> Result<(), u64> {
+        self.fill(now_ms, Some(peering));
         // A request larger than the bucket passes when the bucket is full.
         let full = self.rate.burst * self.settings.burst_share;
         if cost.min(full) <= self.level {
@@ -123,14 +129,16 @@
         self.level = (self.level + cost).min(self.rate.burst * self.settings.burst_share);
     }
 
-    fn fill(&mut self, now_ms: u64, n_nodes: usize) {
+    fn fill(&mut self, now_ms: u64, peering: Option<Peering>) {
         let elapsed_ms = now_ms.saturating_sub(self.filled_ms);
         self.filled_ms = self.filled_ms.max(now_ms);
         let per_ms = self.rate.per_s / 1000.0;
         self.level += per_ms * elapsed_ms as f64;
-        let even_per_ms = per_ms / n_nodes.max(1) as f64;
+        let n_nodes = peering.map_or(self.peers.len() + 1, |it| it.n_nodes.max(1));
+        let even_per_ms = per_ms / n_nodes as f64;
+        let silent_after_ms = peering.map_or(u64::MAX, |it| it.silent_after_ms);
         for peer in self.peers.values_mut() {
-            let is_silent = peer.heard_ms + self.settings.silent_after_ms < now_ms;
+            let is_silent = silent_after_ms < now_ms.saturating_sub(peer.heard_ms);
             let peer_per_ms = if is_silent { even_per_ms } else { peer.per_ms };
             let charge = peer_per_ms * now_ms.saturating_sub(peer.charged_ms) as f64;
             peer.charged_ms = now_ms;
--- a/crates/lentilhitch_policy/src/usage.rs
+++ b/crates/lentilhitch_policy/src/usage.rs
@@ -1,8 +1,9 @@
 //! Counts of begun requests by team and window of true time, and what is reported.
 //!
-//! Each node writes its counts of recent windows into a topic of the platform's log, again whenever they change; a later
-//! record of one life of a node replaces its earlier ones. The holder of the duty adds up the last records and writes
-//! its decision on a window into a second topic before it reports, so that a successor reports the same figures.
+//! Each node tells the holder of the duty its counts of recent windows; later ones of one life of a node replace its
+//! earlier ones. The holder writes what it heard into a topic of the platform's log now and then, and so does a node that
+//! hears of no holder. The holder writes its decision on a window into a second topic before it reports, so that a
+//! successor reports the same figures.
 
 use std::collections::BTreeMap;
 
@@ -132,6 +133,16 @@
         }
     }
 
+    /// All counts of the windows that are not decided yet.
+    pub fn open_counts(&self) -> Vec<NodeCounts> {
+        let last = self.decided.keys().next_back().copied().unwrap_or(0);
+        let open = self.nodes.values().map(|it| {
+            let windows = it.windows.range(last + 1..).map(|it| (*it.0, it.1.clone())).collect();
+            NodeCounts { windows, ..it.clone() }
+        });
+        open.filter(|it| !it.windows.is_empty()).collect()
+    }
+
     /// Takes a decision, one's own or a predecessor's; the first on a window holds.
     pub fn take_decision(&mut self, decision: Decision) {
         self.decided.entry(decision.window).or_insert(decision.counts);
