Fleet: a fresh holder looks on first, the need is the highest of a window

Cause: the first holder saw two replicas of eighteen, since they list themselves one by one, and ordered the others away; a burst's need stayed for a minute, since it fell by one every 8 s.

--- a/crates/lentilhitch_policy/src/fleet.rs
+++ b/crates/lentilhitch_policy/src/fleet.rs
@@ -3,8 +3,10 @@
 //! The number follows what the requests need: places in the batches, and time to read prompts. Reclaimable replicas cost
 //! a small part of the others, but a zone of them is taken away at a time and for a while none are to be had; so more are
 //! held than are needed, enough that the rest suffices when some zones are gone. On-demand ones in the cheapest zones
-//! make up for what lacks. A refused kind is asked for again after a pause. Replicas are given up only after the need has
-//! been lower for a while.
+//! make up for what lacks. A refused kind is asked for again after a pause. The need is the highest of the last seconds, so
+//! that replicas are not given up between two rises.
+
+use std::collections::VecDeque;
 
 use rustc_hash::FxHashMap;
 
@@ -23,8 +25,10 @@
     pub prefill_share: f64,
     /// How long a refused kind of replica is not asked for in a zone.
     pub refused_pause_ms: u64,
-    /// How long the need must be lower before replicas are given up.
-    pub shrink_after_ms: u64,
+    /// The need is the highest of so long a time.
+    pub need_window_ms: u64,
+    /// How long a fresh holder looks on before its first order, unless requests are waiting: two heartbeats of replicas.
+    pub settle_ms: u64,
     /// Replicas beyond the need, for the next rise.
     pub spare: u32,
     /// Zones of reclaimable replicas that may be lost one after the other before on-demand ones are ordered.
@@ -38,11 +42,12 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            slots_share: 0.35,
+            slots_share: 0.3,
             prefill_tokens_per_s: 45_000.0,
-            prefill_share: 0.5,
+            prefill_share: 0.4,
             refused_pause_ms: 3_000,
-            shrink_after_ms: 8_000,
+            need_window_ms: 12_000,
+            settle_ms: 2_500,
             spare: 1,
             zones_lost_max: 2,
             remaining_share: 0.5,
@@ -96,7 +101,9 @@
     ordered: FxHashMap<Slot, (u32, u64)>,
     refused_until_ms: FxHashMap<Slot, u64>,
     need: u32,
-    need_since_ms: u64,
+    /// What was needed at recent times.
+    recent_needs: VecDeque<(u64, u32)>,
+    begun_ms: Option<u64>,
     has_seen_demand: bool,
 }
 
@@ -109,7 +116,8 @@
             ordered: FxHashMap::default(),
             refused_until_ms: FxHashMap::default(),
             need: 0,
-            need_since_ms: 0,
+            recent_needs: VecDeque::new(),
+            begun_ms: None,
             has_seen_demand: false,
         }
     }
@@ -124,7 +132,11 @@
         now_ms: u64,
     ) -> Vec<Order> {
         let n_ready: u32 = present.values().sum();
+        let begun_ms = *self.begun_ms.get_or_insert(now_ms);
         self.update_need(demand, slots, n_ready, now_ms);
+        if demand == Demand::default() && now_ms < begun_ms + self.settings.settle_ms {
+            return Vec::new();
+        }
         let spot = self.spot_by_zone(scaling, present, now_ms);
         let on_demand = self.on_demand_by_zone(scaling, &spot, present, now_ms);
         let mut wanted: Vec<(Slot, u32)> = Vec::new();
@@ -192,24 +204,25 @@
 
     fn update_need(&mut self, demand: Demand, slots: u32, n_ready: u32, now_ms: u64) {
         let Settings { slots_share, prefill_tokens_per_s, prefill_share, .. } = self.settings;
-        if demand == Demand::default() && !self.has_seen_demand {
-            // Nothing is known of the need yet but what the operator had running.
+        let is_settling = self.begun_ms.is_some_and(|it| now_ms < it + self.settings.settle_ms);
+        if is_settling || self.need == 0 {
+            // Nothing is known of the need yet but what the operator, or a former holder, has running.
             let first = (f64::from(n_ready) * self.settings.first_share).ceil() as u32;
             self.need = self.need.max(first).max(1);
-            self.need_since_ms = now_ms;
+        }
+        if demand == Demand::default() && !self.has_seen_demand {
             return;
         }
-        self.has_seen_demand = true;
+        if !std::mem::replace(&mut self.has_seen_demand, true) {
+            self.recent_needs.push_back((now_ms, self.need));
+        }
         let by_slots = demand.n_in_progress / (f64::from(slots.max(1)) * slots_share);
         let by_prefill = demand.prefill_tokens_per_s / (prefill_tokens_per_s * prefill_share);
         let need = by_slots.max(by_prefill).ceil().max(1.0) as u32;
-        if self.need <= need {
-            self.need = need;
-            self.need_since_ms = now_ms;
-        } else if self.need_since_ms + self.settings.shrink_after_ms <= now_ms {
-            self.need -= 1;
-            self.need_since_ms = now_ms;
-        }
+        self.recent_needs.push_back((now_ms, need));
+        let oldest_ms = now_ms.saturating_sub(self.settings.need_window_ms);
+        self.recent_needs.retain(|it| oldest_ms <= it.0);
+        self.need = self.recent_needs.iter().map(|it| it.1).max().unwrap_or(need);
     }
 
     /// Reclaimable replicas, cheapest zone first.
--- a/crates/lentilhitch_policy/tests/fleet.rs
+++ b/crates/lentilhitch_policy/tests/fleet.rs
@@ -141,6 +141,12 @@
             ],
             checks: vec![(62, 80, 8, 0)],
         },
+        Case {
+            name: "the first requests do not shrink the fleet",
+            spot_price: Some(0.18),
+            events: vec![(10, Demand(1.0))],
+            checks: vec![(10, 20, 12, 0)],
+        },
         Case {
             name: "a rise is followed within a boot",
             spot_price: Some(0.18),
