No borrow across an await; a panic ends the process; usage waits for all that run; explain

Cause: (1) a stream whose engine began a new life kept the node's state borrowed while it waited, so every task that changed the state died and the node went on with old beliefs; found by the linter, shown by a process test that fails before. (2) A window was decided before a node that had just started said what it counted; found by the process test of usage. (3) Lines of requests refused on arrival named no request. Ruled out: for (1) a lock in place of the cell, which would hang instead. Conclusion: lines carry the instance, refusals are warnings, 'lentilhitch explain' orders a request's lines by time.

--- a/crates/lentilhitch/src/args.rs
+++ b/crates/lentilhitch/src/args.rs
@@ -24,6 +24,7 @@
     Dump(Dump),
     Schema(Schema),
     TokenDigest(TokenDigest),
+    Explain(Explain),
 }
 
 /// Run an entry process until SIGTERM; it stops when nothing is in progress.
@@ -35,11 +36,12 @@
     pub(crate) settings: PathBuf,
 }
 
-/// Run a node on the users' platform until SIGTERM. The platform names the settings file in LENTILHITCH_BOOT.
+/// Run a node on the users' platform until SIGTERM. The platform names the settings file in an environment
+/// variable.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "edge")]
 pub(crate) struct Edge {
-    /// settings file (default: the one that LENTILHITCH_BOOT names)
+    /// settings file (default: the one that the platform names)
     #[argh(option)]
     pub(crate) settings: Option<PathBuf>,
 }
@@ -106,3 +108,15 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "token-digest")]
 pub(crate) struct TokenDigest {}
+
+/// Tell the story of a request from the logs of many processes, in order of time. Exit code 1 if no line names it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    /// the request's id
+    #[argh(positional)]
+    pub(crate) id: String,
+    /// files of log lines
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
--- a/crates/lentilhitch/src/commands.rs
+++ b/crates/lentilhitch/src/commands.rs
@@ -1,5 +1,6 @@
 //! What each command does, and its exit status.
 
+mod explain;
 mod publish;
 
 use std::{io::Read as _, net::SocketAddr, process::ExitCode, time::Duration};
@@ -13,6 +14,7 @@
 
 use crate::{args, logging};
 
+pub(crate) use explain::explain;
 pub(crate) use publish::publish;
 
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
@@ -62,6 +64,8 @@
     };
     let boot = read_boot(&path)?;
     logging::init()?;
+    log_mdc::insert("instance", boot.node.instance.to_string());
+    logging::end_on_panic();
     let platform = UsersPlatform::new(&boot)?;
     let res = lentilhitch_gateway::run(boot.node, platform);
     log::logger().flush();
--- a/crates/lentilhitch/src/logging.rs
+++ b/crates/lentilhitch/src/logging.rs
@@ -44,6 +44,16 @@
     Ok(())
 }
 
+/// Ends the process on a panic, once it is logged. A node with a task that died would go on with old beliefs; the platform
+/// starts a new one.
+pub(crate) fn end_on_panic() {
+    std::panic::set_hook(Box::new(|info| {
+        log::error!(panic:% = info; "internal error");
+        log::logger().flush();
+        std::process::abort();
+    }));
+}
+
 #[derive(Debug, Default)]
 struct Buffer {
     bytes: Vec<u8>,
--- a/crates/lentilhitch/src/main.rs
+++ b/crates/lentilhitch/src/main.rs
@@ -18,6 +18,7 @@
         Command::Status(it) => commands::status(&it),
         Command::Dump(it) => commands::dump(&it),
         Command::Schema(it) => commands::schema(&it),
+        Command::Explain(it) => commands::explain(&it),
         Command::TokenDigest(it) => commands::token_digest(&it),
     };
     match outcome {
--- a/crates/lentilhitch/tests/edge_streams.rs
+++ b/crates/lentilhitch/tests/edge_streams.rs
@@ -93,6 +93,41 @@
     assert_eq!(ran[0].header("kv-from"), format!("{}/h1", engine.address));
 }
 
+#[tokio::test]
+async fn a_stream_outlives_a_new_life_under_its_engines_name() {
+    let mut site = Site::start(SiteOptions::default()).await.unwrap();
+    let engine = &site.engines[0];
+    engine.set(Behavior::Stream { n_events: 200, pause_ms: 10, break_after: None });
+    let mut response = site.request(0, "s6", "/ask/x").send().await.unwrap();
+    response.chunk().await.unwrap();
+    engine.list(&site.store, &json!({ "born": 9, "seq": 2 }));
+    until("the new life is known", || async {
+        site.nodes[0].process.log_text().contains("upstream restarted")
+    })
+    .await
+    .unwrap();
+    // Another one leaves, so that every stream looks at the list again.
+    let other = lentilhitch_standin::estate::Upstream::listed(
+        &site.store,
+        "engine-8",
+        "draft",
+        Behavior::Full,
+    )
+    .await
+    .unwrap();
+    other.list(&site.store, &json!({ "state": "draining", "seq": 2 }));
+    until("it is known to leave", || async {
+        site.nodes[0].process.log_text().contains("upstream is leaving")
+    })
+    .await
+    .unwrap();
+    assert_eq!(site.call(0, "s8", "/book/x").await.unwrap().status, 200, "beside the stream");
+    let text = response.text().await.unwrap();
+    assert!(text.ends_with("id: 200\ndata: 200\n\n"), "{text}");
+    assert!(site.nodes[0].process.is_running());
+    assert_eq!(site.call(0, "s7", "/book/x").await.unwrap().status, 200);
+}
+
 #[tokio::test]
 async fn work_ends_with_its_client() {
     let site = Site::start(SiteOptions::default()).await.unwrap();
--- /dev/null
+++ b/crates/lentilhitch/tests/explain.rs
@@ -0,0 +1,72 @@
+//! The story of a request from log files, and what is said when there is none.
+
+use std::fs;
+
+use lentilhitch_standin::harness::run_to_end;
+
+const FIRST: &str = r#"12.5 edge-a-1 {"time":"2026-01-01T00:00:02Z","level":"WARN","message":"refused","mdc":{"instance":"edge-a-1"},"attributes":{"request":"r1","status":"503","reason":"no upstream is ready"}}
+{"time":"2026-01-01T00:00:09Z","level":"INFO","message":"sending","mdc":{},"attributes":{"request":"r10"}}
+{"time":"2026-01-01T00:00:03Z","level":"INFO","message":"cut sho"#;
+const SECOND: &str = r#"{"time":"2026-01-01T00:00:01Z","level":"INFO","message":"sending","mdc":{"instance":"edge-b-1"},"attributes":{"request":"r1","upstream":"u7"}}"#;
+
+struct Case {
+    name: &'static str,
+    id: &'static str,
+    files: Vec<String>,
+    succeeds: bool,
+    says: Vec<&'static str>,
+}
+
+#[test]
+fn lines_of_all_files_are_told_in_order() {
+    let folder = tempfile::tempdir().unwrap();
+    let files = [("one.log", FIRST), ("two.log", SECOND)].map(|(name, text)| {
+        let path = folder.path().join(name);
+        fs::write(&path, text).unwrap();
+        path.display().to_string()
+    });
+    let cases = [
+        Case {
+            name: "two processes",
+            id: "r1",
+            files: files.to_vec(),
+            succeeds: true,
+            says: vec![
+                "2026-01-01T00:00:01Z INFO  edge-b-1: sending upstream=u7",
+                "2026-01-01T00:00:02Z WARN  edge-a-1: refused reason=no upstream is ready status=503",
+            ],
+        },
+        Case {
+            name: "nobody knows it",
+            id: "r2",
+            files: files.to_vec(),
+            succeeds: false,
+            says: vec!["no line names request r2"],
+        },
+        Case {
+            name: "no such file",
+            id: "r1",
+            files: vec!["nowhere.log".to_owned()],
+            succeeds: false,
+            says: vec!["can't read nowhere.log"],
+        },
+        Case {
+            name: "no file",
+            id: "r1",
+            files: vec![],
+            succeeds: false,
+            says: vec!["no log files are given"],
+        },
+    ];
+    for case in cases {
+        let mut args = vec!["explain".to_owned(), case.id.to_owned()];
+        args.extend(case.files);
+        let (succeeded, text) = run_to_end(&args).unwrap();
+        assert_eq!(succeeded, case.succeeds, "{}: {text}", case.name);
+        let lines: Vec<_> = text.lines().collect();
+        assert_eq!(lines.len(), case.says.len(), "{}: {text}", case.name);
+        for (line, expected) in lines.iter().zip(case.says) {
+            assert!(line.contains(expected), "{}: {line}", case.name);
+        }
+    }
+}
--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -57,10 +57,10 @@
 pub(crate) async fn admit<P: Platform>(
     node: &Rc<Node<P>>,
     parts: request::Parts,
+    head: CallHead,
     body: Incoming,
     arrived_ms: u64,
 ) -> Result<Call, Refusal> {
-    let head = P::read_call(&parts).map_err(|it| Refusal::Malformed(it.0))?;
     if *node.stop.borrow() == Stop::Closing {
         return Err(Refusal::Unavailable { why: "the node is stopping", wait_ms: 0 });
     }
--- a/crates/lentilhitch_gateway/src/duties.rs
+++ b/crates/lentilhitch_gateway/src/duties.rs
@@ -234,6 +234,7 @@
             self.ledger.take_counts(counts);
         }
         self.ledger.tick(true_ms);
+        let n_nodes = node.n_heard();
         let now_ms = node.now_ms();
         if self.written_ms + CHECKPOINT_MS <= now_ms {
             self.written_ms = now_ms;
@@ -251,7 +252,7 @@
         if !std::mem::replace(&mut self.has_read_decisions, true) {
             self.read_decisions(node).await?;
         }
-        while let Some(decision) = self.ledger.next_decision(node.true_ms()) {
+        while let Some(decision) = self.ledger.next_decision(n_nodes, node.true_ms()) {
             if duty.borrow_mut().permit(node.now_ms()).is_none() {
                 return Ok(());
             }
--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -46,40 +46,55 @@
     let arrived_ms = node.now_ms();
     let (parts, body) = request.into_parts();
     let in_flight = InFlight::new(&node.n_in_flight);
-    let response = match admit(&node, parts, body, arrived_ms).await {
-        Ok(call) => serve_call(&node, Rc::new(call)).await,
-        Err(refusal) => {
-            node.metrics.request("", refusal.status().as_u16(), node.now_ms() - arrived_ms);
-            log::info!(status = refusal.status().as_u16(), reason = refusal.reason(); "refused on arrival");
-            refusal.response::<P>()
+    let response = match P::read_call(&parts) {
+        Err(bad) => refuse(&node, "", "", Refusal::Malformed(bad.0), arrived_ms),
+        Ok(head) => {
+            let id = head.id.clone();
+            match admit(&node, parts, head, body, arrived_ms).await {
+                Ok(call) => serve_call(&node, Rc::new(call)).await,
+                Err(refusal) => refuse(&node, &id, "", refusal, arrived_ms),
+            }
         }
     };
     response.map(|it| it.with_in_flight(in_flight))
 }
 
+/// Answers a request that gets no answer of an upstream. Such lines are warnings, so that they outlive the others when
+/// lines have to be dropped.
+fn refuse<P: Platform>(
+    node: &Rc<Node<P>>,
+    request: &str,
+    route: &str,
+    refusal: Refusal,
+    arrived_ms: u64,
+) -> Response<AnswerBody> {
+    let elapsed_ms = node.now_ms() - arrived_ms;
+    let status = refusal.status().as_u16();
+    let config_version = node.config_version();
+    log::warn!(request, route, status, reason = refusal.reason(), elapsed_ms, config_version; "refused");
+    node.metrics.request(route, status, elapsed_ms);
+    refusal.response::<P>()
+}
+
 async fn serve_call<P: Platform>(node: &Rc<Node<P>>, call: Rc<Call>) -> Response<AnswerBody> {
     let mut tries = Tries::new(node, &call);
     let res = match call.route.repeat {
         Repeat::Stream { .. } => serve_stream(tries).await,
         _ => serve_plain(&mut tries).await,
     };
-    let elapsed_ms = node.now_ms() - call.arrived_ms;
-    let response = res.unwrap_or_else(|refusal| {
-        if matches!(refusal, Refusal::Unavailable { .. }) {
-            node.refund(&call);
+    match res {
+        Ok(response) => {
+            let elapsed_ms = node.now_ms() - call.arrived_ms;
+            node.metrics.request(&call.route.name, response.status().as_u16(), elapsed_ms);
+            response
         }
-        log::info!(
-            request = call.head.id.as_str(),
-            route = call.route.name.as_str(),
-            status = refusal.status().as_u16(),
-            reason = refusal.reason(),
-            elapsed_ms;
-            "refused"
-        );
-        refusal.response::<P>()
-    });
-    node.metrics.request(&call.route.name, response.status().as_u16(), elapsed_ms);
-    response
+        Err(refusal) => {
+            if matches!(refusal, Refusal::Unavailable { .. }) {
+                node.refund(&call);
+            }
+            refuse(node, &call.head.id, &call.route.name, refusal, call.arrived_ms)
+        }
+    }
 }
 
 async fn serve_plain<P: Platform>(tries: &mut Tries<P>) -> Result<Response<AnswerBody>, Refusal> {
@@ -98,7 +113,7 @@
             Ok((parts, body)) => {
                 let is_failure = parts.status.is_server_error();
                 tries.log_answer(&upstream, parts.status.as_u16());
-                let response = whole_response::<P>(&call, parts, body);
+                let response = whole_response::<P>(&call, &parts, body);
                 if !is_failure || !tries.may_go_on() {
                     return Ok(response);
                 }
@@ -116,7 +131,7 @@
 
 fn whole_response<P: Platform>(
     call: &Call,
-    parts: response::Parts,
+    parts: &response::Parts,
     body: Bytes,
 ) -> Response<AnswerBody> {
     let mut headers = P::client_headers(&parts.headers);
@@ -146,7 +161,7 @@
         let is_server_error = answered.parts.status.is_server_error();
         match answered.read_whole(&node, patience_ms).await {
             Ok((parts, body)) => {
-                let response = whole_response::<P>(&call, parts, body);
+                let response = whole_response::<P>(&call, &parts, body);
                 if !is_server_error || !tries.may_go_on() {
                     return Ok(response);
                 }
@@ -317,13 +332,20 @@
     }
 
     fn log_send(&self, listed: &Listed, uncached_tokens: u32) {
+        let now_ms = self.node.now_ms();
+        let state = self.node.state.borrow();
+        let n_there = state.board.n_requests(&listed.id, now_ms);
+        let expected_ms = state.board.first_token_ms(&listed.id, 0, now_ms) as u64;
         log::info!(
             request = self.call.head.id.as_str(),
             route = self.call.route.name.as_str(),
             upstream = listed.id.as_str(),
             n_sent = self.sent.len(),
+            n_there,
             uncached_tokens,
-            remaining_ms = self.call.remaining_ms(self.node.now_ms());
+            expected_ms,
+            list_age_ms = state.catalog.age_ms(now_ms),
+            remaining_ms = self.call.remaining_ms(now_ms);
             "sending"
         );
     }
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -120,6 +120,13 @@
         SILENT_PAUSES * self.pause_ms() + SILENT_SLACK_MS
     }
 
+    /// Nodes that are in reach, this one included.
+    pub(crate) fn n_heard(&self) -> usize {
+        let (now_ms, silent_ms) = (self.now_ms(), self.silent_after_ms());
+        let state = self.state.borrow();
+        1 + state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms)).count()
+    }
+
     /// Whether this node reads the store for its zone.
     pub(crate) fn is_reader(&self) -> bool {
         let now_ms = self.now_ms();
@@ -240,7 +247,7 @@
         peer.zone = message.zone;
         peer.heard_ms = now_ms;
         peer.life = message.life;
-        peer.wall_offset_ms = message.wall_ms as i64 - now_ms as i64;
+        peer.wall_offset_ms = message.wall_ms.cast_signed() - now_ms.cast_signed();
         peer.version = message.config.0;
         peer.upstreams_read_ms = now_ms.saturating_sub(message.upstreams.1);
         peer.demand = message.demand.iter().map(|it| (it.0, f64::from(it.1))).collect();
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -245,6 +245,11 @@
         &self.settings.instance
     }
 
+    /// The version of the configuration in force; 0 if none is.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.state.borrow().table.as_ref().map_or(0, |it| it.config.version)
+    }
+
     /// Whether the balancer may send clients here.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
@@ -333,15 +338,12 @@
         let mut rates = FxHashMap::default();
         for team in teams {
             let Some(limit) = team.limit else { continue };
-            let rate = match self.rates.remove(&team.name) {
-                Some(mut known) => {
-                    known.set_rate(limit, now_ms);
-                    known
-                }
-                None => {
-                    let settings = shared_rate::Settings::default();
-                    SharedRate::new(settings, limit, running_ms, now_ms)
-                }
+            let rate = if let Some(mut known) = self.rates.remove(&team.name) {
+                known.set_rate(limit, now_ms);
+                known
+            } else {
+                let settings = shared_rate::Settings::default();
+                SharedRate::new(settings, limit, running_ms, now_ms)
             };
             rates.insert(team.name.clone(), rate);
         }
--- a/crates/lentilhitch_gateway/src/pool.rs
+++ b/crates/lentilhitch_gateway/src/pool.rs
@@ -48,7 +48,7 @@
 pub(crate) enum Sent {
     Answer(Response<Incoming>),
     /// No byte was sent.
-    NotSent,
+    Nothing,
     /// The connection broke when the request may have arrived.
     Broken(hyper::Error),
 }
@@ -78,13 +78,13 @@
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Sent {
         if self.sender.ready().await.is_err() {
-            return Sent::NotSent;
+            return Sent::Nothing;
         }
         self.is_fresh = false;
         match self.sender.try_send_request(request).await {
             Ok(response) => Sent::Answer(response),
             Err(mut err) => match err.take_message() {
-                Some(_) => Sent::NotSent,
+                Some(_) => Sent::Nothing,
                 None => Sent::Broken(err.into_error()),
             },
         }
--- a/crates/lentilhitch_gateway/src/pump.rs
+++ b/crates/lentilhitch_gateway/src/pump.rs
@@ -105,13 +105,11 @@
                     }
                 }
             };
-            match self.resume(why).await {
-                Some(it) => answered = it,
-                None => {
-                    self.log_end(why);
-                    return self.break_off().await;
-                }
-            }
+            let Some(resumed) = self.resume(why).await else {
+                self.log_end(why);
+                return self.break_off().await;
+            };
+            answered = resumed;
         }
     }
 
@@ -155,7 +153,7 @@
                         }
                     }
                     Some(Err(_)) | None if moving.is_some() => {
-                        let is_whole = matches!(frame, None);
+                        let is_whole = frame.is_none();
                         place.set(TryResult::Served);
                         return self.finish_move(moving.take(), is_whole).await;
                     }
@@ -284,27 +282,39 @@
 /// How long events that a stopped source has still sent are waited for.
 const DRAIN_WAIT: Duration = Duration::from_millis(20);
 
+/// How the life of an upstream that runs a stream stands in the list.
+enum Standing {
+    Ready,
+    /// Another life has its name.
+    Replaced,
+    Leaving {
+        ends_at_ms: Option<u64>,
+    },
+}
+
+fn standing<P>(node: &Node<P>, listed: &Listed) -> Standing {
+    match node.state.borrow().catalog.get(&listed.id) {
+        Some(it) if it.listed.born_ms != listed.born_ms => Standing::Replaced,
+        Some(it) if it.is_ready() => Standing::Ready,
+        Some(it) => Standing::Leaving { ends_at_ms: it.ends_at_ms },
+        None => Standing::Leaving { ends_at_ms: None },
+    }
+}
+
 /// Returns when a run should be moved from its upstream.
 async fn wait_leaving<P: Platform>(node: Rc<Node<P>>, listed: Listed) {
     let mut changes = node.leaving.subscribe();
     loop {
         let now_ms = node.now_ms();
-        let leaves = {
-            let state = node.state.borrow();
-            match state.catalog.get(&listed.id) {
-                Some(it) if it.listed.born_ms != listed.born_ms => {
-                    return std::future::pending().await;
-                }
-                Some(it) if it.is_ready() => None,
-                Some(it) => Some(it.ends_at_ms),
-                None => Some(None),
+        match standing(&node, &listed) {
+            Standing::Ready => {}
+            Standing::Replaced => return std::future::pending().await,
+            Standing::Leaving { ends_at_ms } => {
+                let move_ms =
+                    ends_at_ms.map_or(now_ms + LEAVE_WAIT_MS, |it| it.saturating_sub(MOVE_LEAD_MS));
+                tokio::time::sleep(Duration::from_millis(move_ms.saturating_sub(now_ms))).await;
+                return;
             }
-        };
-        if let Some(ends_at_ms) = leaves {
-            let move_ms =
-                ends_at_ms.map_or(now_ms + LEAVE_WAIT_MS, |it| it.saturating_sub(MOVE_LEAD_MS));
-            tokio::time::sleep(Duration::from_millis(move_ms.saturating_sub(now_ms))).await;
-            return;
         }
         if changes.changed().await.is_err() {
             return std::future::pending().await;
--- a/crates/lentilhitch_gateway/src/upstream_try.rs
+++ b/crates/lentilhitch_gateway/src/upstream_try.rs
@@ -114,15 +114,13 @@
     };
     let mut kept = node.pool.take(&listed.id, idle_max_ms, node.clock);
     loop {
-        let mut connection = match kept.take() {
-            Some(it) => it,
-            None => match open(node, &order).await {
-                Some(it) => it,
-                None => {
-                    place.set(TryResult::Unreachable);
-                    return TryEnd::NotSent;
-                }
-            },
+        let connection = match kept.take() {
+            Some(it) => Some(it),
+            None => open(node, &order).await,
+        };
+        let Some(mut connection) = connection else {
+            place.set(TryResult::Unreachable);
+            return TryEnd::NotSent;
         };
         let was_fresh = connection.is_fresh;
         let request = request::<P>(&order, node.now_ms());
@@ -132,8 +130,8 @@
                 place.set(TryResult::Failed);
                 TryEnd::Unknown("no answer in time")
             }
-            Ok(Sent::NotSent) if !was_fresh => continue,
-            Ok(Sent::NotSent) => {
+            Ok(Sent::Nothing) if !was_fresh => continue,
+            Ok(Sent::Nothing) => {
                 place.set(TryResult::Unreachable);
                 TryEnd::NotSent
             }
--- a/crates/lentilhitch_policy/src/duty.rs
+++ b/crates/lentilhitch_policy/src/duty.rs
@@ -115,10 +115,10 @@
         let Settings { renew_after_ms, watch_every_ms, .. } = self.settings;
         if self.fence.is_some() && now_ms < self.valid_until_ms {
             let due_ms = self.renewed_ms + renew_after_ms;
-            return match due_ms <= now_ms {
-                true => Next::Append { step: DutyStep::Renew, at: self.end },
-                false => Next::Wait { until_ms: due_ms },
-            };
+            if now_ms < due_ms {
+                return Next::Wait { until_ms: due_ms };
+            }
+            return Next::Append { step: DutyStep::Renew, at: self.end };
         }
         let Some(read_ms) = self.read_ms else { return Next::Read { from: self.end } };
         if read_ms + watch_every_ms <= now_ms {
--- a/crates/lentilhitch_policy/src/fleet.rs
+++ b/crates/lentilhitch_policy/src/fleet.rs
@@ -257,16 +257,16 @@
         now_ms: u64,
     ) -> Vec<(Zone, u32)> {
         let last = |zone: &Zone| {
-            let slot = (zone.clone(), Kind::OnDemand);
-            let n_present = present.get(&slot).copied().unwrap_or(0);
-            self.ordered.get(&slot).map_or(n_present, |it| it.0)
+            let place = (zone.clone(), Kind::OnDemand);
+            let n_present = present.get(&place).copied().unwrap_or(0);
+            self.ordered.get(&place).map_or(n_present, |it| it.0)
         };
         let mut by_zone: Vec<_> = spot.iter().map(|(zone, _)| last(zone)).collect();
-        let least = self.lacking(spot.iter().map(|it| it.1.n_soon));
-        let most = self.lacking(spot.iter().map(|it| it.1.n_ready));
+        let needed_soon = self.lacking(spot.iter().map(|it| it.1.n_soon));
+        let needed_now = self.lacking(spot.iter().map(|it| it.1.n_ready));
         let total: u32 = by_zone.iter().sum();
-        let mut more = least.saturating_sub(total);
-        let mut less = total.saturating_sub(most);
+        let mut more = needed_soon.saturating_sub(total);
+        let mut less = total.saturating_sub(needed_now);
         for (n, (_, it)) in by_zone.iter_mut().zip(spot) {
             let room = scaling.zone_max.saturating_sub(*n + it.n_soon);
             *n += more.min(room);
--- a/crates/lentilhitch_policy/src/true_time.rs
+++ b/crates/lentilhitch_policy/src/true_time.rs
@@ -18,7 +18,7 @@
 impl TrueTime {
     /// Takes the own time of day and those of the peers as (offset, heard at), all in milliseconds.
     pub fn update(&mut self, own_wall_ms: u64, peers: &[(i64, u64)], now_ms: u64) {
-        let own = own_wall_ms as i64 - now_ms as i64;
+        let own = own_wall_ms.cast_signed() - now_ms.cast_signed();
         let fresh = peers.iter().filter(|it| now_ms.saturating_sub(it.1) <= PEER_FRESH_MS);
         let mut offsets: Vec<i64> = fresh.map(|it| it.0).collect();
         if offsets.len() < 2 {
@@ -35,6 +35,6 @@
 
     /// Milliseconds since 1970.
     pub fn now_ms(&self, steady_ms: u64) -> Option<u64> {
-        self.offset_ms.map(|it| (steady_ms as i64 + it).max(0) as u64)
+        self.offset_ms.map(|it| (steady_ms.cast_signed() + it).max(0).cast_unsigned())
     }
 }
--- a/crates/lentilhitch_policy/src/usage.rs
+++ b/crates/lentilhitch_policy/src/usage.rs
@@ -5,7 +5,7 @@
 //! hears of no holder. The holder writes its decision on a window into a second topic before it reports, so that a
 //! successor reports the same figures.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -108,7 +108,7 @@
     settings: Settings,
     nodes: FxHashMap<(InstanceName, u64), NodeCounts>,
     decided: BTreeMap<WindowNo, Counts>,
-    reported: BTreeMap<WindowNo, ()>,
+    reported: BTreeSet<WindowNo>,
 }
 
 impl Ledger {
@@ -118,7 +118,7 @@
             settings,
             nodes: FxHashMap::default(),
             decided: BTreeMap::new(),
-            reported: BTreeMap::new(),
+            reported: BTreeSet::new(),
         }
     }
 
@@ -148,18 +148,18 @@
         self.decided.entry(decision.window).or_insert(decision.counts);
     }
 
-    /// The next window to decide, with its counts.
-    pub fn next_decision(&self, true_ms: u64) -> Option<Decision> {
+    /// The next window to decide, with its counts. `n_nodes` run, as far as is known.
+    pub fn next_decision(&self, n_nodes: usize, true_ms: u64) -> Option<Decision> {
         let Settings { window_ms, settle_ms, wait_max_ms, late_ms } = self.settings;
         let current = true_ms / window_ms;
         let first = (true_ms.saturating_sub(late_ms + window_ms) / window_ms) + 1;
         let is_due = |window: &WindowNo| {
             let end_ms = (window + 1) * window_ms;
-            let all_past = self
-                .nodes
-                .values()
-                .filter(|it| end_ms.saturating_sub(window_ms) <= it.through_ms)
-                .all(|it| end_ms + settle_ms <= it.through_ms);
+            let is_past = |it: &&NodeCounts| end_ms + settle_ms <= it.through_ms;
+            let counted = |it: &&NodeCounts| end_ms.saturating_sub(window_ms) <= it.through_ms;
+            let n_past = self.nodes.values().filter(is_past).count();
+            let n_counted = self.nodes.values().filter(counted).count();
+            let all_past = n_nodes.max(n_counted) <= n_past;
             end_ms + settle_ms <= true_ms && (all_past || end_ms + wait_max_ms <= true_ms)
         };
         let window = (first..current).find(|it| !self.decided.contains_key(it) && is_due(it))?;
@@ -182,14 +182,14 @@
     pub fn next_report(&self, true_ms: u64) -> Option<Decision> {
         let late_ms = self.settings.late_ms + self.settings.window_ms;
         let is_late = |it: WindowNo| (it + 1) * self.settings.window_ms + late_ms < true_ms;
-        let mut open = self.decided.iter().filter(|it| !self.reported.contains_key(it.0));
+        let mut open = self.decided.iter().filter(|it| !self.reported.contains(it.0));
         let (window, counts) = open.find(|it| !is_late(*it.0))?;
         Some(Decision { window: *window, counts: counts.clone() })
     }
 
     /// A window was reported, or its report can't be taken any more.
     pub fn close(&mut self, window: WindowNo) {
-        self.reported.insert(window, ());
+        self.reported.insert(window);
     }
 
     /// Forgets what is too old to matter.
--- a/crates/lentilhitch_policy/tests/duty.rs
+++ b/crates/lentilhitch_policy/tests/duty.rs
@@ -75,9 +75,8 @@
         pending = rest;
         let heard: Vec<_> =
             nodes.iter().map(|it| it.duty.is_held(now_ms).then(|| it.duty.end())).collect();
-        for idx in 0..N_NODES {
-            disturb(&mut nodes[idx], idx, now_ms, &mut rng);
-            let node = &mut nodes[idx];
+        for (idx, node) in nodes.iter_mut().enumerate() {
+            disturb(node, idx, now_ms, &mut rng);
             if now_ms < node.frozen_until_ms || now_ms < node.busy_until_ms {
                 continue;
             }
--- a/crates/lentilhitch_policy/tests/events.rs
+++ b/crates/lentilhitch_policy/tests/events.rs
@@ -59,7 +59,9 @@
 proptest! {
     #[test]
     fn pieces_do_not_matter(n_events in 1_u64..30, cuts in proptest::collection::vec(1_usize..40, 1..60)) {
-        let text: String = (1..=n_events).map(|it| format!("id: {it}\ndata: {}\n\n", "t".repeat(it as usize))).collect();
+        let text: String = (1..=n_events).fold(String::new(), |text, it| {
+            text + &format!("id: {it}\ndata: {}\n\n", "t".repeat(it as usize))
+        });
         let mut cutter = EventCutter::after(None);
         let mut passed = Vec::new();
         let mut rest = text.as_bytes();
--- a/crates/lentilhitch_policy/tests/true_time.rs
+++ b/crates/lentilhitch_policy/tests/true_time.rs
@@ -45,7 +45,7 @@
     ];
     for case in cases {
         let mut time = TrueTime::default();
-        let wall_ms = |off: i64| (NOW_MS as i64 + TRUE_MS + off) as u64;
+        let wall_ms = |off: i64| (NOW_MS.cast_signed() + TRUE_MS + off).cast_unsigned();
         time.update(wall_ms(0), &[], NOW_MS);
         let peers: Vec<_> = case.peers.iter().map(|it| (TRUE_MS + it.0, NOW_MS - it.1)).collect();
         time.update(wall_ms(case.own_off_ms), &peers, NOW_MS);
--- a/crates/lentilhitch_policy/tests/usage.rs
+++ b/crates/lentilhitch_policy/tests/usage.rs
@@ -21,6 +21,7 @@
         name: &'static str,
         records: Vec<NodeCounts>,
         true_ms: u64,
+        n_nodes: usize,
         /// Requests of window 2, if it is decided.
         expected: Option<u64>,
     }
@@ -29,18 +30,28 @@
             name: "all are past",
             records: vec![counts("a", 1, 15_400, &[(2, 5)]), counts("b", 1, 15_500, &[(2, 7)])],
             true_ms: 15_600,
+            n_nodes: 1,
             expected: Some(12),
         },
         Case {
             name: "one is not",
             records: vec![counts("a", 1, 15_400, &[(2, 5)]), counts("b", 1, 14_000, &[(2, 7)])],
             true_ms: 15_600,
+            n_nodes: 1,
+            expected: None,
+        },
+        Case {
+            name: "one that runs has not said anything yet",
+            records: vec![counts("a", 1, 15_400, &[(2, 5)])],
+            true_ms: 15_600,
+            n_nodes: 2,
             expected: None,
         },
         Case {
             name: "one never will be",
             records: vec![counts("a", 1, 15_400, &[(2, 5)]), counts("b", 1, 14_000, &[(2, 7)])],
             true_ms: 20_100,
+            n_nodes: 1,
             expected: Some(12),
         },
         Case {
@@ -51,18 +62,21 @@
                 counts("a", 1, 13_000, &[(2, 3)]),
             ],
             true_ms: 15_600,
+            n_nodes: 1,
             expected: Some(9),
         },
         Case {
             name: "lives of one node add up",
             records: vec![counts("a", 1, 12_000, &[(2, 5)]), counts("a", 2, 15_400, &[(2, 2)])],
             true_ms: 20_100,
+            n_nodes: 1,
             expected: Some(7),
         },
         Case {
             name: "a window that a record no longer holds is remembered",
             records: vec![counts("a", 1, 15_400, &[(2, 5)]), counts("a", 1, 15_500, &[(3, 1)])],
             true_ms: 15_600,
+            n_nodes: 1,
             expected: Some(5),
         },
     ];
@@ -75,7 +89,7 @@
         for record in case.records {
             ledger.take_counts(record);
         }
-        let decided = ledger.next_decision(case.true_ms).map(|it| {
+        let decided = ledger.next_decision(case.n_nodes, case.true_ms).map(|it| {
             assert_eq!(it.window, 2, "{}", case.name);
             it.counts.values().sum::<u64>()
         });
--- a/crates/lentilhitch_standin/src/estate.rs
+++ b/crates/lentilhitch_standin/src/estate.rs
@@ -28,7 +28,7 @@
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Option<Response<StandInBody>>> + Send,
 {
-    let listener = TcpListener::bind(crate::harness::free_address()?).await?;
+    let listener = TcpListener::bind((crate::harness::own_ip(), 0)).await?;
     let address = listener.local_addr()?;
     let task = tokio::spawn(async move {
         let mut connections = tokio::task::JoinSet::new();
--- a/crates/lentilhitch_standin/src/estate/log_store.rs
+++ b/crates/lentilhitch_standin/src/estate/log_store.rs
@@ -160,7 +160,7 @@
             let answer = take_append(&mut state.lock(), &query, body);
             written.notify_waiters();
             if fault == StoreFault::LostAnswers {
-                std::future::pending().await
+                return std::future::pending().await;
             }
             Some(answer)
         }
--- a/crates/lentilhitch_standin/src/estate/upstream.rs
+++ b/crates/lentilhitch_standin/src/estate/upstream.rs
@@ -190,9 +190,8 @@
         }
         Behavior::Fail => with_status(500, full("no")),
         Behavior::OtherId => return stamped(Response::new(full("another's")), "another", own),
-        Behavior::Drop => return None,
+        Behavior::Drop | Behavior::Full => return None,
         Behavior::Mute => std::future::pending().await,
-        Behavior::Full => return None,
     };
     stamped(response, &id, own)
 }
--- a/crates/lentilhitch_standin/src/harness.rs
+++ b/crates/lentilhitch_standin/src/harness.rs
@@ -16,8 +16,8 @@
 pub use cluster::{Cluster, Entry, Upstream};
 pub use events::{Events, read_events, read_events_until};
 pub use options::Options;
-pub(crate) use process::free_address;
 pub use process::{Process, resident_kib};
+pub(crate) use process::{free_address, own_ip};
 
 /// Longest wait for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(30);
--- a/crates/lentilhitch_standin/src/harness/process.rs
+++ b/crates/lentilhitch_standin/src/harness/process.rs
@@ -143,10 +143,14 @@
 
 /// A loopback address of its own, with a port that the system chose.
 pub(crate) fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind((own_ip(), 0))?.local_addr()
+}
+
+/// A loopback address of its own.
+pub(crate) fn own_ip() -> IpAddr {
     let pid = std::process::id().to_le_bytes();
     let host = N_ADDRESSES.fetch_add(1, Ordering::Relaxed).max(1);
-    let ip = IpAddr::V4(Ipv4Addr::new(127, pid[1] | 1, pid[0], host));
-    TcpListener::bind((ip, 0))?.local_addr()
+    IpAddr::V4(Ipv4Addr::new(127, pid[1] | 1, pid[0], host))
 }
 
 /// Binaries are beside this one, or one folder up if this one is a test.
