News of upstreams is small and stays in the zone; regular gaps are no outage

News went as whole entries to 73 peers, three times, which filled links of 10 Mbit/s; and gaps between vouched readings counted as outages of the store, so that removed upstreams were kept for the grace of lapsed ones. Ruled out: the readers' own pace (they know within 0.6 s of the store's word, by the log). Conclusion: an outage is longer than any regular gap and than two heartbeats; a case of the catalog's table shows it.

--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -11,6 +11,7 @@
 use lentilhitch_types::LogOffset;
 
 use crate::{
+    gossip::News,
     node::{Node, Peer, name_hash},
     platform::{CallError, Platform, Reading, Record, Topic},
 };
@@ -25,6 +26,10 @@
 const NODES_PAUSE_MS: u64 = 12_000;
 /// Nodes up to which that pause is the shortest.
 const NODES_PAUSE_NODES: u64 = 12;
+/// Entries lapse after three silent heartbeats, so not within an outage of two.
+const OUTAGE_BEATS: u64 = 2;
+/// What a regular gap may be late.
+const OUTAGE_SLACK_MS: u64 = 300;
 /// How often a node that does not read looks whether it has to.
 const LOOK: Duration = Duration::from_millis(200);
 /// Pauses after failed calls: the first, doubled up to the longest, each with jitter of a half.
@@ -196,6 +201,12 @@
         NODES_PAUSE_MS * (self.n_nodes() as u64).max(NODES_PAUSE_NODES) / NODES_PAUSE_NODES
     }
 
+    /// A gap between readings in which entries may have lapsed, and that is longer than the regular ones.
+    pub(crate) fn outage_ms(&self) -> u64 {
+        let beats_ms = OUTAGE_BEATS * self.settings.upstream_heartbeat_ms;
+        beats_ms.max(self.vouched_ms() + OUTAGE_SLACK_MS)
+    }
+
     /// Whether another node reads the list of upstreams for this one.
     fn is_list_vouched(&self) -> bool {
         let age_ms = self.state.borrow().catalog.age_ms(self.now_ms());
@@ -221,22 +232,26 @@
 
     fn take_upstream_records(&self, records: &[Record]) {
         let now_ms = self.now_ms();
+        let outage_ms = self.outage_ms();
         {
             let mut state = self.state.borrow_mut();
             state.own_list_read_ms = now_ms;
-            state.catalog.begin_reading(now_ms);
+            state.catalog.begin_reading(now_ms, outage_ms);
         }
         for record in records {
             if let Some(change) = self.take_upstream_record(record, now_ms) {
                 self.take_changes(std::slice::from_ref(&change));
-                self.pass_on(record);
+                self.pass_on(record.offset, &change);
             }
         }
     }
 
     /// Tells the peers of a changed entry at once.
-    fn pass_on(&self, record: &Record) {
-        self.state.borrow_mut().news.push((record.clone(), NEWS_TELLINGS));
+    fn pass_on(&self, offset: LogOffset, change: &Change) {
+        let id = change.upstream().clone();
+        let mut state = self.state.borrow_mut();
+        let listed = state.catalog.get(&id).map(|it| it.listed.clone());
+        state.news.push((News { id, offset, listed }, NEWS_TELLINGS));
         self.tell.notify_one();
     }
 
@@ -248,10 +263,7 @@
             return state.catalog.remove(&id, record.offset, now_ms);
         }
         match P::read_upstream(record) {
-            Ok(listed) => {
-                state.entries.insert(listed.id.clone(), record.clone());
-                state.catalog.insert(listed, record.offset, now_ms)
-            }
+            Ok(listed) => state.catalog.insert(listed, record.offset, now_ms),
             Err(err) => {
                 log::debug!("unreadable entry of {}: {err}", record.key);
                 None
@@ -261,13 +273,12 @@
 
     /// Takes the whole list; entries that can't be read leave what is known of their upstreams as it is.
     fn take_upstream_list(&self, records: &[Record], end: LogOffset) {
-        let now_ms = self.now_ms();
+        let (now_ms, outage_ms) = (self.now_ms(), self.outage_ms());
         let mut state = self.state.borrow_mut();
         let mut listed = Vec::new();
         for record in records {
             match P::read_upstream(record) {
                 Ok(it) => {
-                    state.entries.insert(it.id.clone(), record.clone());
                     listed.push((it, record.offset));
                 }
                 Err(err) => {
@@ -279,7 +290,7 @@
             }
         }
         state.own_list_read_ms = now_ms;
-        state.catalog.begin_reading(now_ms);
+        state.catalog.begin_reading(now_ms, outage_ms);
         let changes = state.catalog.replace(listed, end, now_ms);
         drop(state);
         self.take_changes(&changes);
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    gossip::News,
     node::{Node, Peer},
     platform::{Platform, Record},
 };
@@ -29,7 +30,7 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Knowledge {
     config: Bytes,
-    upstreams: Vec<Record>,
+    upstreams: Vec<News>,
     /// How long ago the list of upstreams was read.
     upstreams_age_ms: u64,
     /// Gossip and exchange addresses.
@@ -91,7 +92,7 @@
         let state = self.state.borrow();
         let knowledge = Knowledge {
             config: state.config_text.clone(),
-            upstreams: state.entries.values().cloned().collect(),
+            upstreams: state.catalog.entries().map(News::from).collect(),
             upstreams_age_ms: state.catalog.age_ms(now_ms).unwrap_or(u64::MAX),
             nodes: state.peers.iter().map(|it| (*it.0, it.1.gossip, it.1.exchange)).collect(),
         };
@@ -149,10 +150,7 @@
         }
         let age_ms = self.state.borrow().catalog.age_ms(now_ms).unwrap_or(u64::MAX);
         if knowledge.upstreams_age_ms < age_ms {
-            let records = knowledge.upstreams.iter();
-            let changes: Vec<_> =
-                records.filter_map(|it| self.take_upstream_record(it, now_ms)).collect();
-            self.take_changes(&changes);
+            self.take_news(knowledge.upstreams.clone());
         }
         let mut state = self.state.borrow_mut();
         for (node, gossip, exchange) in &knowledge.nodes {
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -12,14 +12,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
-use lentilhitch_policy::{placement::InProgress, usage::NodeCounts};
-use lentilhitch_types::{Fingerprint, LogOffset};
+use lentilhitch_policy::{placement::InProgress, traffic::Listed, usage::NodeCounts};
+use lentilhitch_types::{Fingerprint, LogOffset, UpstreamName};
 
 use crate::{
     clock::wall_ms,
     discovery::UPSTREAMS_PAUSE_MS,
     node::{Node, Peer, State, name_hash},
-    platform::{Platform, Record},
+    platform::Platform,
 };
 
 /// The pause between messages in a small deployment; it grows with the nodes, so that a node's traffic does not.
@@ -44,6 +44,21 @@
     /// What the sender counted, for the holder of the duties.
     #[serde(rename = "c")]
     Counts(NodeCounts),
+    /// Upstreams that changed a moment ago, for the sender's zone.
+    #[serde(rename = "r")]
+    News(Vec<News>),
+}
+
+/// A changed upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct News {
+    #[serde(rename = "i")]
+    pub(crate) id: UpstreamName,
+    #[serde(rename = "o")]
+    pub(crate) offset: LogOffset,
+    /// Absent if it has ended.
+    #[serde(rename = "l")]
+    pub(crate) listed: Option<Listed>,
 }
 
 /// One node's state.
@@ -77,33 +92,36 @@
     demand: Vec<(u32, f32)>,
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     evidence: Vec<(Fingerprint, u64)>,
-    /// Entries of upstreams that changed a moment ago.
-    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
-    news: Vec<Record>,
     /// Where the topic of the duties ended at the sender's last renewal, if it holds them.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     duty: Option<LogOffset>,
 }
 
+impl From<(&Listed, LogOffset)> for News {
+    fn from((listed, offset): (&Listed, LogOffset)) -> Self {
+        Self { id: listed.id.clone(), offset, listed: Some(listed.clone()) }
+    }
+}
+
 /// Tells and hears until the process ends.
 pub(crate) async fn run<P: Platform>(node: Rc<Node<P>>, socket: Rc<UdpSocket>) -> io::Result<()> {
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     let mut next = Box::pin(sleep(Duration::from_millis(PAUSE_MS)));
+    let mut next_news = Box::pin(sleep(Duration::from_millis(NEWS_PAUSE_MS)));
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((n_bytes, from)) => node.hear(&buffer[..n_bytes], from),
                 Err(err) => log::debug!("can't receive: {err}"),
             },
-            () = node.tell.notified() => {
-                node.tell(&socket).await;
-                next = Box::pin(sleep(Duration::from_millis(NEWS_PAUSE_MS)));
+            () = node.tell.notified() => node.tell_news(&socket).await,
+            () = &mut next_news => {
+                node.tell_news(&socket).await;
+                next_news = Box::pin(sleep(Duration::from_millis(NEWS_PAUSE_MS)));
             }
             () = &mut next => {
                 node.tell(&socket).await;
-                let has_news = !node.state.borrow().news.is_empty();
-                let pause_ms = if has_news { NEWS_PAUSE_MS } else { node.pause_ms() };
-                next = Box::pin(sleep(Duration::from_millis(pause_ms)));
+                next = Box::pin(sleep(Duration::from_millis(node.pause_ms())));
             }
         }
     }
@@ -164,6 +182,26 @@
         true
     }
 
+    /// Tells the other nodes of the zone what changed; those of other zones hear it from their own reader.
+    async fn tell_news(&self, socket: &UdpSocket) {
+        loop {
+            let (news, addresses) = {
+                let mut state = self.state.borrow_mut();
+                let zone = name_hash(self.settings.zone.as_str()) as u32;
+                let peers = state.peers.values().filter(|it| it.zone == zone);
+                let addresses: Vec<_> = peers.map(|it| it.gossip).collect();
+                (state.take_news(), addresses)
+            };
+            let is_last = news.len() < NEWS_MAX;
+            if !news.is_empty() {
+                self.send(socket, &Message::News(news), &addresses).await;
+            }
+            if is_last {
+                return;
+            }
+        }
+    }
+
     async fn send(&self, socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
         let mut bytes = Vec::new();
         if let Err(err) = ciborium::into_writer(message, &mut bytes) {
@@ -207,7 +245,6 @@
                 .collect(),
             demand: demand.collect(),
             evidence: state.take_evidence(),
-            news: state.take_news(),
             duty: state.duty_news,
         };
         (message, state.peers.values().map(|it| it.gossip).collect())
@@ -223,6 +260,7 @@
         };
         match message {
             Message::State(it) => self.hear_state(&it, from),
+            Message::News(news) => self.take_news(news),
             Message::Counts(counts) => {
                 let mut state = self.state.borrow_mut();
                 state.peer_counts.push(counts);
@@ -236,8 +274,7 @@
         if message.node == name_hash(self.instance().as_str()) {
             return;
         }
-        let now_ms = self.now_ms();
-        self.take_news(&message.news, now_ms);
+        let (now_ms, outage_ms) = (self.now_ms(), self.outage_ms());
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let peer = state.peers.entry(message.node);
@@ -251,7 +288,7 @@
         peer.version = message.config.0;
         peer.upstreams_read_ms = now_ms.saturating_sub(message.upstreams.1);
         peer.demand = message.demand.iter().map(|it| (it.0, f64::from(it.1))).collect();
-        state.vouch(message, now_ms);
+        state.vouch(message, outage_ms, now_ms);
         let in_progress = message.in_progress.iter();
         let in_progress: Vec<_> = in_progress
             .map(|(id, n_requests, waiting_tokens)| {
@@ -274,21 +311,29 @@
         }
     }
 
-    fn take_news(&self, news: &[Record], now_ms: u64) {
-        let changes: Vec<_> =
-            news.iter().filter_map(|it| self.take_upstream_record(it, now_ms)).collect();
+    /// Takes what another node knows of upstreams.
+    pub(crate) fn take_news(&self, news: Vec<News>) {
+        let now_ms = self.now_ms();
+        let changes: Vec<_> = {
+            let mut state = self.state.borrow_mut();
+            let changes = news.into_iter().filter_map(|it| match it.listed {
+                Some(listed) => state.catalog.insert(listed, it.offset, now_ms),
+                None => state.catalog.remove(&it.id, it.offset, now_ms),
+            });
+            changes.collect()
+        };
         self.take_changes(&changes);
     }
 }
 
 /// Counts of peers that are kept for the case that this node gets the duties.
 const PEER_COUNTS_MAX: usize = 4_096;
-/// Changed entries in one message.
-const NEWS_MAX: usize = 32;
+/// Changed upstreams in one message, so that it fits into one packet.
+const NEWS_MAX: usize = 12;
 
 impl State {
     /// A peer that knows the same knows how fresh it is.
-    fn vouch(&mut self, message: &Gossip, now_ms: u64) {
+    fn vouch(&mut self, message: &Gossip, outage_ms: u64, now_ms: u64) {
         let version = self.table.as_ref().map_or(0, |it| it.config.version);
         if version == message.config.0 {
             self.config_read_ms = self.config_read_ms.max(now_ms.saturating_sub(message.config.1));
@@ -297,11 +342,11 @@
         let own_age_ms = self.catalog.age_ms(now_ms);
         let is_newer = own_age_ms.is_some_and(|it| now_ms.saturating_sub(it) < read_ms);
         if is_newer && self.catalog.digest() == message.upstreams.0 {
-            self.catalog.begin_reading(read_ms);
+            self.catalog.begin_reading(read_ms, outage_ms);
         }
     }
 
-    fn take_news(&mut self) -> Vec<Record> {
+    fn take_news(&mut self) -> Vec<News> {
         let told = self.news.iter_mut().take(NEWS_MAX);
         let told = told.map(|it| {
             it.1 -= 1;
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -22,14 +22,12 @@
     true_time::TrueTime,
     usage::{NodeCounts, Tally},
 };
-use lentilhitch_types::{
-    Fingerprint, InstanceName, LogOffset, ServiceName, TeamName, UpstreamName,
-};
+use lentilhitch_types::{Fingerprint, InstanceName, LogOffset, ServiceName, TeamName};
 
 use crate::{
     clock::{Clock, wall_ms},
+    gossip::News,
     metrics::Metrics,
-    platform::Record,
     pool::Pool,
     settings::NodeSettings,
 };
@@ -73,8 +71,6 @@
     pub(crate) own_config_read_ms: u64,
     pub(crate) own_list_read_ms: u64,
     pub(crate) catalog: Catalog,
-    /// Each upstream's entry as it was written.
-    pub(crate) entries: FxHashMap<UpstreamName, Record>,
     pub(crate) board: Board,
     pub(crate) rates: FxHashMap<TeamName, SharedRate>,
     /// Teams by hash of their names.
@@ -87,7 +83,7 @@
     /// Evidence to pass on, with the number of times that it is still sent.
     pub(crate) evidence: Vec<(Fingerprint, u64, u8)>,
     /// Changed entries of upstreams to pass on, with the number of times that each is still sent.
-    pub(crate) news: Vec<(Record, u8)>,
+    pub(crate) news: Vec<(News, u8)>,
     pub(crate) peers: FxHashMap<u64, Peer>,
     pub(crate) rng: SmallRng,
     pub(crate) buffered_bytes: usize,
@@ -194,7 +190,6 @@
             own_config_read_ms: 0,
             own_list_read_ms: 0,
             catalog: Catalog::new(catalog::Settings::default()),
-            entries: FxHashMap::default(),
             board: Board::new(placement::Settings::default(), settings.zone.clone()),
             rates: FxHashMap::default(),
             rate_names: FxHashMap::default(),
@@ -296,7 +291,6 @@
                 }
                 Change::Removed(id) => {
                     log::info!(upstream = id.as_str(); "upstream is gone");
-                    state.entries.remove(id);
                     state.board.forget(id);
                     self.pool.forget(id);
                 }
--- a/crates/lentilhitch_gateway/src/settings.rs
+++ b/crates/lentilhitch_gateway/src/settings.rs
@@ -24,6 +24,8 @@
     pub has_usage_duty: bool,
     pub has_scaling_duty: bool,
     pub memory_bytes: u64,
+    /// How often an upstream writes its entry.
+    pub upstream_heartbeat_ms: u64,
     pub bounds: Bounds,
 }
 
--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -20,13 +20,11 @@
     /// How long an entry that vanished around an outage stays in use after the list is back. Living upstreams are
     /// listed again within two seconds.
     pub lapse_grace_ms: u64,
-    /// A gap between two readings of the list that counts as an outage; a few reading intervals.
-    pub outage_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { lapse_grace_ms: 1_700, outage_ms: 1_500 }
+        Self { lapse_grace_ms: 1_700 }
     }
 }
 
@@ -57,6 +55,15 @@
     Removed(UpstreamName),
 }
 
+impl Change {
+    /// The upstream that changed.
+    pub fn upstream(&self) -> &UpstreamName {
+        match self {
+            Self::Added(id) | Self::Restarted(id) | Self::Leaving(id) | Self::Removed(id) => id,
+        }
+    }
+}
+
 /// All upstreams, by name.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -83,6 +90,12 @@
         self.upstreams.values()
     }
 
+    /// Every upstream in use, and where its entry was written.
+    pub fn entries(&self) -> impl Iterator<Item = (&Listed, LogOffset)> {
+        let offset = |id| self.versions.get(id).copied().unwrap_or_default();
+        self.upstreams.values().map(move |it| (&it.listed, offset(&it.listed.id)))
+    }
+
     /// One upstream.
     pub fn get(&self, id: &UpstreamName) -> Option<&Upstream> {
         self.upstreams.get(id)
@@ -107,10 +120,11 @@
         self.upstreams.values().fold(0, |sum, it| sum ^ one(it))
     }
 
-    /// Notes that the list was read, before the entries of this reading are applied.
-    pub fn begin_reading(&mut self, now_ms: u64) {
+    /// Notes that the list was read, before the entries of this reading are applied. A gap of `outage_ms` since the last
+    /// reading counts as an outage; it must be longer than any regular gap.
+    pub fn begin_reading(&mut self, now_ms: u64, outage_ms: u64) {
         let gap_ms = self.read_ms.map_or(0, |it| now_ms.saturating_sub(it));
-        if self.settings.outage_ms <= gap_ms {
+        if outage_ms <= gap_ms {
             self.grace_until_ms = now_ms + self.settings.lapse_grace_ms;
         }
         self.read_ms = Some(now_ms);
--- a/crates/lentilhitch_policy/src/traffic.rs
+++ b/crates/lentilhitch_policy/src/traffic.rs
@@ -156,25 +156,34 @@
 }
 
 /// The state of an upstream as the platform lists it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListedState {
     Ready,
     Draining,
 }
 
-/// One upstream as the platform lists it.
-#[derive(Clone, Debug, PartialEq)]
+/// One upstream as the platform lists it. Nodes tell each other of changed ones, so the fields travel under short names.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
+    #[serde(rename = "i")]
     pub id: UpstreamName,
+    #[serde(rename = "s")]
     pub service: ServiceName,
+    #[serde(rename = "a")]
     pub address: SocketAddr,
+    #[serde(rename = "z")]
     pub zone: Zone,
+    #[serde(rename = "t")]
     pub state: ListedState,
+    #[serde(rename = "n")]
     pub slots: u32,
     /// Tells one life under a name from the next.
+    #[serde(rename = "b")]
     pub born_ms: u64,
+    #[serde(rename = "p")]
     pub is_spot: bool,
     /// How much longer a leaving upstream runs, if known.
+    #[serde(rename = "l")]
     pub leaves_ms: Option<u64>,
 }
 
--- a/crates/lentilhitch_policy/tests/catalog.rs
+++ b/crates/lentilhitch_policy/tests/catalog.rs
@@ -11,6 +11,7 @@
 use lentilhitch_types::LogOffset;
 
 const READ_EVERY_MS: u64 = 400;
+const OUTAGE_MS: u64 = 2_400;
 
 fn listed(id: &str, born_ms: u64, state: ListedState) -> Listed {
     Listed {
@@ -69,6 +70,11 @@
             steps: vec![Ready("u", 1), Read, ReadAfter(5_000), Gone("u"), Tick(1_000)],
             ready: vec!["u"],
         },
+        Case {
+            name: "a regular gap is no outage, however long the nodes' pauses make it",
+            steps: vec![Ready("u", 1), Read, ReadAfter(OUTAGE_MS - 1), Gone("u")],
+            ready: vec![],
+        },
         Case {
             name: "and dropped after it",
             steps: vec![Ready("u", 1), Read, ReadAfter(5_000), Gone("u"), Tick(1_800)],
@@ -111,11 +117,11 @@
                 }
                 Read => {
                     now_ms += READ_EVERY_MS;
-                    catalog.begin_reading(now_ms);
+                    catalog.begin_reading(now_ms, OUTAGE_MS);
                 }
                 ReadAfter(ms) => {
                     now_ms += ms;
-                    catalog.begin_reading(now_ms);
+                    catalog.begin_reading(now_ms, OUTAGE_MS);
                 }
                 Tick(ms) => {
                     now_ms += ms;
@@ -134,7 +140,7 @@
     let mut catalog = Catalog::new(Settings::default());
     catalog.insert(listed("kept", 1, ListedState::Ready), LogOffset(1), 0);
     catalog.insert(listed("ended", 1, ListedState::Ready), LogOffset(2), 0);
-    catalog.begin_reading(100);
+    catalog.begin_reading(100, OUTAGE_MS);
     let list = vec![(listed("kept", 1, ListedState::Ready), LogOffset(5))];
     let changes = catalog.replace(list, LogOffset(6), 100);
     assert_eq!(changes, [Change::Removed("ended".parse().unwrap())]);
