Candidates for the duties are the readers of the zones

Cause: on the grown sites 74 nodes looked at the lease every 1.5 s, about 50 of 110 priced calls a second. Ruled out: reads of the list of upstreams (the log shows one reader a zone at 1.2 s). Conclusion: a zone's reader stands for its zone.

--- a/crates/lentilhitch_gateway/src/duties.rs
+++ b/crates/lentilhitch_gateway/src/duties.rs
@@ -45,7 +45,8 @@
     Rc::new(RefCell::new(duty))
 }
 
-/// Gets, keeps and gives back the lease.
+/// Gets, keeps and gives back the lease. Candidates are the nodes that read the store for their zones, so that the calls do
+/// not grow with the nodes.
 pub(crate) async fn keep_lease<P: Platform>(node: Rc<Node<P>>, duty: SharedDuty) {
     let mut was_held = false;
     loop {
@@ -65,8 +66,12 @@
         if let Some((end, heard_ms)) = heard {
             duty.borrow_mut().hear(end, heard_ms);
         }
-        let next = duty.borrow().next(now_ms);
         node.state.borrow_mut().duty_news = is_held.then(|| duty.borrow().end());
+        if !is_held && !node.is_reader() {
+            sleep(Duration::from_millis(LEASE_LOOK_MS)).await;
+            continue;
+        }
+        let next = duty.borrow().next(now_ms);
         match next {
             Next::Wait { until_ms } => {
                 let wait_ms = until_ms.saturating_sub(now_ms).clamp(1, LEASE_LOOK_MS);
