--- a/crates/lentilhitch_standin/src/estate.rs
+++ b/crates/lentilhitch_standin/src/estate.rs
@@ -8,7 +8,7 @@
 mod upstream;
 
 pub use log_store::{LogStore, StoreFault};
-pub use site::{Answer, Site, SiteOptions};
+pub use site::{Answer, Caller, Site, SiteOptions};
 pub use upstream::{Behavior, Ran, Upstream};
 
 use std::{convert::Infallible, future::Future, net::SocketAddr};
--- a/crates/lentilhitch_standin/src/estate/site.rs
+++ b/crates/lentilhitch_standin/src/estate/site.rs
@@ -161,9 +161,15 @@
         response.is_ok_and(|it| it.status().is_success())
     }
 
+    /// What sends requests to the nodes, also beside other work on the deployment.
+    pub fn caller(&self) -> Caller {
+        let fronts = self.nodes.iter().map(|it| it.front).collect();
+        Caller { http: self.http.clone(), fronts }
+    }
+
     /// A request of the usual team at a node.
     pub fn request(&self, node: usize, id: &str, path: &str) -> reqwest::RequestBuilder {
-        self.request_with_key(node, id, path, KEY)
+        self.caller().request_with_key(node, id, path, KEY)
     }
 
     /// A request with some key at a node.
@@ -174,37 +180,17 @@
         path: &str,
         key: &str,
     ) -> reqwest::RequestBuilder {
-        let url = format!("http://{}{path}", self.nodes[node].front);
-        let request = if path.starts_with("/status/") {
-            self.http.get(url)
-        } else {
-            self.http.post(url).body("what the client says")
-        };
-        request
-            .header("host", HOST)
-            .header("x-attempt-id", id)
-            .header("x-deadline-ms", "8000")
-            .bearer_auth(key)
+        self.caller().request_with_key(node, id, path, key)
     }
 
     /// Sends a request and reads its answer as far as it comes.
     pub async fn send(&self, request: reqwest::RequestBuilder) -> anyhow::Result<Answer> {
-        let mut response = request.send().await.context("no answer")?;
-        let (status, headers) = (response.status().as_u16(), response.headers().clone());
-        let mut body = Vec::new();
-        let is_whole = loop {
-            match response.chunk().await {
-                Ok(Some(piece)) => body.extend_from_slice(&piece),
-                Ok(None) => break true,
-                Err(_) => break false,
-            }
-        };
-        Ok(Answer { status, headers, body: body.into(), is_whole })
+        read_answer(request).await
     }
 
     /// Sends the usual request for a path.
     pub async fn call(&self, node: usize, id: &str, path: &str) -> anyhow::Result<Answer> {
-        self.send(self.request(node, id, path)).await
+        self.caller().call(node, id, path).await
     }
 
     /// How often upstreams ran the request with this id.
@@ -214,6 +200,57 @@
     }
 }
 
+/// Sends requests to nodes.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    http: reqwest::Client,
+    fronts: Vec<SocketAddr>,
+}
+
+impl Caller {
+    /// Sends the usual request for a path.
+    pub async fn call(&self, node: usize, id: &str, path: &str) -> anyhow::Result<Answer> {
+        read_answer(self.request_with_key(node, id, path, KEY)).await
+    }
+
+    fn request_with_key(
+        &self,
+        node: usize,
+        id: &str,
+        path: &str,
+        key: &str,
+    ) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.fronts[node]);
+        let request = if path.starts_with("/status/") {
+            self.http.get(url)
+        } else {
+            self.http.post(url).body("what the client says")
+        };
+        request
+            .header("host", HOST)
+            .header("x-attempt-id", id)
+            .header("x-deadline-ms", "8000")
+            .bearer_auth(key)
+    }
+}
+
+async fn read_answer(request: reqwest::RequestBuilder) -> anyhow::Result<Answer> {
+    let mut response = request.timeout(ANSWER_TIMEOUT).send().await.context("no answer")?;
+    let (status, headers) = (response.status().as_u16(), response.headers().clone());
+    let mut body = Vec::new();
+    let is_whole = loop {
+        match response.chunk().await {
+            Ok(Some(piece)) => body.extend_from_slice(&piece),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    Ok(Answer { status, headers, body: body.into(), is_whole })
+}
+
+/// No client waits longer, whatever happens to its node.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
+
 fn start_process(name: &str, settings: &std::path::Path) -> anyhow::Result<Process> {
     let folder = settings.parent().context("settings in no folder")?;
     let args = ["edge".to_owned(), "--settings".to_owned(), settings.display().to_string()];
--- a/crates/lentilhitch_standin/src/lib.rs
+++ b/crates/lentilhitch_standin/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod replay;
 mod server;
 pub mod slopes;
+pub mod soak;
 pub mod trace;
--- a/crates/lentilhitch_standin/src/main.rs
+++ b/crates/lentilhitch_standin/src/main.rs
@@ -2,10 +2,11 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
+use anyhow::Context as _;
 use argh::FromArgs;
 
 use lentilhitch_standin::{
-    application, demo, engine, load, platform, record, replay, slopes, trace,
+    application, demo, engine, load, platform, record, replay, slopes, soak, trace,
 };
 
 /// Stand-ins of what lentilhitch meets, and a demonstration. For development only.
@@ -26,6 +27,25 @@
     Slopes(SlopesArgs),
     Record(RecordArgs),
     Replay(ReplayArgs),
+    Soak(SoakArgs),
+}
+
+/// Run nodes under faults drawn from seeds and check the promises. Ends with an error at the first seed that breaks one.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakArgs {
+    /// first seed (default: 1)
+    #[argh(option, default = "1")]
+    first: u64,
+    /// number of seeds (default: 10)
+    #[argh(option, default = "10")]
+    seeds: u64,
+    /// seconds of faults for each seed (default: 8)
+    #[argh(option, default = "8")]
+    seconds: u64,
+    /// nodes (default: 3)
+    #[argh(option, default = "3")]
+    nodes: usize,
 }
 
 /// Run the platform: log, instance list.
@@ -159,5 +179,18 @@
             }
             Ok(())
         }
+        Command::Soak(it) => run_soak(&it).await,
+    }
+}
+
+async fn run_soak(args: &SoakArgs) -> anyhow::Result<()> {
+    for seed in args.first..args.first + args.seeds {
+        let duration = std::time::Duration::from_secs(args.seconds);
+        let settings =
+            soak::Settings { seed, duration, n_nodes: args.nodes, ..soak::Settings::default() };
+        let (n_served, n_sent) =
+            soak::run(settings).await.with_context(|| format!("seed {seed}"))?;
+        println!("seed {seed}: {n_served} of {n_sent} served, every promise held");
     }
+    Ok(())
 }
