A stream that has begun resumes however long it has run; failed tries are logged

Ruled out: the budget of second tries (there was room). Conclusion: the rule holds until a request was first sent.

--- a/crates/lentilhitch/tests/edge_streams.rs
+++ b/crates/lentilhitch/tests/edge_streams.rs
@@ -17,18 +17,27 @@
     struct Case {
         name: &'static str,
         path: &'static str,
+        pause_ms: u64,
         is_whole: bool,
         n_runs: usize,
     }
     let cases = [
-        Case { name: "resumable", path: "/review/x", is_whole: true, n_runs: 2 },
-        Case { name: "not resumable", path: "/ask/x", is_whole: false, n_runs: 1 },
+        Case { name: "resumable", path: "/review/x", pause_ms: 5, is_whole: true, n_runs: 2 },
+        Case { name: "not resumable", path: "/ask/x", pause_ms: 5, is_whole: false, n_runs: 1 },
+        Case {
+            name: "resumable, long after its first token was due",
+            path: "/review/x",
+            pause_ms: 800,
+            is_whole: true,
+            n_runs: 2,
+        },
     ];
     for case in cases {
         let site =
             Site::start(SiteOptions { n_engines: 2, ..SiteOptions::default() }).await.unwrap();
         for it in &site.engines {
-            it.set(Behavior::Stream { n_events: N_EVENTS, pause_ms: 5, break_after: Some(3) });
+            let pause_ms = case.pause_ms;
+            it.set(Behavior::Stream { n_events: N_EVENTS, pause_ms, break_after: Some(3) });
         }
         let answer = site.call(0, "s1", case.path).await.unwrap();
         assert_eq!(answer.status, 200, "{}", case.name);
--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -239,7 +239,8 @@
             let Some((listed, place)) = self.place(now_ms) else {
                 return Err(self.refusal("no upstream is ready"));
             };
-            if self.is_hopeless(&listed, now_ms) {
+            // A stream that has begun, or may have, is not weighed by its first token.
+            if self.sent.is_empty() && self.is_hopeless(&listed, now_ms) {
                 return Err(self.refusal("the first token would come too late"));
             }
             if let Some(answered) = self.try_at(listed, place, resume_after, None).await? {
@@ -288,6 +289,7 @@
             TryEnd::NotSent => "not_sent",
             TryEnd::Unknown(_) => "unknown",
         });
+        self.log_failed_try(&life.0, &end, now_ms);
         match end {
             TryEnd::Answered(answered) => {
                 self.sent.push(life.clone());
@@ -331,6 +333,23 @@
         );
     }
 
+    fn log_failed_try(&self, upstream: &UpstreamName, end: &TryEnd<P>, sent_ms: u64) {
+        let (result, why) = match end {
+            TryEnd::Answered(_) => return,
+            TryEnd::NotRun(why) => ("not run", *why),
+            TryEnd::NotSent => ("not sent", "no connection"),
+            TryEnd::Unknown(why) => ("unknown", *why),
+        };
+        log::warn!(
+            request = self.call.head.id.as_str(),
+            upstream = upstream.as_str(),
+            result,
+            why,
+            try_ms = self.node.now_ms() - sent_ms;
+            "try failed"
+        );
+    }
+
     fn log_send(&self, listed: &Listed, uncached_tokens: u32) {
         let now_ms = self.node.now_ms();
         let state = self.node.state.borrow();
