--- a/crates/lentilhitch/tests/edge_streams.rs
+++ b/crates/lentilhitch/tests/edge_streams.rs
@@ -39,7 +39,10 @@
             let pause_ms = case.pause_ms;
             it.set(Behavior::Stream { n_events: N_EVENTS, pause_ms, break_after: Some(3) });
         }
-        let answer = site.call(0, "s1", case.path).await.unwrap();
+        let request = site.request(0, "s1", case.path);
+        let request =
+            request.header("x-token-usage", "900,80").header("x-prompt-prefix", "5c:800,9d:100");
+        let answer = site.send(request).await.unwrap();
         assert_eq!(answer.status, 200, "{}", case.name);
         assert_eq!(answer.is_whole, case.is_whole, "{}: {answer:?}", case.name);
         assert_eq!(site.n_runs("s1"), case.n_runs, "{}", case.name);
