Only failed readings are an outage of the list

Ruled out: a longer gap, which a slower node would pass again. Conclusion: grace is given when the node's own calls failed for a heartbeat or more.

--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -26,10 +26,6 @@
 const NODES_PAUSE_MS: u64 = 12_000;
 /// Nodes up to which that pause is the shortest.
 const NODES_PAUSE_NODES: u64 = 12;
-/// Entries lapse after three silent heartbeats, so not within an outage of two.
-const OUTAGE_BEATS: u64 = 2;
-/// What a regular gap may be late.
-const OUTAGE_SLACK_MS: u64 = 300;
 /// How often a node that does not read looks whether it has to.
 const LOOK: Duration = Duration::from_millis(200);
 /// Pauses after failed calls: the first, doubled up to the longest, each with jitter of a half.
@@ -151,7 +147,11 @@
                 let jittered_ms = node.state.borrow_mut().rng.random_range(0..=jitter_ms);
                 sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS - jittered_ms)).await;
             }
-            Err(_) => backoff.pause(&node).await,
+            Err(_) => {
+                let now_ms = node.now_ms();
+                node.state.borrow_mut().list_failing_ms.get_or_insert(now_ms);
+                backoff.pause(&node).await;
+            }
         }
     }
 }
@@ -201,10 +201,12 @@
         NODES_PAUSE_MS * (self.n_nodes() as u64).max(NODES_PAUSE_NODES) / NODES_PAUSE_NODES
     }
 
-    /// A gap between readings in which entries may have lapsed, and that is longer than the regular ones.
-    pub(crate) fn outage_ms(&self) -> u64 {
-        let beats_ms = OUTAGE_BEATS * self.settings.upstream_heartbeat_ms;
-        beats_ms.max(self.vouched_ms() + OUTAGE_SLACK_MS)
+    /// Notes that the list was read; says whether that ends an outage.
+    fn end_list_failure(&self) -> bool {
+        let now_ms = self.now_ms();
+        let failing_ms = self.state.borrow_mut().list_failing_ms.take();
+        let outage_ms = self.settings.upstream_heartbeat_ms;
+        failing_ms.is_some_and(|it| it + outage_ms <= now_ms)
     }
 
     /// Whether another node reads the list of upstreams for this one.
@@ -232,11 +234,11 @@
 
     fn take_upstream_records(&self, records: &[Record]) {
         let now_ms = self.now_ms();
-        let outage_ms = self.outage_ms();
+        let is_after_outage = self.end_list_failure();
         {
             let mut state = self.state.borrow_mut();
             state.own_list_read_ms = now_ms;
-            state.catalog.begin_reading(now_ms, outage_ms);
+            state.catalog.begin_reading(now_ms, is_after_outage);
         }
         for record in records {
             if let Some(change) = self.take_upstream_record(record, now_ms) {
@@ -273,7 +275,8 @@
 
     /// Takes the whole list; entries that can't be read leave what is known of their upstreams as it is.
     fn take_upstream_list(&self, records: &[Record], end: LogOffset) {
-        let (now_ms, outage_ms) = (self.now_ms(), self.outage_ms());
+        let now_ms = self.now_ms();
+        let is_after_outage = self.end_list_failure();
         let mut state = self.state.borrow_mut();
         let mut listed = Vec::new();
         for record in records {
@@ -290,7 +293,7 @@
             }
         }
         state.own_list_read_ms = now_ms;
-        state.catalog.begin_reading(now_ms, outage_ms);
+        state.catalog.begin_reading(now_ms, is_after_outage);
         let changes = state.catalog.replace(listed, end, now_ms);
         drop(state);
         self.take_changes(&changes);
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -274,7 +274,7 @@
         if message.node == name_hash(self.instance().as_str()) {
             return;
         }
-        let (now_ms, outage_ms) = (self.now_ms(), self.outage_ms());
+        let now_ms = self.now_ms();
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let peer = state.peers.entry(message.node);
@@ -288,7 +288,7 @@
         peer.version = message.config.0;
         peer.upstreams_read_ms = now_ms.saturating_sub(message.upstreams.1);
         peer.demand = message.demand.iter().map(|it| (it.0, f64::from(it.1))).collect();
-        state.vouch(message, outage_ms, now_ms);
+        state.vouch(message, now_ms);
         let in_progress = message.in_progress.iter();
         let in_progress: Vec<_> = in_progress
             .map(|(id, n_requests, waiting_tokens)| {
@@ -333,7 +333,7 @@
 
 impl State {
     /// A peer that knows the same knows how fresh it is.
-    fn vouch(&mut self, message: &Gossip, outage_ms: u64, now_ms: u64) {
+    fn vouch(&mut self, message: &Gossip, now_ms: u64) {
         let version = self.table.as_ref().map_or(0, |it| it.config.version);
         if version == message.config.0 {
             self.config_read_ms = self.config_read_ms.max(now_ms.saturating_sub(message.config.1));
@@ -342,7 +342,7 @@
         let own_age_ms = self.catalog.age_ms(now_ms);
         let is_newer = own_age_ms.is_some_and(|it| now_ms.saturating_sub(it) < read_ms);
         if is_newer && self.catalog.digest() == message.upstreams.0 {
-            self.catalog.begin_reading(read_ms, outage_ms);
+            self.catalog.begin_reading(read_ms, false);
         }
     }
 
--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -120,11 +120,10 @@
         self.upstreams.values().fold(0, |sum, it| sum ^ one(it))
     }
 
-    /// Notes that the list was read, before the entries of this reading are applied. A gap of `outage_ms` since the last
-    /// reading counts as an outage; it must be longer than any regular gap.
-    pub fn begin_reading(&mut self, now_ms: u64, outage_ms: u64) {
-        let gap_ms = self.read_ms.map_or(0, |it| now_ms.saturating_sub(it));
-        if outage_ms <= gap_ms {
+    /// Notes that the list was read, before the entries of this reading are applied. `is_after_outage` says that readings
+    /// had failed for a while before; a long pause alone is no outage.
+    pub fn begin_reading(&mut self, now_ms: u64, is_after_outage: bool) {
+        if is_after_outage {
             self.grace_until_ms = now_ms + self.settings.lapse_grace_ms;
         }
         self.read_ms = Some(now_ms);
--- a/crates/lentilhitch_policy/tests/catalog.rs
+++ b/crates/lentilhitch_policy/tests/catalog.rs
@@ -11,7 +11,6 @@
 use lentilhitch_types::LogOffset;
 
 const READ_EVERY_MS: u64 = 400;
-const OUTAGE_MS: u64 = 2_400;
 
 fn listed(id: &str, born_ms: u64, state: ListedState) -> Listed {
     Listed {
@@ -35,12 +34,14 @@
     Read,
     /// The list could not be read for so long; then it was.
     ReadAfter(u64),
+    /// Nobody read the list for so long; then it was read.
+    ReadLate(u64),
     Tick(u64),
 }
 
 #[test]
 fn what_may_get_requests() {
-    use Step::{Draining, Gone, Read, ReadAfter, Ready, Tick};
+    use Step::{Draining, Gone, Read, ReadAfter, ReadLate, Ready, Tick};
     struct Case {
         name: &'static str,
         steps: Vec<Step>,
@@ -71,8 +72,8 @@
             ready: vec!["u"],
         },
         Case {
-            name: "a regular gap is no outage, however long the nodes' pauses make it",
-            steps: vec![Ready("u", 1), Read, ReadAfter(OUTAGE_MS - 1), Gone("u")],
+            name: "a pause between readings is no outage, however long",
+            steps: vec![Ready("u", 1), Read, ReadLate(5_000), Gone("u")],
             ready: vec![],
         },
         Case {
@@ -117,11 +118,15 @@
                 }
                 Read => {
                     now_ms += READ_EVERY_MS;
-                    catalog.begin_reading(now_ms, OUTAGE_MS);
+                    catalog.begin_reading(now_ms, false);
                 }
                 ReadAfter(ms) => {
                     now_ms += ms;
-                    catalog.begin_reading(now_ms, OUTAGE_MS);
+                    catalog.begin_reading(now_ms, true);
+                }
+                ReadLate(ms) => {
+                    now_ms += ms;
+                    catalog.begin_reading(now_ms, false);
                 }
                 Tick(ms) => {
                     now_ms += ms;
@@ -140,7 +145,7 @@
     let mut catalog = Catalog::new(Settings::default());
     catalog.insert(listed("kept", 1, ListedState::Ready), LogOffset(1), 0);
     catalog.insert(listed("ended", 1, ListedState::Ready), LogOffset(2), 0);
-    catalog.begin_reading(100, OUTAGE_MS);
+    catalog.begin_reading(100, false);
     let list = vec![(listed("kept", 1, ListedState::Ready), LogOffset(5))];
     let changes = catalog.replace(list, LogOffset(6), 100);
     assert_eq!(changes, [Change::Removed("ended".parse().unwrap())]);
