--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -139,20 +139,16 @@
             }),
         };
         contact.note(&node, &res);
-        match res {
-            Ok(from) => {
-                backoff.succeed();
-                next = from;
-                let jitter_ms = UPSTREAMS_PAUSE_MS / 4;
-                let jittered_ms = node.state.borrow_mut().rng.random_range(0..=jitter_ms);
-                sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS - jittered_ms)).await;
-            }
-            Err(_) => {
-                let now_ms = node.now_ms();
-                node.state.borrow_mut().list_failing_ms.get_or_insert(now_ms);
-                backoff.pause(&node).await;
-            }
-        }
+        let Ok(from) = res else {
+            let now_ms = node.now_ms();
+            node.state.borrow_mut().list_failing_ms.get_or_insert(now_ms);
+            backoff.pause(&node).await;
+            continue;
+        };
+        backoff.succeed();
+        next = from;
+        let jitter_ms = node.state.borrow_mut().rng.random_range(0..=UPSTREAMS_PAUSE_MS / 4);
+        sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS - jitter_ms)).await;
     }
 }
 
--- a/crates/lentilhitch_policy/src/usage.rs
+++ b/crates/lentilhitch_policy/src/usage.rs
@@ -155,10 +155,15 @@
         let first = (true_ms.saturating_sub(late_ms + window_ms) / window_ms) + 1;
         let is_due = |window: &WindowNo| {
             let end_ms = (window + 1) * window_ms;
-            let is_past = |it: &&NodeCounts| end_ms + settle_ms <= it.through_ms;
-            let counted = |it: &&NodeCounts| end_ms.saturating_sub(window_ms) <= it.through_ms;
-            let n_past = self.nodes.values().filter(is_past).count();
-            let n_counted = self.nodes.values().filter(counted).count();
+            // An earlier life of a node that runs again counts no more.
+            let mut newest: FxHashMap<&InstanceName, u64> = FxHashMap::default();
+            for ((node, _), it) in &self.nodes {
+                let through_ms = newest.entry(node).or_default();
+                *through_ms = it.through_ms.max(*through_ms);
+            }
+            let n_past = newest.values().filter(|it| end_ms + settle_ms <= **it).count();
+            let begin_ms = end_ms.saturating_sub(window_ms);
+            let n_counted = newest.values().filter(|it| begin_ms <= **it).count();
             let all_past = n_nodes.max(n_counted) <= n_past;
             end_ms + settle_ms <= true_ms && (all_past || end_ms + wait_max_ms <= true_ms)
         };
--- a/crates/lentilhitch_policy/tests/usage.rs
+++ b/crates/lentilhitch_policy/tests/usage.rs
@@ -72,6 +72,13 @@
             n_nodes: 1,
             expected: Some(7),
         },
+        Case {
+            name: "an earlier life of a node that runs again is not waited for",
+            records: vec![counts("a", 1, 14_900, &[(2, 5)]), counts("a", 2, 15_400, &[(2, 2)])],
+            true_ms: 15_600,
+            n_nodes: 1,
+            expected: Some(7),
+        },
         Case {
             name: "a window that a record no longer holds is remembered",
             records: vec![counts("a", 1, 15_400, &[(2, 5)]), counts("a", 1, 15_500, &[(3, 1)])],
