--- /dev/null
+++ b/crates/lentilhitch_gateway/src/duties/scaling.rs
@@ -0,0 +1,129 @@
+//! Orders of replicas by the holder.
+
+use std::{rc::Rc, time::Duration};
+
+use rustc_hash::FxHashMap;
+use tokio::time::sleep;
+
+use lentilhitch_policy::{
+    fleet::{self, Demand, Kind, Order, OrderResult, Plan, Slot},
+    traffic::Scaling,
+};
+use lentilhitch_types::{LogOffset, ServiceName, Zone};
+
+use crate::{
+    duties::{SharedDuty, result_word},
+    node::{Node, name_hash},
+    platform::{DutyResult, Permit, Platform},
+};
+
+/// How often the holder compares replicas with the need.
+const SCALING_PAUSE: Duration = Duration::from_millis(500);
+
+/// Orders replicas while the lease is held.
+pub(crate) async fn scale<P: Platform>(node: Rc<Node<P>>, duty: SharedDuty) {
+    let mut plans: FxHashMap<ServiceName, Plan> = FxHashMap::default();
+    loop {
+        sleep(SCALING_PAUSE).await;
+        if !duty.borrow().is_held(node.now_ms()) {
+            plans.clear();
+            continue;
+        }
+        for (service, scaling, slots) in node.scaled_services() {
+            let plan = plans
+                .entry(service.clone())
+                .or_insert_with(|| Plan::new(fleet::Settings::default(), service.clone()));
+            plan.measure(node.state.borrow().board.prefill_tokens_per_s());
+            let now_ms = node.now_ms();
+            let (present, reclaimed) = node.present(&service);
+            if present.is_empty() {
+                continue;
+            }
+            for zone in &reclaimed {
+                plan.take_reclaim(zone, now_ms);
+            }
+            let demand = node.demand(&service);
+            for order in plan.orders(demand, slots, &scaling, &present, now_ms) {
+                let Some(fence) = duty.borrow_mut().permit(node.now_ms()) else { break };
+                let result = give_order(&node, &duty, fence, &order, demand, plan.need()).await;
+                plan.take_result(&order, result, node.now_ms());
+            }
+        }
+    }
+}
+
+async fn give_order<P: Platform>(
+    node: &Rc<Node<P>>,
+    duty: &SharedDuty,
+    fence: LogOffset,
+    order: &Order,
+    demand: Demand,
+    need: u32,
+) -> OrderResult {
+    let permit = Permit { holder: node.instance(), fence };
+    let res = node.platform.order_replicas(permit, order).await;
+    node.metrics.duty_call("scale", result_word(&res));
+    log::info!(
+        service = order.service.as_str(),
+        zone = order.zone.as_str(),
+        kind:? = order.kind,
+        n_replicas = order.n_replicas,
+        need,
+        n_in_progress = demand.n_in_progress,
+        prefill_tokens_per_s = demand.prefill_tokens_per_s,
+        fence:% = fence,
+        result:? = res;
+        "replicas ordered"
+    );
+    match res {
+        Ok(DutyResult::Done) => OrderResult::Accepted,
+        Ok(DutyResult::Unavailable) => OrderResult::Unavailable,
+        Ok(DutyResult::Fenced) => {
+            duty.borrow_mut().resign(node.now_ms());
+            OrderResult::Unknown
+        }
+        Err(_) => OrderResult::Unknown,
+    }
+}
+
+impl<P: Platform> Node<P> {
+    fn scaled_services(&self) -> Vec<(ServiceName, Scaling, u32)> {
+        let state = self.state.borrow();
+        let services = state.table.iter().flat_map(|it| &it.config.services);
+        let scaled = services.filter_map(|(name, it)| {
+            let slots = it.engine.map_or(1, |it| it.slots);
+            Some((name.clone(), it.scaling.clone()?, slots))
+        });
+        scaled.collect()
+    }
+
+    /// Replicas that are ready, and zones whose reclaimable ones are being taken away.
+    fn present(&self, service: &ServiceName) -> (FxHashMap<Slot, u32>, Vec<Zone>) {
+        let state = self.state.borrow();
+        let mut present: FxHashMap<Slot, u32> = FxHashMap::default();
+        let mut reclaimed = Vec::new();
+        for it in state.catalog.iter().filter(|it| it.listed.service == *service) {
+            let kind = if it.listed.is_spot { Kind::Spot } else { Kind::OnDemand };
+            if it.is_ready() {
+                *present.entry((it.listed.zone.clone(), kind)).or_default() += 1;
+            } else if it.listed.is_spot && it.ends_at_ms.is_some() {
+                reclaimed.push(it.listed.zone.clone());
+            }
+        }
+        (present, reclaimed)
+    }
+
+    fn demand(&self, service: &ServiceName) -> Demand {
+        let (now_ms, silent_ms) = (self.now_ms(), self.silent_after_ms());
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let upstreams = state.catalog.iter().filter(|it| it.listed.service == *service);
+        let n_in_progress =
+            upstreams.map(|it| f64::from(state.board.n_requests(&it.listed.id, now_ms))).sum();
+        let own = state.demand.get_mut(service).map_or(0.0, |it| it.per_s(now_ms));
+        let hash = name_hash(service.as_str()) as u32;
+        let peers = state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms));
+        let others: f64 = peers.filter_map(|it| it.demand.get(&hash)).sum();
+        Demand { n_in_progress, prefill_tokens_per_s: own + others }
+    }
+}
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod pump;
 mod run;
 mod settings;
+mod tries;
 mod upstream_try;
 
 pub use run::run;
--- a/crates/lentilhitch_gateway/src/pump.rs
+++ b/crates/lentilhitch_gateway/src/pump.rs
@@ -22,10 +22,10 @@
 
 use crate::{
     answer::{AnswerBody, BrokenOff},
-    forward::Tries,
     node::Node,
     platform::{MemoryCopy, MemoryMove, Platform},
     pool::{Connection, Sent},
+    tries::Tries,
     upstream_try::{Answered, kept_ms, note_broken},
 };
 
--- a/crates/lentilhitch_gateway/src/settings.rs
+++ b/crates/lentilhitch_gateway/src/settings.rs
@@ -32,8 +32,6 @@
 /// Bounds that the deployment states.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
-    /// A new configuration is in force everywhere within this time.
-    pub config_apply_ms: u64,
     /// A planned stop may take this long.
     pub stop_grace_ms: u64,
     pub lease_ms: u64,
@@ -48,7 +46,6 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
-            config_apply_ms: 2_000,
             stop_grace_ms: 8_000,
             lease_ms: 3_000,
             retry_share: 0.2,
