Nodes that are known but unheard are charged their part of a team's rate

Ruled out: the start level alone (one second of quiet is kept as well; alone the test stays red by what accrues after it). Conclusion: whoever is listed counts.

--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -45,6 +45,9 @@
     charged_ms: u64,
 }
 
+/// What accrues in the first second of a process is left to those that it has not heard of yet.
+const START_QUIET_MS: u64 = 1_000;
+
 /// The weight of the newest report in a peer's smoothed rate.
 const SMOOTHING: f64 = 0.4;
 
@@ -63,7 +66,7 @@
     /// A bucket that holds what has accrued while this process runs: what was admitted before its start isn't known, and
     /// many processes may start at once.
     pub fn new(settings: Settings, rate: TeamRate, running_ms: u64, now_ms: u64) -> Self {
-        let accrued = rate.per_s * running_ms as f64 / 1000.0;
+        let accrued = rate.per_s * running_ms.saturating_sub(START_QUIET_MS) as f64 / 1000.0;
         let level = accrued.min(rate.burst * settings.burst_share);
         Self {
             settings,
@@ -137,6 +140,9 @@
         let n_nodes = peering.map_or(self.peers.len() + 1, |it| it.n_nodes.max(1));
         let even_per_ms = per_ms / n_nodes as f64;
         let silent_after_ms = peering.map_or(u64::MAX, |it| it.silent_after_ms);
+        // Nodes that are known to run but said nothing yet are charged like silent ones.
+        let n_unheard = n_nodes.saturating_sub(1 + self.peers.len());
+        self.level -= even_per_ms * n_unheard as f64 * elapsed_ms as f64;
         for peer in self.peers.values_mut() {
             let is_silent = silent_after_ms < now_ms.saturating_sub(peer.heard_ms);
             let peer_per_ms = if is_silent { even_per_ms } else { peer.per_ms };
--- a/crates/lentilhitch_policy/tests/shared_rate.rs
+++ b/crates/lentilhitch_policy/tests/shared_rate.rs
@@ -12,7 +12,6 @@
 const OVERRUN: f64 = 0.1;
 const SLACK: f64 = 140_000.0;
 const COST: f64 = 2_000.0;
-const GOSSIP_MS: u64 = 250;
 const ALONE: Peering = Peering { n_nodes: 1, silent_after_ms: SILENT_MS };
 const SILENT_MS: u64 = 1_300;
 const STEP_MS: u64 = 5;
@@ -20,6 +19,7 @@
 struct Case {
     name: &'static str,
     n_nodes: usize,
+    gossip_ms: u64,
     /// What the team asks for, as a multiple of its rate.
     demand: f64,
     /// Nodes hear nothing of each other from here to there.
@@ -37,6 +37,7 @@
         Case {
             name: "hot team",
             n_nodes: 7,
+            gossip_ms: 250,
             demand: 7.5,
             cut_ms: quiet,
             restart_ms: None,
@@ -45,6 +46,7 @@
         Case {
             name: "many nodes",
             n_nodes: 60,
+            gossip_ms: 750,
             demand: 5.0,
             cut_ms: quiet,
             restart_ms: None,
@@ -53,6 +55,7 @@
         Case {
             name: "cut",
             n_nodes: 7,
+            gossip_ms: 250,
             demand: 5.0,
             cut_ms: (9_000, 16_000),
             restart_ms: None,
@@ -61,14 +64,25 @@
         Case {
             name: "all killed at once",
             n_nodes: 7,
+            gossip_ms: 250,
             demand: 5.0,
             cut_ms: quiet,
             restart_ms: Some(13_000),
             used_min: 0.8,
         },
+        Case {
+            name: "all of many killed at once",
+            n_nodes: 60,
+            gossip_ms: 750,
+            demand: 5.0,
+            cut_ms: quiet,
+            restart_ms: Some(13_000),
+            used_min: 0.7,
+        },
         Case {
             name: "below its rate",
             n_nodes: 7,
+            gossip_ms: 250,
             demand: 0.8,
             cut_ms: quiet,
             restart_ms: None,
@@ -100,7 +114,7 @@
             nodes = (0..case.n_nodes).map(|_| new(0, now_ms)).collect();
             life += 1;
         }
-        if now_ms % GOSSIP_MS == 0 && !(case.cut_ms.0..case.cut_ms.1).contains(&now_ms) {
+        if now_ms % case.gossip_ms == 0 && !(case.cut_ms.0..case.cut_ms.1).contains(&now_ms) {
             let told: Vec<_> = nodes.iter().map(SharedRate::admitted).collect();
             for (idx, node) in nodes.iter_mut().enumerate() {
                 for (peer, told) in told.iter().enumerate().filter(|it| it.0 != idx) {
@@ -114,7 +128,14 @@
             turn += 1;
             // Clients are spread unevenly: a third of them are at one node.
             let node = if turn % 3 == 0 { 0 } else { turn % case.n_nodes };
-            if nodes[node].take(COST, Peering { n_nodes: case.n_nodes, ..ALONE }, now_ms).is_ok() {
+            if nodes[node]
+                .take(
+                    COST,
+                    Peering { n_nodes: case.n_nodes, silent_after_ms: 4 * case.gossip_ms + 300 },
+                    now_ms,
+                )
+                .is_ok()
+            {
                 admitted.push((now_ms, COST));
             }
         }
