A peer's word on the list ends this node's outage

Ruled out: lost news (the nodes concerned are of two zones, each with its reader in touch). Conclusion: failures, vouching and readings are the catalog's own, so a table can show them.

--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -141,7 +141,7 @@
         contact.note(&node, &res);
         let Ok(from) = res else {
             let now_ms = node.now_ms();
-            node.state.borrow_mut().list_failing_ms.get_or_insert(now_ms);
+            node.state.borrow_mut().catalog.note_failure(now_ms);
             backoff.pause(&node).await;
             continue;
         };
@@ -197,14 +197,6 @@
         NODES_PAUSE_MS * (self.n_nodes() as u64).max(NODES_PAUSE_NODES) / NODES_PAUSE_NODES
     }
 
-    /// Notes that the list was read; says whether that ends an outage.
-    fn end_list_failure(&self) -> bool {
-        let now_ms = self.now_ms();
-        let failing_ms = self.state.borrow_mut().list_failing_ms.take();
-        let outage_ms = self.settings.upstream_heartbeat_ms;
-        failing_ms.is_some_and(|it| it + outage_ms <= now_ms)
-    }
-
     /// Whether another node reads the list of upstreams for this one.
     fn is_list_vouched(&self) -> bool {
         let age_ms = self.state.borrow().catalog.age_ms(self.now_ms());
@@ -230,11 +222,11 @@
 
     fn take_upstream_records(&self, records: &[Record]) {
         let now_ms = self.now_ms();
-        let is_after_outage = self.end_list_failure();
+        let outage_ms = self.settings.upstream_heartbeat_ms;
         {
             let mut state = self.state.borrow_mut();
             state.own_list_read_ms = now_ms;
-            state.catalog.begin_reading(now_ms, is_after_outage);
+            state.catalog.begin_reading(now_ms, outage_ms);
         }
         for record in records {
             if let Some(change) = self.take_upstream_record(record, now_ms) {
@@ -272,7 +264,7 @@
     /// Takes the whole list; entries that can't be read leave what is known of their upstreams as it is.
     fn take_upstream_list(&self, records: &[Record], end: LogOffset) {
         let now_ms = self.now_ms();
-        let is_after_outage = self.end_list_failure();
+        let outage_ms = self.settings.upstream_heartbeat_ms;
         let mut state = self.state.borrow_mut();
         let mut listed = Vec::new();
         for record in records {
@@ -289,7 +281,7 @@
             }
         }
         state.own_list_read_ms = now_ms;
-        state.catalog.begin_reading(now_ms, is_after_outage);
+        state.catalog.begin_reading(now_ms, outage_ms);
         let changes = state.catalog.replace(listed, end, now_ms);
         drop(state);
         self.take_changes(&changes);
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -72,8 +72,6 @@
     /// When this node itself last read the configuration and the list of upstreams.
     pub(crate) own_config_read_ms: u64,
     pub(crate) own_list_read_ms: u64,
-    /// Since when this node's readings of the list fail.
-    pub(crate) list_failing_ms: Option<u64>,
     pub(crate) catalog: Catalog,
     pub(crate) board: Board,
     pub(crate) rates: FxHashMap<TeamName, SharedRate>,
@@ -195,7 +193,6 @@
             config_read_ms: 0,
             own_config_read_ms: 0,
             own_list_read_ms: 0,
-            list_failing_ms: None,
             catalog: Catalog::new(catalog::Settings::default()),
             board: Board::new(placement::Settings::default(), settings.zone.clone()),
             rates: FxHashMap::default(),
--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -84,6 +84,8 @@
     settings: Settings,
     upstreams: FxHashMap<UpstreamName, Upstream>,
     read_ms: Option<u64>,
+    /// Since when readings fail.
+    failing_ms: Option<u64>,
     /// Until when vanished entries are only on notice.
     grace_until_ms: u64,
     /// Where the newest known entry of each upstream was written, ended ones included.
@@ -134,10 +136,21 @@
         self.upstreams.values().fold(0, |sum, it| sum ^ one(it))
     }
 
-    /// Notes that the list was read, before the entries of this reading are applied. `is_after_outage` says that readings
-    /// had failed for a while before; a long pause alone is no outage.
-    pub fn begin_reading(&mut self, now_ms: u64, is_after_outage: bool) {
-        if is_after_outage {
+    /// Notes that a reading failed.
+    pub fn note_failure(&mut self, now_ms: u64) {
+        self.failing_ms.get_or_insert(now_ms);
+    }
+
+    /// Notes that a peer which reads the list knows the same as this node; so whatever failed here is over.
+    pub fn vouch(&mut self, read_ms: u64) {
+        self.failing_ms = None;
+        self.read_ms = Some(read_ms);
+    }
+
+    /// Notes that the list was read, before the entries of this reading are applied. Readings that failed for
+    /// `outage_ms` or longer before were an outage; a long pause alone is none.
+    pub fn begin_reading(&mut self, now_ms: u64, outage_ms: u64) {
+        if self.failing_ms.take().is_some_and(|it| it + outage_ms <= now_ms) {
             self.grace_until_ms = now_ms + self.settings.lapse_grace_ms;
         }
         self.read_ms = Some(now_ms);
--- a/crates/lentilhitch_policy/tests/catalog.rs
+++ b/crates/lentilhitch_policy/tests/catalog.rs
@@ -11,6 +11,7 @@
 use lentilhitch_types::LogOffset;
 
 const READ_EVERY_MS: u64 = 400;
+const OUTAGE_MS: u64 = 1_200;
 
 fn listed(id: &str, born_ms: u64, state: ListedState) -> Listed {
     Listed {
@@ -36,18 +37,22 @@
     ReadAfter(u64),
     /// Nobody read the list for so long; then it was read.
     ReadLate(u64),
+    /// A reading failed.
+    Failed,
+    /// A peer that reads the list knows the same.
+    Vouched,
     Tick(u64),
 }
 
-#[test]
-fn what_may_get_requests() {
-    use Step::{Draining, Gone, Read, ReadAfter, ReadLate, Ready, Tick};
-    struct Case {
-        name: &'static str,
-        steps: Vec<Step>,
-        ready: Vec<&'static str>,
-    }
-    let cases = [
+struct Case {
+    name: &'static str,
+    steps: Vec<Step>,
+    ready: Vec<&'static str>,
+}
+
+fn cases() -> Vec<Case> {
+    use Step::{Draining, Failed, Gone, Read, ReadAfter, ReadLate, Ready, Tick, Vouched};
+    vec![
         Case { name: "listed", steps: vec![Ready("u", 1)], ready: vec!["u"] },
         Case { name: "leaving", steps: vec![Ready("u", 1), Draining("u", 1)], ready: vec![] },
         Case {
@@ -76,6 +81,11 @@
             steps: vec![Ready("u", 1), Read, ReadLate(5_000), Gone("u")],
             ready: vec![],
         },
+        Case {
+            name: "a failure of long ago is over when a peer vouches for the list",
+            steps: vec![Ready("u", 1), Failed, Vouched, ReadLate(30_000), Gone("u")],
+            ready: vec![],
+        },
         Case {
             name: "and dropped after it",
             steps: vec![Ready("u", 1), Read, ReadAfter(5_000), Gone("u"), Tick(1_800)],
@@ -99,8 +109,13 @@
             steps: vec![Ready("u", 1), Read, Draining("u", 1), ReadAfter(5_000), Gone("u")],
             ready: vec![],
         },
-    ];
-    for case in cases {
+    ]
+}
+
+#[test]
+fn what_may_get_requests() {
+    use Step::{Draining, Failed, Gone, Read, ReadAfter, ReadLate, Ready, Tick, Vouched};
+    for case in cases() {
         let mut catalog = Catalog::new(Settings::default());
         let mut now_ms = 10_000;
         let mut at = LogOffset(0);
@@ -118,15 +133,18 @@
                 }
                 Read => {
                     now_ms += READ_EVERY_MS;
-                    catalog.begin_reading(now_ms, false);
+                    catalog.begin_reading(now_ms, OUTAGE_MS);
                 }
                 ReadAfter(ms) => {
+                    catalog.note_failure(now_ms);
                     now_ms += ms;
-                    catalog.begin_reading(now_ms, true);
+                    catalog.begin_reading(now_ms, OUTAGE_MS);
                 }
+                Failed => catalog.note_failure(now_ms),
+                Vouched => catalog.vouch(now_ms),
                 ReadLate(ms) => {
                     now_ms += ms;
-                    catalog.begin_reading(now_ms, false);
+                    catalog.begin_reading(now_ms, OUTAGE_MS);
                 }
                 Tick(ms) => {
                     now_ms += ms;
@@ -145,7 +163,7 @@
     let mut catalog = Catalog::new(Settings::default());
     catalog.insert(listed("kept", 1, ListedState::Ready), LogOffset(1), 0);
     catalog.insert(listed("ended", 1, ListedState::Ready), LogOffset(2), 0);
-    catalog.begin_reading(100, false);
+    catalog.begin_reading(100, OUTAGE_MS);
     let list = vec![(listed("kept", 1, ListedState::Ready), LogOffset(5))];
     let changes = catalog.replace(list, LogOffset(6), 100);
     let id = "ended".parse().unwrap();
