A node that takes over the reading of a topic lists it at once if its place is gone

Ruled out: digests and versions of entries, entries that were overwritten, store calls that time out (none in the log). Change: what follows an answer is a pure module with a table of cases, used for the configuration and the list alike. The pause of readings is 1 s and a node looks each 100 ms whether it has to read, so that a take-over takes at most 1.65 s in a small deployment, within the 2 s.

--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -7,50 +7,32 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use lentilhitch_policy::catalog::Change;
+use lentilhitch_policy::{
+    catalog::Change,
+    cursor::{self, Cursor, Step, StepResult},
+};
 use lentilhitch_types::LogOffset;
 
 use crate::{
     gossip::News,
     node::{Node, Peer, name_hash},
-    platform::{CallError, Platform, Reading, Record, Topic},
+    platform::{CallError, Listing, Platform, Reading, Record, Topic},
 };
 
 /// How long a reading of the configuration waits for news. A connection that has gone silent is noticed this late.
 const CONFIG_WAIT_MS: u64 = 3_000;
+/// The pause between them, for the case that a reading returns at once without news.
+const CONFIG_PAUSE_MS: u64 = 50;
 /// The pause between readings of the upstreams. Each one writes about once a second, so waiting would return at once.
 /// Nodes read at different times, and the first to see a change tells the others.
-pub(crate) const UPSTREAMS_PAUSE_MS: u64 = 1_200;
+pub(crate) const UPSTREAMS_PAUSE_MS: u64 = 1_000;
 /// How often a node lists itself and reads the list of nodes.
 /// In a larger deployment the pause grows with the nodes.
 const NODES_PAUSE_MS: u64 = 12_000;
 /// Nodes up to which that pause is the shortest.
 const NODES_PAUSE_NODES: u64 = 12;
 /// How often a node that does not read looks whether it has to.
-const LOOK: Duration = Duration::from_millis(200);
-/// Pauses after failed calls: the first, doubled up to the longest, each with jitter of a half.
-const BACKOFF_MIN_MS: u64 = 100;
-const BACKOFF_MAX_MS: u64 = 800;
-
-/// Pauses after failures.
-#[derive(Default)]
-struct Backoff {
-    n_failures: u32,
-}
-
-impl Backoff {
-    async fn pause<P>(&mut self, node: &Node<P>) {
-        let pause_ms = (BACKOFF_MIN_MS << self.n_failures.min(4)).min(BACKOFF_MAX_MS);
-        self.n_failures += 1;
-        let jittered_ms = node.state.borrow_mut().rng.random_range(pause_ms / 2..=pause_ms);
-        sleep(Duration::from_millis(jittered_ms)).await;
-    }
-
-    fn succeed(&mut self) {
-        self.n_failures = 0;
-    }
-}
-
+const LOOK: Duration = Duration::from_millis(100);
 /// Logs the loss and the return of a topic once each.
 struct Contact {
     topic: &'static str,
@@ -80,75 +62,92 @@
 
 /// Keeps the newest configuration in force.
 pub(crate) async fn follow_config<P: Platform>(node: Rc<Node<P>>) {
-    let mut backoff = Backoff::default();
     let mut contact = Contact::new("config");
-    let mut next: Option<LogOffset> = None;
+    let settings = cursor::Settings { pause_ms: CONFIG_PAUSE_MS, ..cursor::Settings::default() };
+    let mut cursor = Cursor::new(settings);
     loop {
         if node.is_config_vouched() {
             sleep(LOOK).await;
             continue;
         }
-        let res = match next {
-            None => node.platform.list(Topic::Config).await.map(|it| (it.records, Some(it.next))),
-            Some(from) => match node.platform.read(Topic::Config, from, CONFIG_WAIT_MS).await {
-                Ok(Reading::Records { records, next }) => Ok((records, Some(next))),
-                Ok(Reading::Expired { .. }) => Ok((Vec::new(), None)),
-                Err(err) => Err(err),
-            },
-        };
+        let res = next_records(&node, Topic::Config, cursor.step(), CONFIG_WAIT_MS).await;
         contact.note(&node, &res);
-        let Ok((records, from)) = res else {
-            backoff.pause(&node).await;
-            continue;
+        let result = match res {
+            Ok(Followed::Records { records, next, .. }) => {
+                node.note_config_reading();
+                for record in records {
+                    node.take_config_record(record, "store");
+                }
+                StepResult::UpTo(next)
+            }
+            Ok(Followed::Expired) => StepResult::Expired,
+            Err(_) => StepResult::Failed,
         };
-        backoff.succeed();
-        next = from;
-        let now_ms = node.now_ms();
-        {
-            let mut state = node.state.borrow_mut();
-            state.config_read_ms = now_ms;
-            state.own_config_read_ms = now_ms;
-        }
-        for record in records {
-            node.take_config_record(record, "store");
-        }
+        node.pause_after(&mut cursor, result).await;
     }
 }
 
 /// Keeps the list of upstreams.
 pub(crate) async fn follow_upstreams<P: Platform>(node: Rc<Node<P>>) {
-    let mut backoff = Backoff::default();
     let mut contact = Contact::new("upstreams");
-    let mut next: Option<LogOffset> = None;
+    let settings = cursor::Settings { pause_ms: UPSTREAMS_PAUSE_MS, ..cursor::Settings::default() };
+    let mut cursor = Cursor::new(settings);
     loop {
         if node.is_list_vouched() {
             sleep(LOOK).await;
             continue;
         }
-        let res = match next {
-            None => node.platform.list(Topic::Upstreams).await.map(|it| {
-                node.take_upstream_list(&it.records, it.next);
-                Some(it.next)
-            }),
-            Some(from) => node.platform.read(Topic::Upstreams, from, 0).await.map(|it| match it {
-                Reading::Records { records, next } => {
+        let res = next_records(&node, Topic::Upstreams, cursor.step(), 0).await;
+        contact.note(&node, &res);
+        let result = match res {
+            Ok(Followed::Records { records, next, is_whole }) => {
+                if is_whole {
+                    node.take_upstream_list(&records, next);
+                } else {
                     node.take_upstream_records(&records);
-                    Some(next)
                 }
-                Reading::Expired { .. } => None,
-            }),
-        };
-        contact.note(&node, &res);
-        let Ok(from) = res else {
-            let now_ms = node.now_ms();
-            node.state.borrow_mut().catalog.note_failure(now_ms);
-            backoff.pause(&node).await;
-            continue;
+                StepResult::UpTo(next)
+            }
+            Ok(Followed::Expired) => StepResult::Expired,
+            Err(_) => {
+                let now_ms = node.now_ms();
+                node.state.borrow_mut().catalog.note_failure(now_ms);
+                StepResult::Failed
+            }
         };
-        backoff.succeed();
-        next = from;
-        let jitter_ms = node.state.borrow_mut().rng.random_range(0..=UPSTREAMS_PAUSE_MS / 4);
-        sleep(Duration::from_millis(UPSTREAMS_PAUSE_MS - jitter_ms)).await;
+        node.pause_after(&mut cursor, result).await;
+    }
+}
+
+/// What a topic holds from some place on.
+enum Followed {
+    Records {
+        records: Vec<Record>,
+        next: LogOffset,
+        /// The newest of every key, not only what is new.
+        is_whole: bool,
+    },
+    Expired,
+}
+
+/// Makes one call. The caller logs a failure.
+async fn next_records<P: Platform>(
+    node: &Node<P>,
+    topic: Topic,
+    step: Step,
+    wait_ms: u64,
+) -> Result<Followed, CallError> {
+    match step {
+        Step::List => {
+            let Listing { records, next } = node.platform.list(topic).await?;
+            Ok(Followed::Records { records, next, is_whole: true })
+        }
+        Step::Read(from) => Ok(match node.platform.read(topic, from, wait_ms).await? {
+            Reading::Records { records, next } => {
+                Followed::Records { records, next, is_whole: false }
+            }
+            Reading::Expired { .. } => Followed::Expired,
+        }),
     }
 }
 
@@ -192,6 +191,20 @@
 }
 
 impl<P> Node<P> {
+    /// Waits as long as the end of a call asks for.
+    async fn pause_after(&self, cursor: &mut Cursor, result: StepResult) {
+        let wait_ms = cursor.take(result, &mut self.state.borrow_mut().rng);
+        sleep(Duration::from_millis(wait_ms)).await;
+    }
+
+    /// The store told this node what the newest configuration is.
+    fn note_config_reading(&self) {
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        state.config_read_ms = now_ms;
+        state.own_config_read_ms = now_ms;
+    }
+
     /// The pause between entries of this node in the list of nodes.
     pub(crate) fn nodes_pause_ms(&self) -> u64 {
         NODES_PAUSE_MS * (self.n_nodes() as u64).max(NODES_PAUSE_NODES) / NODES_PAUSE_NODES
--- /dev/null
+++ b/crates/lentilhitch_policy/src/cursor.rs
@@ -0,0 +1,83 @@
+//! How a topic of the store is followed: listed whole at first and whenever its history is gone, read on otherwise.
+//!
+//! A node that takes over the reading from a peer may have stopped long ago, so its place is often gone from the history.
+//! The list is then read at once: until it is, the node knows nothing new.
+
+use rand::{Rng, RngExt};
+
+use lentilhitch_types::LogOffset;
+
+/// The next call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    List,
+    Read(LogOffset),
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StepResult {
+    /// Listed or read up to here.
+    UpTo(LogOffset),
+    /// The records from there on are gone.
+    Expired,
+    Failed,
+}
+
+/// How long to wait between calls.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// The pause after a reading; up to a quarter less, so that nodes read at different times.
+    pub pause_ms: u64,
+    /// Pauses after failures: the first, doubled up to the longest, each with jitter of a half.
+    pub backoff_min_ms: u64,
+    pub backoff_max_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { pause_ms: 0, backoff_min_ms: 100, backoff_max_ms: 800 }
+    }
+}
+
+/// The place in a topic.
+#[derive(Clone, Debug)]
+pub struct Cursor {
+    settings: Settings,
+    next: Option<LogOffset>,
+    n_failures: u32,
+}
+
+impl Cursor {
+    /// A topic that has not been read yet.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, next: None, n_failures: 0 }
+    }
+
+    /// The call to make.
+    pub fn step(&self) -> Step {
+        self.next.map_or(Step::List, Step::Read)
+    }
+
+    /// Takes how the call ended; returns the milliseconds to wait before the next one.
+    pub fn take(&mut self, result: StepResult, rng: &mut impl Rng) -> u64 {
+        let Settings { pause_ms, backoff_min_ms, backoff_max_ms } = self.settings;
+        match result {
+            StepResult::UpTo(next) => {
+                self.next = Some(next);
+                self.n_failures = 0;
+                pause_ms - rng.random_range(0..=pause_ms / 4)
+            }
+            StepResult::Expired => {
+                self.next = None;
+                self.n_failures = 0;
+                0
+            }
+            StepResult::Failed => {
+                let pause_ms = (backoff_min_ms << self.n_failures.min(8)).min(backoff_max_ms);
+                self.n_failures += 1;
+                rng.random_range(pause_ms / 2..=pause_ms)
+            }
+        }
+    }
+}
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalog;
 pub mod checkpoint;
+pub mod cursor;
 pub mod duty;
 pub mod events;
 pub mod fleet;
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/cursor.rs
@@ -0,0 +1,67 @@
+//! Following a topic whose history goes away, and whose calls fail.
+
+use std::ops::RangeInclusive;
+
+use rand::{SeedableRng, rngs::SmallRng};
+
+use lentilhitch_policy::cursor::{Cursor, Settings, Step, StepResult};
+use lentilhitch_types::LogOffset;
+
+struct Case {
+    name: &'static str,
+    results: Vec<StepResult>,
+    wait_ms: RangeInclusive<u64>,
+    step: Step,
+}
+
+#[test]
+fn each_end_of_a_call_leads_to_the_next_one() {
+    use StepResult::{Expired, Failed, UpTo};
+    let (at_5, at_9) = (LogOffset(5), LogOffset(9));
+    let cases = [
+        Case {
+            name: "listed",
+            results: vec![UpTo(at_5)],
+            wait_ms: 750..=1_000,
+            step: Step::Read(at_5),
+        },
+        Case {
+            name: "read on",
+            results: vec![UpTo(at_5), UpTo(at_9)],
+            wait_ms: 750..=1_000,
+            step: Step::Read(at_9),
+        },
+        Case {
+            name: "a node that takes over finds its place gone: it lists at once",
+            results: vec![UpTo(at_5), Expired],
+            wait_ms: 0..=0,
+            step: Step::List,
+        },
+        Case {
+            name: "a failure is followed by a short pause at the same place",
+            results: vec![UpTo(at_5), Failed],
+            wait_ms: 50..=100,
+            step: Step::Read(at_5),
+        },
+        Case {
+            name: "pauses grow up to the longest",
+            results: vec![Failed; 12],
+            wait_ms: 400..=800,
+            step: Step::List,
+        },
+        Case {
+            name: "a reading ends the failures",
+            results: vec![Failed, Failed, Failed, UpTo(at_5), Failed],
+            wait_ms: 50..=100,
+            step: Step::Read(at_5),
+        },
+    ];
+    for case in cases {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let mut cursor = Cursor::new(Settings { pause_ms: 1_000, ..Settings::default() });
+        let waits: Vec<_> = case.results.iter().map(|it| cursor.take(*it, &mut rng)).collect();
+        let last_ms = waits[waits.len() - 1];
+        assert!(case.wait_ms.contains(&last_ms), "{}: {last_ms} ms", case.name);
+        assert_eq!(cursor.step(), case.step, "{}", case.name);
+    }
+}
