Short rates are told at once; the fleet is ordered for requests that come, not for their backlog

Now a node that took more than its even part since it told its peers, or anything of a bucket less than a quarter full, tells them at once (a message of one number a team, at most one a millisecond for each node of the deployment); a peer's rate is smoothed by time, not by report. Ruled out: a smaller bucket, parts of the rate by node.

Change: demand is first tries, running requests raise the need by half at most, 1.35 times the need is held as reclaimable replicas, nine tenths of the need must outlive the next zone while none are to be had, and only replicas that were never seen boot.

--- a/crates/lentilhitch/tests/edge_life.rs
+++ b/crates/lentilhitch/tests/edge_life.rs
@@ -177,3 +177,47 @@
     unique.dedup();
     assert_eq!(windows, unique, "two reports of one window differ");
 }
+
+#[tokio::test]
+async fn a_teams_rate_holds_over_all_nodes_together() {
+    const PER_S: f64 = 30.0;
+    const BURST: f64 = 60.0;
+    /// What the users allow beyond the rate, and the requests that are under way at once.
+    const OVERRUN: f64 = 0.1;
+    const UNDER_WAY: f64 = 6.0;
+    /// Three nodes that knew nothing of each other would serve it in two seconds.
+    const N_SERVED: u32 = 180;
+    let mut site = Site::start(SiteOptions { n_nodes: 3, ..SiteOptions::default() }).await.unwrap();
+    // A request without a prompt counts one token here.
+    let version = site.put_config(|it| {
+        let team = &mut it["tenants"][0];
+        team["uncachedTokens"] = json!(1);
+        team["ratePerS"] = json!(PER_S);
+        team["burst"] = json!(BURST);
+    });
+    for node in &site.nodes {
+        until("the rate is in force", || async {
+            node.process.log_text().contains(&format!("\"version\":\"{version}\""))
+        })
+        .await
+        .unwrap();
+    }
+    let begun = std::time::Instant::now();
+    let n_served = std::cell::Cell::new(0);
+    until("enough is served", || async {
+        for node in 0..3 {
+            match site.call(node, "r", "/book/x").await.unwrap().status {
+                200 => n_served.set(n_served.get() + 1),
+                429 => {}
+                status => panic!("{status}"),
+            }
+        }
+        N_SERVED <= n_served.get()
+    })
+    .await
+    .unwrap();
+    let n_served: u32 = n_served.get();
+    let accrued = PER_S * begun.elapsed().as_secs_f64() + BURST;
+    let allowed = accrued * (1.0 + OVERRUN) + UNDER_WAY;
+    assert!(f64::from(n_served) <= allowed, "{n_served} served, {allowed} allowed");
+}
--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -221,7 +221,12 @@
         let peering = Peering::new(n_nodes, interval_ms, ages_ms);
         let Some(rate) = state.rates.get_mut(team) else { return Ok(0.0) };
         match rate.take(cost, peering, now_ms) {
-            Ok(()) => Ok(cost),
+            Ok(()) => {
+                if rate.is_urgent() {
+                    self.rates_due.notify_one();
+                }
+                Ok(cost)
+            }
             Err(wait_ms) => Err(Refusal::OverLimit { wait_ms: wait_ms.min(WAIT_MAX_MS) }),
         }
     }
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -10,7 +10,10 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, sleep, sleep_until},
+};
 
 use lentilhitch_policy::{placement::InProgress, traffic::Listed, usage::NodeCounts};
 use lentilhitch_types::{Fingerprint, LogOffset, UpstreamName};
@@ -28,6 +31,9 @@
 const PAUSE_NODES: u64 = 20;
 /// The pause between tellings of news.
 const NEWS_PAUSE_MS: u64 = 150;
+/// The least pause between tellings of what was admitted of short rates, in milliseconds for each node: so that a node
+/// hears no more than one in a millisecond.
+const RATES_PAUSE_MS: u64 = 1;
 /// A node is out of reach after so many pauses without a message, and some time for delays.
 const SILENT_PAUSES: u64 = 4;
 const SILENT_SLACK_MS: u64 = 300;
@@ -44,6 +50,9 @@
     /// What the sender counted, for the holder of the duties.
     #[serde(rename = "c")]
     Counts(NodeCounts),
+    /// What the sender admitted of teams whose rates are short, by hash of their names.
+    #[serde(rename = "q")]
+    Rates { node: u64, life: u64, admitted: Vec<(u32, f64)> },
     /// Upstreams that changed a moment ago, for the sender's zone.
     #[serde(rename = "r")]
     News(Vec<News>),
@@ -108,6 +117,7 @@
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     let mut next = Box::pin(sleep(Duration::from_millis(PAUSE_MS)));
     let mut next_news = Box::pin(sleep(Duration::from_millis(NEWS_PAUSE_MS)));
+    let mut next_rates = Instant::now();
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
@@ -115,6 +125,11 @@
                 Err(err) => log::debug!("can't receive: {err}"),
             },
             () = node.tell.notified() => node.tell_news(&socket).await,
+            () = async { sleep_until(next_rates).await; node.rates_due.notified().await } => {
+                node.tell_rates(&socket).await;
+                let pause_ms = RATES_PAUSE_MS * node.n_nodes() as u64;
+                next_rates = Instant::now() + Duration::from_millis(pause_ms);
+            }
             () = &mut next_news => {
                 node.tell_news(&socket).await;
                 next_news = Box::pin(sleep(Duration::from_millis(NEWS_PAUSE_MS)));
@@ -184,6 +199,20 @@
         true
     }
 
+    /// Tells all nodes what was admitted of rates that are short.
+    async fn tell_rates(&self, socket: &UdpSocket) {
+        let (message, addresses) = {
+            let mut state = self.state.borrow_mut();
+            let urgent = state.rates.iter_mut().filter(|it| it.1.is_urgent());
+            let admitted = urgent.map(|(team, it)| (name_hash(team.as_str()) as u32, it.tell()));
+            let admitted = admitted.collect();
+            let node = name_hash(self.instance().as_str());
+            let addresses: Vec<_> = state.peers.values().map(|it| it.gossip).collect();
+            (Message::Rates { node, life: self.life, admitted }, addresses)
+        };
+        self.send(socket, &message, &addresses).await;
+    }
+
     /// Tells the other nodes of the zone what changed; those of other zones hear it from their own reader.
     async fn tell_news(&self, socket: &UdpSocket) {
         loop {
@@ -229,7 +258,7 @@
             (name_hash(service.as_str()) as u32, meter.per_s(now_ms) as f32)
         });
         let in_progress = state.board.report().into_iter();
-        let admitted = state.rates.iter();
+        let admitted = state.rates.iter_mut();
         let version = state.table.as_ref().map_or(0, |it| it.config.version);
         let message = Gossip {
             node: name_hash(self.instance().as_str()),
@@ -243,7 +272,7 @@
                 .map(|(id, it)| (id, it.n_requests, it.n_waiting, it.waiting_tokens))
                 .collect(),
             admitted: admitted
-                .map(|(team, it)| (name_hash(team.as_str()) as u32, it.admitted()))
+                .map(|(team, it)| (name_hash(team.as_str()) as u32, it.tell()))
                 .collect(),
             demand: demand.collect(),
             evidence: state.take_evidence(),
@@ -263,6 +292,10 @@
         match message {
             Message::State(it) => self.hear_state(&it, from),
             Message::News(news) => self.take_news(news),
+            Message::Rates { node, life, admitted } => {
+                let now_ms = self.now_ms();
+                self.state.borrow_mut().hear_rates(node, life, &admitted, now_ms);
+            }
             Message::Counts(counts) => {
                 let mut state = self.state.borrow_mut();
                 state.peer_counts.push(counts);
@@ -298,12 +331,7 @@
             })
             .collect();
         state.board.hear(message.node, &in_progress, now_ms);
-        for (team, admitted) in &message.admitted {
-            let rate = state.rate_names.get(team).and_then(|it| state.rates.get_mut(it));
-            if let Some(rate) = rate {
-                rate.hear(message.node, message.life, *admitted, now_ms);
-            }
-        }
+        state.hear_rates(message.node, message.life, &message.admitted, now_ms);
         for (request, crash) in &message.evidence {
             if state.suspects.note(*request, *crash) {
                 state.log_if_stopped(*request);
@@ -350,6 +378,15 @@
         }
     }
 
+    fn hear_rates(&mut self, node: u64, life: u64, admitted: &[(u32, f64)], now_ms: u64) {
+        for (team, admitted) in admitted {
+            let rate = self.rate_names.get(team).and_then(|it| self.rates.get_mut(it));
+            if let Some(rate) = rate {
+                rate.hear(node, life, *admitted, now_ms);
+            }
+        }
+    }
+
     fn take_news(&mut self) -> Vec<News> {
         let told = self.news.iter_mut().take(NEWS_MAX);
         let told = told.map(|it| {
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -59,6 +59,8 @@
     pub(crate) stop: watch::Sender<Stop>,
     /// Rung when peers should be told something at once.
     pub(crate) tell: Notify,
+    /// Rung when peers should be told at once what was admitted.
+    pub(crate) rates_due: Notify,
     /// Changes whenever an upstream is found to be leaving.
     pub(crate) leaving: watch::Sender<()>,
 }
@@ -227,6 +229,7 @@
             n_in_flight: Rc::default(),
             stop,
             tell: Notify::new(),
+            rates_due: Notify::new(),
             leaving,
         })
     }
--- a/crates/lentilhitch_gateway/src/tries.rs
+++ b/crates/lentilhitch_gateway/src/tries.rs
@@ -270,8 +270,11 @@
         }
         let placed = placed?;
         let listed = state.catalog.get(&placed.upstream)?.listed.clone();
-        let demand = state.demand.entry(self.call.service.clone()).or_default();
-        demand.add(f64::from(placed.uncached_tokens), now_ms);
+        if is_first {
+            // Second tries are no demand: they are many where replicas lack.
+            let demand = state.demand.entry(self.call.service.clone()).or_default();
+            demand.add(f64::from(placed.uncached_tokens), now_ms);
+        }
         Some((listed, PlaceGuard::new(&self.node, placed)))
     }
 
--- a/crates/lentilhitch_policy/src/fleet.rs
+++ b/crates/lentilhitch_policy/src/fleet.rs
@@ -19,6 +19,9 @@
 pub struct Settings {
     /// The part of the slots that is to be taken in the mean.
     pub slots_share: f64,
+    /// The most that running requests may raise the need, as a multiple of the replicas that are there: where replicas lack,
+    /// streams are slow and pile up, and would be ordered for over and over.
+    pub growth_max: f64,
     /// Prompt tokens that a replica reads a second when it does nothing else.
     pub prefill_tokens_per_s: f64,
     /// The part of a replica's time that may go to prompts, so that the pauses between tokens stay short.
@@ -31,10 +34,15 @@
     pub settle_ms: u64,
     /// Replicas beyond the need, for the next rise.
     pub spare: u32,
+    /// Reclaimable replicas that are held, as a multiple of the need: they cost little, and on-demand ones are ordered
+    /// only for the need itself.
+    pub spot_margin: f64,
     /// Zones of reclaimable replicas that may be lost one after the other before on-demand ones are ordered.
     pub zones_lost_max: u32,
     /// The part of the need that must remain when the largest zone of reclaimable replicas is lost next.
     pub remaining_share: f64,
+    /// The same while none are to be had: zones then go one after the other, and others take a boot's time to come.
+    pub dry_remaining_share: f64,
     /// The need, as a part of the replicas that are there, until requests tell it.
     pub first_share: f64,
 }
@@ -42,16 +50,19 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            slots_share: 0.3,
+            slots_share: 0.4,
+            growth_max: 1.5,
             prefill_tokens_per_s: 45_000.0,
             prefill_share: 0.4,
             refused_pause_ms: 3_000,
             need_window_ms: 12_000,
             settle_ms: 2_500,
             spare: 1,
+            spot_margin: 1.35,
             zones_lost_max: 2,
             remaining_share: 0.5,
-            first_share: 0.5,
+            dry_remaining_share: 0.9,
+            first_share: 0.7,
         }
     }
 }
@@ -100,7 +111,9 @@
 pub struct Plan {
     settings: Settings,
     service: ServiceName,
-    ordered: FxHashMap<Slot, (u32, u64)>,
+    ordered: FxHashMap<Slot, Ordered>,
+    /// What was there at the last look.
+    present: FxHashMap<Slot, u32>,
     refused_until_ms: FxHashMap<Slot, u64>,
     need: u32,
     /// What was needed at recent times.
@@ -116,6 +129,7 @@
             settings,
             service,
             ordered: FxHashMap::default(),
+            present: FxHashMap::default(),
             refused_until_ms: FxHashMap::default(),
             need: 0,
             recent_needs: VecDeque::new(),
@@ -134,6 +148,7 @@
         now_ms: u64,
     ) -> Vec<Order> {
         let begun_ms = *self.begun_ms.get_or_insert(now_ms);
+        self.present.clone_from(present);
         self.update_need(demand, slots, present, now_ms);
         if demand == Demand::default() && now_ms < begun_ms + self.settings.settle_ms {
             return Vec::new();
@@ -162,11 +177,9 @@
         now_ms: u64,
     ) -> bool {
         let n_present = present.get(slot).copied().unwrap_or(0);
-        let Some((n_ordered, ordered_ms)) = self.ordered.get(slot) else {
-            return n_replicas != n_present;
-        };
-        let is_overdue = ordered_ms + scaling.boot_ms + BOOT_SLACK_MS <= now_ms;
-        n_replicas != *n_ordered || (n_present < n_replicas && is_overdue)
+        let Some(ordered) = self.ordered.get(slot) else { return n_replicas != n_present };
+        let is_overdue = ordered.at_ms + scaling.boot_ms + BOOT_SLACK_MS <= now_ms;
+        n_replicas != ordered.n_replicas || (n_present < n_replicas && is_overdue)
     }
 
     /// Takes how many prompt tokens a replica reads a second.
@@ -179,7 +192,10 @@
         let slot = (order.zone.clone(), order.kind);
         match result {
             OrderResult::Accepted => {
-                self.ordered.insert(slot, (order.n_replicas, now_ms));
+                let n_present = self.present.get(&slot).copied().unwrap_or(0);
+                let n_replicas = order.n_replicas;
+                let n_booting = n_replicas.saturating_sub(n_present);
+                self.ordered.insert(slot, Ordered { n_replicas, n_booting, at_ms: now_ms });
             }
             OrderResult::Unavailable => {
                 self.ordered.remove(&slot);
@@ -210,7 +226,8 @@
         present: &FxHashMap<Slot, u32>,
         now_ms: u64,
     ) {
-        let Settings { slots_share, prefill_tokens_per_s, prefill_share, .. } = self.settings;
+        let Settings { slots_share, prefill_tokens_per_s, prefill_share, growth_max, .. } =
+            self.settings;
         let is_settling = self.begun_ms.is_some_and(|it| now_ms < it + self.settings.settle_ms);
         if is_settling || !self.has_seen_demand {
             // Nothing is known of the need yet but what the operator, or a former holder, has running. All replicas
@@ -226,7 +243,9 @@
         if !std::mem::replace(&mut self.has_seen_demand, true) {
             self.recent_needs.push_back((now_ms, self.need));
         }
+        let n_present: u32 = present.values().sum();
         let by_slots = demand.n_running / (f64::from(slots.max(1)) * slots_share);
+        let by_slots = by_slots.min(f64::from(n_present) * growth_max);
         let by_prefill = demand.prefill_tokens_per_s / (prefill_tokens_per_s * prefill_share);
         let need = by_slots.max(by_prefill).ceil().max(1.0) as u32;
         self.recent_needs.push_back((now_ms, need));
@@ -244,13 +263,14 @@
     ) -> Vec<(&'a Zone, Spot)> {
         let mut zones: Vec<_> = scaling.zone_prices.iter().collect();
         zones.sort_by(|a, b| a.1.total_cmp(b.1).then(a.0.cmp(b.0)));
-        let total = self.need + self.settings.spare;
+        let held = (f64::from(self.need) * self.settings.spot_margin).ceil() as u32;
+        let total = held + self.settings.spare;
         let share = spread_spot(total, zones.len() as u32, self.settings.zones_lost_max);
         let spot = zones.into_iter().map(|(zone, _)| {
             let slot = (zone.clone(), Kind::Spot);
             let n_ready = present.get(&slot).copied().unwrap_or(0);
             let may_order = scaling.spot_price.is_some() && !self.is_refused(zone, now_ms);
-            let n_soon = self.booting(&slot, scaling, now_ms).max(n_ready);
+            let n_soon = n_ready + self.booting(&slot, n_ready, scaling, now_ms);
             let wanted = may_order.then_some(share.min(scaling.zone_max));
             (zone, Spot { n_ready, n_soon, wanted })
         });
@@ -269,11 +289,14 @@
         let last = |zone: &Zone| {
             let place = (zone.clone(), Kind::OnDemand);
             let n_present = present.get(&place).copied().unwrap_or(0);
-            self.ordered.get(&place).map_or(n_present, |it| it.0)
+            self.ordered.get(&place).map_or(n_present, |it| it.n_replicas)
         };
         let mut by_zone: Vec<_> = spot.iter().map(|(zone, _)| last(zone)).collect();
-        let needed_soon = self.lacking(spot.iter().map(|it| it.1.n_soon));
-        let needed_now = self.lacking(spot.iter().map(|it| it.1.n_ready));
+        let is_dry = spot.iter().any(|it| self.is_refused(it.0, now_ms));
+        let Settings { remaining_share, dry_remaining_share, .. } = self.settings;
+        let share = if is_dry { dry_remaining_share } else { remaining_share };
+        let needed_soon = self.lacking(spot.iter().map(|it| it.1.n_soon), share);
+        let needed_now = self.lacking(spot.iter().map(|it| it.1.n_ready), share);
         let total: u32 = by_zone.iter().sum();
         let mut more = needed_soon.saturating_sub(total);
         let mut less = total.saturating_sub(needed_now);
@@ -295,20 +318,21 @@
         bounded.collect()
     }
 
-    /// On-demand replicas that are needed beside the reclaimable ones of each zone.
-    fn lacking(&self, spot: impl Iterator<Item = u32>) -> u32 {
+    /// On-demand replicas that are needed beside the reclaimable ones of each zone, so that a share of the need remains
+    /// when the largest zone is lost.
+    fn lacking(&self, spot: impl Iterator<Item = u32>, remaining_share: f64) -> u32 {
         let (n_spot, largest) = spot.fold((0, 0), |(sum, most), n| (sum + n, n.max(most)));
-        let remaining = (f64::from(self.need) * self.settings.remaining_share).ceil() as u32;
+        let remaining = (f64::from(self.need) * remaining_share).ceil() as u32;
         let lacking_now = self.need.saturating_sub(n_spot);
         let lacking_later = remaining.saturating_sub(n_spot - largest);
         lacking_now.max(lacking_later)
     }
 
-    /// Replicas that were ordered and may still be booting.
-    fn booting(&self, slot: &Slot, scaling: &Scaling, now_ms: u64) -> u32 {
+    /// Replicas that were ordered and may still be booting. One that was there and is gone again is none of them.
+    fn booting(&self, slot: &Slot, n_ready: u32, scaling: &Scaling, now_ms: u64) -> u32 {
         let ordered = self.ordered.get(slot);
-        let booting = ordered.filter(|it| now_ms < it.1 + scaling.boot_ms + BOOT_SLACK_MS);
-        booting.map_or(0, |it| it.0)
+        let recent = ordered.filter(|it| now_ms < it.at_ms + scaling.boot_ms + BOOT_SLACK_MS);
+        recent.map_or(0, |it| it.n_booting.min(it.n_replicas.saturating_sub(n_ready)))
     }
 
     fn is_refused(&self, zone: &Zone, now_ms: u64) -> bool {
@@ -317,6 +341,15 @@
     }
 }
 
+/// The last order of a kind in a zone that was accepted.
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    n_replicas: u32,
+    /// Those of them that were not there yet.
+    n_booting: u32,
+    at_ms: u64,
+}
+
 /// Reclaimable replicas of a zone.
 #[derive(Clone, Copy, Debug)]
 struct Spot {
--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -4,7 +4,8 @@
 //! peers admitted. Between a peer's reports it is charged what it last admitted a second, and the difference is settled
 //! by its next report. A peer that has not been heard of for a while is charged its even part of the rate and of what the
 //! bucket holds, and so charges us; then the sum stays at the rate while nodes are cut off from each other. The sum passes
-//! the rate by no more than demand shifts between nodes from one report to the next.
+//! the rate by no more than demand shifts between nodes from one report to the next. A node that takes much at once, or
+//! anything of a bucket that is nearly empty, tells its peers at once.
 
 use rustc_hash::FxHashMap;
 
@@ -69,11 +70,10 @@
 /// What accrues in the first second of a process is left to those that it has not heard of yet.
 const START_QUIET_MS: u64 = 1_000;
 
-/// Reports that come sooner after one another were held up on the way, and their distance tells no rate.
-const MEASURED_MS_MIN: u64 = 100;
-
-/// The weight of the newest report in a peer's smoothed rate.
-const SMOOTHING: f64 = 0.4;
+/// The time constant of a peer's smoothed rate; a few requests of a large team.
+const SMOOTHING_MS: f64 = 2_000.0;
+/// Below this part of the bucket every request is told at once: all nodes wait for what comes in, and would take it twice.
+const LOW_SHARE: f64 = 0.25;
 
 /// The bucket of one team.
 #[derive(Clone, Debug)]
@@ -85,6 +85,9 @@
     full: f64,
     filled_ms: u64,
     admitted: f64,
+    /// What the peers were told last.
+    told: f64,
+    n_nodes: usize,
     peers: FxHashMap<u64, Peer>,
 }
 
@@ -101,6 +104,8 @@
             full,
             filled_ms: now_ms,
             admitted: 0.0,
+            told: 0.0,
+            n_nodes: 1,
             peers: FxHashMap::default(),
         }
     }
@@ -118,6 +123,20 @@
         self.admitted
     }
 
+    /// The peers are being told what this node has admitted.
+    pub fn tell(&mut self) -> f64 {
+        self.told = self.admitted;
+        self.admitted
+    }
+
+    /// Whether the peers should be told at once: this node took more than its even part of the bucket since it told
+    /// them, or anything of a bucket that is nearly empty. The sum can't pass the rate by much more than that.
+    pub fn is_urgent(&self) -> bool {
+        let untold = self.admitted - self.told;
+        let is_low = self.level < self.full * LOW_SHARE;
+        0.0 < untold && (is_low || self.full < untold * self.n_nodes as f64)
+    }
+
     /// Takes what a peer has admitted since it started.
     pub fn hear(&mut self, peer: u64, life: u64, admitted: f64, now_ms: u64) {
         let Some(known) = self.peers.get_mut(&peer) else {
@@ -129,14 +148,14 @@
         };
         let told_before = if known.life == life { known.admitted } else { 0.0 };
         let new = (admitted - told_before).max(0.0);
-        let elapsed_ms = now_ms.saturating_sub(known.heard_ms).max(MEASURED_MS_MIN);
-        let per_ms = new / elapsed_ms as f64;
+        let elapsed_ms = now_ms.saturating_sub(known.heard_ms).max(1) as f64;
+        let per_ms = new / elapsed_ms;
         if known.has_part {
             // What a silent peer left of its part is not taken back: all nodes would take it at the same time.
             known.per_ms = per_ms;
             self.level += (known.charged - new).min(0.0);
         } else {
-            known.per_ms += SMOOTHING * (per_ms - known.per_ms);
+            known.per_ms += (1.0 - (-elapsed_ms / SMOOTHING_MS).exp()) * (per_ms - known.per_ms);
             self.level += known.charged - new;
         }
         let admitted = told_before + new;
@@ -184,6 +203,7 @@
         let per_ms = self.rate.per_s / 1000.0;
         self.level += per_ms * elapsed_ms as f64;
         let n_nodes = peering.map_or(self.peers.len() + 1, |it| it.n_nodes.max(1));
+        self.n_nodes = n_nodes;
         let even_per_ms = per_ms / n_nodes as f64;
         let silent_after_ms = peering.map_or(u64::MAX, |it| it.silent_after_ms);
         // Nodes that are known to run but said nothing yet are charged like silent ones.
--- a/crates/lentilhitch_policy/tests/fleet.rs
+++ b/crates/lentilhitch_policy/tests/fleet.rs
@@ -230,3 +230,45 @@
     }
     assert!(40 <= plan.need(), "a need of {} while the operator runs 80", plan.need());
 }
+
+/// Pattern: crash under load. Half of the fleet is gone and the streams of all pile up at the rest.
+#[test]
+fn streams_that_pile_up_at_few_replicas_do_not_multiply_the_need() {
+    let mut plan = Plan::new(Settings::default(), "draft".parse().unwrap());
+    let scaling = Scaling { zone_max: 500, ..scaling(Some(0.18)) };
+    let present: FxHashMap<Slot, u32> =
+        ZONES.iter().map(|it| ((zone(it), Kind::Spot), 10)).collect();
+    let demand = Demand { n_running: f64::from(40 * SLOTS), ..Demand::default() };
+    for step in 0..10 {
+        plan.orders(demand, SLOTS, &scaling, &present, 10_000 + step * STEP_MS);
+    }
+    assert!(plan.need() <= 60, "a need of {} for 40 full replicas", plan.need());
+}
+
+/// Pattern: reclaim without notice. A zone whose number was confirmed a moment ago is not booting when it has vanished.
+#[test]
+fn a_zone_that_vanishes_after_an_order_is_made_up_for_at_once() {
+    let settings = Settings::default();
+    let mut plan = Plan::new(settings, "draft".parse().unwrap());
+    let scaling = Scaling { zone_max: 50, ..scaling(Some(0.18)) };
+    let demand =
+        Demand { n_running: 20.0 * f64::from(SLOTS) * settings.slots_share, ..Demand::default() };
+    let present = |zones: &[&str]| -> FxHashMap<Slot, u32> {
+        zones.iter().map(|it| ((zone(it), Kind::Spot), 20)).collect()
+    };
+    // The need falls to that of the requests, and fewer are ordered than are there.
+    let mut now_ms = 10_000;
+    let mut is_reduced = false;
+    while !is_reduced && now_ms < 60_000 {
+        now_ms += STEP_MS;
+        for order in plan.orders(demand, SLOTS, &scaling, &present(&ZONES), now_ms) {
+            plan.take_result(&order, OrderResult::Accepted, now_ms);
+            is_reduced |= order.kind == Kind::Spot && order.n_replicas < 20;
+        }
+    }
+    assert!(is_reduced, "a need of {}", plan.need());
+    let orders = plan.orders(demand, SLOTS, &scaling, &present(&[]), now_ms + STEP_MS);
+    let on_demand = orders.iter().filter(|it| it.kind == Kind::OnDemand);
+    let n_on_demand: u32 = on_demand.map(|it| it.n_replicas).sum();
+    assert!(plan.need() <= n_on_demand, "{n_on_demand} ordered on demand, {} needed", plan.need());
+}
--- a/crates/lentilhitch_policy/tests/shared_rate.rs
+++ b/crates/lentilhitch_policy/tests/shared_rate.rs
@@ -16,6 +16,8 @@
 const ALONE: Peering = Peering { n_nodes: 1, silent_after_ms: SILENT_MS, is_cut_off: false };
 const SILENT_MS: u64 = 1_300;
 const STEP_MS: u64 = 5;
+/// The least pause between urgent tellings.
+const URGENT_PAUSE_MS: u64 = 70;
 
 struct Case {
     name: &'static str,
@@ -115,6 +117,11 @@
     let mut nodes: Vec<_> = (0..case.n_nodes).map(|_| new(10_000, 0)).collect();
     let mut life = 1;
     let mut admitted = Vec::new();
+    // Nodes tell each other one after the other.
+    let interval_ms = case.gossip_ms - case.gossip_ms % STEP_MS;
+    let begin_ms = |it: usize| interval_ms * it as u64 / case.n_nodes as u64;
+    let turns_ms: Vec<_> = (0..case.n_nodes).map(begin_ms).map(|it| it - it % STEP_MS).collect();
+    let mut told_ms = vec![0; case.n_nodes];
     let mut heard_ms = vec![vec![0; case.n_nodes]; case.n_nodes];
     let mut owed = 0.0;
     let mut turn = 0;
@@ -124,21 +131,17 @@
             life += 1;
         }
         let is_cut = (case.cut_ms.0..case.cut_ms.1).contains(&now_ms);
-        for peer in 0..case.n_nodes {
-            // Nodes tell each other one after the other.
-            let turn_ms = case.gossip_ms * peer as u64 / case.n_nodes as u64;
-            let turn_ms = turn_ms - turn_ms % STEP_MS;
-            if now_ms % (case.gossip_ms - case.gossip_ms % STEP_MS) != turn_ms {
+        for (peer, turn_ms) in turns_ms.iter().enumerate() {
+            if now_ms % interval_ms != *turn_ms {
                 continue;
             }
-            let told = nodes[peer].admitted();
-            for (idx, node) in nodes.iter_mut().enumerate() {
+            tell(&mut nodes, peer, life, now_ms, |idx| {
                 let is_heard = !is_cut || case.n_cut <= idx.min(peer);
-                if idx != peer && is_heard {
-                    node.hear(peer as u64, life, told, now_ms);
+                if is_heard {
                     heard_ms[idx][peer] = now_ms;
                 }
-            }
+                is_heard
+            });
         }
         let demand = if now_ms < case.hot_ms { case.demand_before } else { case.demand };
         owed += demand * rate.per_s * STEP_MS as f64 / 1_000.0;
@@ -152,12 +155,33 @@
             let peering = Peering::new(case.n_nodes, case.gossip_ms, ages_ms);
             if nodes[node].take(cost, peering, now_ms).is_ok() {
                 admitted.push((now_ms, cost));
+                if nodes[node].is_urgent() && told_ms[node] + URGENT_PAUSE_MS <= now_ms {
+                    told_ms[node] = now_ms;
+                    let is_heard = |idx: usize| !is_cut || case.n_cut <= idx.min(node);
+                    tell(&mut nodes, node, life, now_ms, is_heard);
+                }
             }
         }
     }
     admitted
 }
 
+/// Tells those that hear it what a node admitted.
+fn tell(
+    nodes: &mut [SharedRate],
+    from: usize,
+    life: u64,
+    now_ms: u64,
+    mut is_heard: impl FnMut(usize) -> bool,
+) {
+    let told = nodes[from].tell();
+    for (idx, node) in nodes.iter_mut().enumerate().filter(|it| it.0 != from) {
+        if is_heard(idx) {
+            node.hear(from as u64, life, told, now_ms);
+        }
+    }
+}
+
 fn worst_window(admitted: &[(u64, f64)]) -> f64 {
     let sum = |from: u64| {
         let within = admitted.iter().filter(|it| (from..from + WINDOW_MS).contains(&it.0));
