--- a/crates/lentilhitch_standin/src/main.rs
+++ b/crates/lentilhitch_standin/src/main.rs
@@ -1,6 +1,6 @@
 //! The development tool: stand-ins, and a demonstration with them.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use anyhow::Context as _;
 use argh::FromArgs;
@@ -147,9 +147,19 @@
 }
 
 #[tokio::main]
-async fn main() -> anyhow::Result<()> {
+async fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match args.command {
+    match run(args.command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("lentilhitch_standin: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> anyhow::Result<()> {
+    match command {
         Command::Platform(it) => platform::run(it.address).await,
         Command::Application(it) => application::run(it.address).await,
         Command::Engine(it) => {
--- a/crates/lentilhitch_standin/tests/replay.rs
+++ b/crates/lentilhitch_standin/tests/replay.rs
@@ -1,6 +1,6 @@
 //! Recorded traces give the outcomes that are stated beside them, and ours earns its keep.
 
-use std::{fs, path::PathBuf};
+use std::{fs, path::PathBuf, process::Command};
 
 use lentilhitch_standin::{
     replay::{Outcome, replay},
@@ -50,3 +50,32 @@
         }
     }
 }
+
+/// The command of the developers' page, and a file that is no trace.
+#[test]
+fn the_command_prints_outcomes_or_one_line_that_says_what_is_wrong() {
+    struct Case {
+        files: &'static [&'static str],
+        is_good: bool,
+        says: &'static str,
+    }
+    let cases = [
+        Case { files: &["khao-rai.json", "trinacria.json"], is_good: true, says: "two choices" },
+        Case { files: &["trinacria.outcomes.json"], is_good: false, says: "is not a trace" },
+        Case { files: &["absent.json"], is_good: false, says: "can't be read" },
+    ];
+    for case in cases {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lentilhitch_standin"));
+        command.arg("replay").args(case.files).current_dir(traces());
+        let output = command.output().unwrap();
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let (out, err) = (text(&output.stdout), text(&output.stderr));
+        assert_eq!(output.status.success(), case.is_good, "{:?}: {err}", case.files);
+        if case.is_good {
+            assert!(out.contains(case.says), "{:?}: {out}", case.files);
+        } else {
+            assert_eq!(err.lines().count(), 1, "{err}");
+            assert!(err.contains(case.says) && err.contains(case.files[0]), "{err}");
+        }
+    }
+}
