--- a/crates/lentilhitch/src/args.rs
+++ b/crates/lentilhitch/src/args.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 
 use lentilhitch_config::SchemaName;
+use lentilhitch_policy::placement::Strategy;
 
 /// Serve requests on reclaimable instances, as declarations beside each service's code say.
 #[derive(FromArgs)]
@@ -44,6 +45,9 @@
     /// settings file (default: the one that the platform names)
     #[argh(option)]
     pub(crate) settings: Option<PathBuf>,
+    /// how upstreams are chosen: cost (default), or to compare with it random, round-robin, least-reported, two-choices
+    #[argh(option, default = "Strategy::default()")]
+    pub(crate) placement: Strategy,
 }
 
 /// Report everything that is wrong with the declarations below a folder. Exit code 1 if anything is.
--- a/crates/lentilhitch/src/commands.rs
+++ b/crates/lentilhitch/src/commands.rs
@@ -62,7 +62,8 @@
             .with_context(|| format!("{BOOT_VARIABLE} names no settings file"))?
             .into(),
     };
-    let boot = read_boot(&path)?;
+    let mut boot = read_boot(&path)?;
+    boot.node.strategy = args.placement;
     logging::init()?;
     log_mdc::insert("instance", boot.node.instance.to_string());
     logging::end_on_panic();
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -196,7 +196,13 @@
             own_config_read_ms: 0,
             own_list_read_ms: 0,
             catalog: Catalog::new(catalog::Settings::default()),
-            board: Board::new(placement::Settings::default(), settings.zone.clone()),
+            board: Board::new(
+                placement::Settings {
+                    strategy: settings.strategy,
+                    ..placement::Settings::default()
+                },
+                settings.zone.clone(),
+            ),
             rates: FxHashMap::default(),
             rate_names: FxHashMap::default(),
             budgets: FxHashMap::default(),
--- a/crates/lentilhitch_gateway/src/settings.rs
+++ b/crates/lentilhitch_gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use lentilhitch_policy::placement::Strategy;
 use lentilhitch_types::{InstanceName, Zone};
 
 /// What a node runs on.
@@ -26,6 +27,8 @@
     pub memory_bytes: u64,
     /// How often an upstream writes its entry.
     pub upstream_heartbeat_ms: u64,
+    /// How upstreams are chosen.
+    pub strategy: Strategy,
     pub bounds: Bounds,
 }
 
--- a/crates/lentilhitch_policy/tests/placement.rs
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -1,13 +1,17 @@
 //! Placement under load: flash crowds, hot prefixes, convoys of long prompts, grey and unreachable upstreams.
 
-use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use proptest::{
+    collection::vec,
+    prelude::{ProptestConfig, prop_assert_eq, proptest},
+    test_runner::RngSeed,
+};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rustc_hash::FxHashMap;
 
 use lentilhitch_policy::{
     catalog::{Catalog, Settings as CatalogSettings, Upstream},
     placement::{
-        Board, InProgress, Placed, Prompt, PromptPart, Settings, TryResult, upstream_hash,
+        Board, InProgress, Placed, Prompt, PromptPart, Settings, Strategy, TryResult, upstream_hash,
     },
     traffic::{Listed, ListedState},
 };
@@ -218,7 +222,7 @@
 /// What a peer reports: its number, the upstream's number, requests, those that wait and their tokens, and the time since the report before.
 type Heard = (u64, Vec<(usize, u32, u32, u32)>, u64);
 
-fn heard() -> impl Strategy<Value = Heard> {
+fn heard() -> impl proptest::strategy::Strategy<Value = Heard> {
     let report = vec((0usize..6, 0u32..5, 0u32..3, 0u32..1_000), 0..6);
     (0u64..5, report, 0u64..3_000)
 }
@@ -324,3 +328,17 @@
     }
     assert!(n_late * 100 <= n_sent * 5, "{n_late} of {n_sent} prompts waited too long");
 }
+
+#[test]
+fn every_strategy_has_a_name_and_places_requests() {
+    let upstreams = upstreams(4);
+    for name in ["cost", "random", "round-robin", "least-reported", "two-choices"] {
+        let settings = Settings { strategy: name.parse().unwrap(), ..Settings::default() };
+        let mut node = Node { board: Board::new(settings, "a".parse().unwrap()), ..Node::new(1) };
+        let placed: Vec<_> = (0..40)
+            .map(|it| node.place(Some(&prompt(it, 10, 100 + it, 500)), &upstreams, 0).upstream)
+            .collect();
+        assert_eq!(most(placed.iter()).0, 4, "{name}");
+    }
+    assert!("fastest".parse::<Strategy>().unwrap_err().contains("fastest"));
+}
