A node that hears of a newer configuration reads it from the store itself

A replay shows the change of 52.1 s come into force at the nodes of one zone between 52.2 s and 54.8 s, told by peers, with twelve "peer can't be asked" in those seconds; the same at 32.4 s. All nodes that were behind asked the same peer, the one that was heard last with the newest version, for everything that it knows, over links of 10 Mbit/s and with 0.7 s to answer. Ruled out: the reading of the store (readers had it within 0.1 s), a process that was not killed. Change: a node that is behind reads the store at once (74 calls a change of 6,000 a second allowed); peers are asked after half a second, and then any that has it. Table test of that order.

--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -216,11 +216,12 @@
         age_ms.is_some_and(|it| it <= self.vouched_ms()) && !self.is_reader()
     }
 
-    /// Whether another node waits for the next configuration for this one.
+    /// Whether another node waits for the next configuration for this one. A node that hears of a newer one reads it
+    /// itself: the store bears that better than the few nodes that have it already.
     fn is_config_vouched(&self) -> bool {
         let read_ms = self.state.borrow().config_read_ms;
         let is_fresh = self.now_ms() <= read_ms + CONFIG_WAIT_MS + self.vouched_ms();
-        is_fresh && self.state.borrow().table.is_some() && !self.is_reader()
+        is_fresh && !self.is_behind() && !self.is_reader()
     }
 }
 
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -5,9 +5,12 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use rand::seq::IteratorRandom as _;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use lentilhitch_policy::cursor::Lag;
+
 use crate::{
     gossip::News,
     node::{Node, Peer},
@@ -68,10 +71,12 @@
         }
     };
     let mut asked_ms = 0;
+    let mut lag = Lag::default();
     loop {
         sleep(Duration::from_millis(CHECK_MS)).await;
         let now_ms = node.now_ms();
-        let Some(address) = node.whom_to_ask(asked_ms, now_ms) else { continue };
+        let asks_newer = lag.update(node.is_behind(), now_ms);
+        let Some(address) = node.whom_to_ask(asks_newer, asked_ms, now_ms) else { continue };
         asked_ms = now_ms;
         match ask(&client, address).await {
             Ok(knowledge) => node.take_knowledge(&knowledge),
@@ -115,19 +120,21 @@
         Ok(serde_json::to_vec(&status)?.into())
     }
 
-    fn whom_to_ask(&self, asked_ms: u64, now_ms: u64) -> Option<SocketAddr> {
+    /// `asks_newer` says that a peer's newer configuration did not come from the store in time.
+    fn whom_to_ask(&self, asks_newer: bool, asked_ms: u64, now_ms: u64) -> Option<SocketAddr> {
         let silent_ms = self.silent_after_ms();
-        let state = self.state.borrow();
-        let version = state.table.as_ref().map_or(0, |it| it.config.version);
-        let heard = state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms));
-        let newest = heard.max_by_key(|it| (it.version, it.heard_ms));
-        let is_behind = newest.is_some_and(|it| version < it.version);
-        let read_age_ms = state.catalog.age_ms(now_ms).unwrap_or(u64::MAX);
-        let is_cut_off = STORE_OLD_MS <= read_age_ms && asked_ms + ASK_PAUSE_MS <= now_ms;
-        if is_behind {
-            return newest.map(|it| it.exchange);
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        if asks_newer {
+            let version = state.table.as_ref().map_or(0, |it| it.config.version);
+            let newer = state.peers.values().filter(|it| version < it.version);
+            let heard = newer.filter(|it| it.is_heard(silent_ms, now_ms));
+            if let Some(peer) = heard.choose(&mut state.rng) {
+                return Some(peer.exchange);
+            }
         }
-        if !is_cut_off {
+        let read_age_ms = state.catalog.age_ms(now_ms).unwrap_or(u64::MAX);
+        if read_age_ms < STORE_OLD_MS || now_ms < asked_ms + ASK_PAUSE_MS {
             return None;
         }
         let heard: Vec<_> =
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -162,6 +162,15 @@
         1 + state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms)).count()
     }
 
+    /// Whether a peer in reach has a newer configuration, or this node has none.
+    pub(crate) fn is_behind(&self) -> bool {
+        let (now_ms, silent_ms) = (self.now_ms(), self.silent_after_ms());
+        let state = self.state.borrow();
+        let Some(table) = &state.table else { return true };
+        let mut heard = state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms));
+        heard.any(|it| table.config.version < it.version)
+    }
+
     /// Whether this node reads the store for its zone.
     pub(crate) fn is_reader(&self) -> bool {
         let now_ms = self.now_ms();
--- a/crates/lentilhitch_policy/src/cursor.rs
+++ b/crates/lentilhitch_policy/src/cursor.rs
@@ -81,3 +81,21 @@
         }
     }
 }
+
+/// How long the store is given to tell what a peer has; a few round trips on a slow link.
+const STORE_FIRST_MS: u64 = 500;
+
+/// How long a node has been behind its peers. It reads the store itself at once; only when the store doesn't tell are peers
+/// asked. If all asked at once, those few that have the news first could not answer in time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lag {
+    since_ms: Option<u64>,
+}
+
+impl Lag {
+    /// Notes whether a peer has something newer; says whether to ask one.
+    pub fn update(&mut self, is_behind: bool, now_ms: u64) -> bool {
+        self.since_ms = is_behind.then(|| self.since_ms.unwrap_or(now_ms));
+        self.since_ms.is_some_and(|it| it + STORE_FIRST_MS <= now_ms)
+    }
+}
--- a/crates/lentilhitch_policy/tests/cursor.rs
+++ b/crates/lentilhitch_policy/tests/cursor.rs
@@ -4,7 +4,7 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 
-use lentilhitch_policy::cursor::{Cursor, Settings, Step, StepResult};
+use lentilhitch_policy::cursor::{Cursor, Lag, Settings, Step, StepResult};
 use lentilhitch_types::LogOffset;
 
 struct Case {
@@ -65,3 +65,19 @@
         assert_eq!(cursor.step(), case.step, "{}", case.name);
     }
 }
+
+#[test]
+fn peers_are_asked_only_when_the_store_does_not_tell() {
+    // Whether a peer has something newer each 250 ms, and whether one is then asked.
+    let cases = [
+        ("the store tells in time", vec![true, true, false, true], vec![false; 4]),
+        ("the store is away", vec![true; 5], vec![false, false, true, true, true]),
+        ("told at last", vec![true, true, true, false], vec![false, false, true, false]),
+    ];
+    for (name, is_behind, is_asked) in cases {
+        let mut lag = Lag::default();
+        let steps = is_behind.into_iter().zip((0..).step_by(250));
+        let found: Vec<_> = steps.map(|(it, now_ms)| lag.update(it, now_ms)).collect();
+        assert_eq!(found, is_asked, "{name}");
+    }
+}
