--- a/crates/lentilhitch/tests/edge_path.rs
+++ b/crates/lentilhitch/tests/edge_path.rs
@@ -67,9 +67,11 @@
         assert_eq!(answer.header("x-attempt-id") == id, case.n_runs == 1, "{}", case.name);
         assert_eq!(answer.header("x-server-stamp").is_empty(), case.n_runs == 0, "{}", case.name);
     }
-    let unknown = site.send(site.request_with_key(0, "k", "/book/1", "nobody")).await.unwrap();
+    let unknown =
+        site.send(site.caller().request_with_key(0, "k", "/book/1", "nobody")).await.unwrap();
     assert_eq!((unknown.status, site.n_runs("k")), (401, 0), "unknown key");
-    let open = site.send(site.request_with_key(0, "a", "/open/1", "nobody")).await.unwrap();
+    let open =
+        site.send(site.caller().request_with_key(0, "a", "/open/1", "nobody")).await.unwrap();
     assert_eq!((open.status, site.n_runs("a")), (200, 1), "a route without keys");
     let upstreams = site.engines.iter().chain(&site.applications);
     for ran in upstreams.flat_map(lentilhitch_standin::estate::Upstream::ran) {
--- a/crates/lentilhitch_entry/src/metrics.rs
+++ b/crates/lentilhitch_entry/src/metrics.rs
@@ -2,16 +2,14 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+
+use lentilhitch_metrics::Exposition;
 
 /// The instruments of the process.
 pub(crate) struct Metrics {
-    registry: Registry,
-    // Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     requests: Counter<u64>,
     tokens: Counter<u64>,
     tries: Counter<u64>,
@@ -23,11 +21,7 @@
 
 impl Metrics {
     pub(crate) fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("lentilhitch");
+        let (exposition, meter) = Exposition::new()?;
         Ok(Self {
             requests: meter.u64_counter("lentilhitch_requests").build(),
             tokens: meter.u64_counter("lentilhitch_tokens").build(),
@@ -36,8 +30,7 @@
             claims: meter.u64_counter("lentilhitch_claims").build(),
             uncopied: meter.u64_counter("lentilhitch_uncopied_releases").build(),
             first_token_ms: meter.f64_histogram("lentilhitch_first_token_ms").build(),
-            registry,
-            _provider: provider,
+            exposition,
         })
     }
 
@@ -74,8 +67,6 @@
 
     /// All metrics as Prometheus text.
     pub(crate) fn render(&self) -> anyhow::Result<String> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(String::from_utf8(text)?)
+        self.exposition.render()
     }
 }
--- a/crates/lentilhitch_gateway/src/answer.rs
+++ b/crates/lentilhitch_gateway/src/answer.rs
@@ -61,9 +61,7 @@
         self.phases = Some(phases);
         self
     }
-}
 
-impl AnswerBody {
     /// Keeps a request counted until its answer has been sent.
     pub(crate) fn with_in_flight(mut self, in_flight: InFlight) -> Self {
         self.in_flight = Some(in_flight);
--- a/crates/lentilhitch_gateway/src/duties/scaling.rs
+++ b/crates/lentilhitch_gateway/src/duties/scaling.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     duties::{SharedDuty, result_word},
-    node::{Node, name_hash},
+    node::{Node, short_hash},
     platform::{DutyResult, Permit, Platform},
 };
 
@@ -120,7 +120,7 @@
         let upstreams = state.catalog.iter().filter(|it| it.listed.service == *service);
         let n_running = upstreams.map(|it| f64::from(state.board.n_running(&it.listed.id))).sum();
         let own = state.demand.get_mut(service).map_or(0.0, |it| it.per_s(now_ms));
-        let hash = name_hash(service.as_str()) as u32;
+        let hash = short_hash(service.as_str());
         let peers = state.peers.values().filter(|it| it.is_heard(silent_ms, now_ms));
         let others: f64 = peers.filter_map(|it| it.demand.get(&hash)).sum();
         Demand { n_running, prefill_tokens_per_s: own + others }
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -21,7 +21,7 @@
 use crate::{
     clock::wall_ms,
     discovery::UPSTREAMS_PAUSE_MS,
-    node::{Node, Peer, State, name_hash},
+    node::{Node, Peer, State, short_hash},
     platform::Platform,
 };
 
@@ -175,10 +175,9 @@
     pub(crate) fn is_reader(&self) -> bool {
         let now_ms = self.now_ms();
         let fresh_ms = self.vouched_ms();
-        let own =
-            (name_hash(self.settings.zone.as_str()) as u32, name_hash(self.instance().as_str()));
+        let (zone, own) = (self.zone_hash(), self.own_hash());
         let state = self.state.borrow();
-        let mut before = state.peers.iter().filter(|it| it.1.zone == own.0 && *it.0 < own.1);
+        let mut before = state.peers.iter().filter(|it| it.1.zone == zone && *it.0 < own);
         !before.any(|it| now_ms <= it.1.upstreams_read_ms + fresh_ms)
     }
 
@@ -213,9 +212,9 @@
         let (message, addresses) = {
             let mut state = self.state.borrow_mut();
             let urgent = state.rates.iter_mut().filter(|it| it.1.is_urgent());
-            let admitted = urgent.map(|(team, it)| (name_hash(team.as_str()) as u32, it.tell()));
+            let admitted = urgent.map(|(team, it)| (short_hash(team.as_str()), it.tell()));
             let admitted = admitted.collect();
-            let node = name_hash(self.instance().as_str());
+            let node = self.own_hash();
             let addresses: Vec<_> = state.peers.values().map(|it| it.gossip).collect();
             (Message::Rates { node, life: self.life, admitted }, addresses)
         };
@@ -227,7 +226,7 @@
         loop {
             let (news, addresses) = {
                 let mut state = self.state.borrow_mut();
-                let zone = name_hash(self.settings.zone.as_str()) as u32;
+                let zone = self.zone_hash();
                 let peers = state.peers.values().filter(|it| it.zone == zone);
                 let addresses: Vec<_> = peers.map(|it| it.gossip).collect();
                 (state.take_news(), addresses)
@@ -263,15 +262,14 @@
             state.peers.values().map(|it| (it.wall_offset_ms, it.heard_ms)).collect();
         state.true_time.update(wall_ms(), &offsets, now_ms);
         let demand = state.demand.iter_mut();
-        let demand = demand.map(|(service, meter)| {
-            (name_hash(service.as_str()) as u32, meter.per_s(now_ms) as f32)
-        });
+        let demand = demand
+            .map(|(service, meter)| (short_hash(service.as_str()), meter.per_s(now_ms) as f32));
         let in_progress = state.board.report().into_iter();
         let admitted = state.rates.iter_mut();
         let version = state.table.as_ref().map_or(0, |it| it.config.version);
         let message = Gossip {
-            node: name_hash(self.instance().as_str()),
-            zone: name_hash(self.settings.zone.as_str()) as u32,
+            node: self.own_hash(),
+            zone: self.zone_hash(),
             life: self.life,
             wall_ms: wall_ms(),
             exchange: self.settings.exchange_address,
@@ -280,9 +278,7 @@
             in_progress: in_progress
                 .map(|(id, it)| (id, it.n_requests, it.n_waiting, it.waiting_tokens))
                 .collect(),
-            admitted: admitted
-                .map(|(team, it)| (name_hash(team.as_str()) as u32, it.tell()))
-                .collect(),
+            admitted: admitted.map(|(team, it)| (short_hash(team.as_str()), it.tell())).collect(),
             demand: demand.collect(),
             evidence: state.take_evidence(),
             duty: state.duty_news,
@@ -315,7 +311,7 @@
     }
 
     fn hear_state(&self, message: &Gossip, from: SocketAddr) {
-        if message.node == name_hash(self.instance().as_str()) {
+        if message.node == self.own_hash() {
             return;
         }
         let now_ms = self.now_ms();
@@ -339,7 +335,7 @@
                 (id, InProgress { n_requests, n_waiting, waiting_tokens })
             })
             .collect();
-        state.board.hear(message.node, &in_progress, now_ms);
+        state.board.hear(message.node, in_progress, now_ms);
         state.hear_rates(message.node, message.life, &message.admitted, now_ms);
         for (request, crash) in &message.evidence {
             if state.suspects.note(*request, *crash) {
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -176,11 +176,16 @@
     }
 }
 
-/// A short name for a node, service or team between nodes.
+/// A short name for a node between nodes.
 pub(crate) fn name_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
 
+/// A still shorter one for a zone, service or team, of which there are fewer.
+pub(crate) fn short_hash(name: &str) -> u32 {
+    name_hash(name) as u32
+}
+
 /// A peer is taken to run if it was heard of or listed anew within this time.
 const PEER_KEPT_MS: u64 = 25_000;
 
@@ -254,6 +259,15 @@
         &self.settings.instance
     }
 
+    /// How other nodes call this one and its zone.
+    pub(crate) fn own_hash(&self) -> u64 {
+        name_hash(self.instance().as_str())
+    }
+
+    pub(crate) fn zone_hash(&self) -> u32 {
+        short_hash(self.settings.zone.as_str())
+    }
+
     /// The version of the configuration in force; 0 if none is.
     pub(crate) fn config_version(&self) -> u64 {
         self.state.borrow().table.as_ref().map_or(0, |it| it.config.version)
@@ -376,8 +390,7 @@
             };
             rates.insert(team.name.clone(), rate);
         }
-        self.rate_names =
-            rates.keys().map(|it| (name_hash(it.as_str()) as u32, it.clone())).collect();
+        self.rate_names = rates.keys().map(|it| (short_hash(it.as_str()), it.clone())).collect();
         self.rates = rates;
     }
 
--- a/crates/lentilhitch_gateway/src/pump.rs
+++ b/crates/lentilhitch_gateway/src/pump.rs
@@ -190,7 +190,7 @@
                         moving = Some(Box::pin(move_memory::<P>(id, listed.clone(), to)));
                     }
                 }
-                moved = async { moving.as_mut().unwrap().await }, if moving.is_some() => {
+                moved = end_of(&mut moving) => {
                     moving = None;
                     if let Some((to, memory)) = moved {
                         // What the source still sent before it stopped comes first.
@@ -277,6 +277,14 @@
 /// How long events that a stopped source has still sent are waited for.
 const DRAIN_WAIT: Duration = Duration::from_millis(20);
 
+/// Waits for the end of what is under way; for ever if nothing is.
+async fn end_of<F: Future + Unpin>(under_way: &mut Option<F>) -> F::Output {
+    match under_way {
+        Some(it) => it.await,
+        None => std::future::pending().await,
+    }
+}
+
 /// How the life of an upstream that runs a stream stands in the list.
 enum Standing {
     Ready,
--- a/crates/lentilhitch_gateway/src/tries.rs
+++ b/crates/lentilhitch_gateway/src/tries.rs
@@ -289,7 +289,7 @@
         patience_ms.min(remaining_ms)
     }
 
-    /// Whether the least loaded engine would be too late.
+    /// Whether the first token of the chosen engine would come too late.
     fn is_hopeless(&self, listed: &Listed, now_ms: u64) -> bool {
         if self.call.head.prompt.is_none() {
             return false;
--- a/crates/lentilhitch_gateway/src/upstream_try.rs
+++ b/crates/lentilhitch_gateway/src/upstream_try.rs
@@ -265,9 +265,7 @@
         node.pool.put(&self.listed.id, self.connection, kept_ms(&self.parts), node.clock);
         Ok((self.parts, whole))
     }
-}
 
-impl<P: Platform> Answered<P> {
     /// Reads what is left of an answer that nobody needs, so that its connection can be kept.
     async fn discard(self, node: &Rc<Node<P>>) {
         let body = http_body_util::Limited::new(self.body, DISCARD_BYTES_MAX);
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -11,7 +11,6 @@
 use lru::LruCache;
 use rand::Rng;
 use rustc_hash::{FxBuildHasher, FxHashMap};
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use lentilhitch_types::{UpstreamName, Zone};
@@ -99,7 +98,7 @@
 }
 
 /// What a node has in progress at an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct InProgress {
     pub n_requests: u32,
     /// Those of them that have no first answer yet.
@@ -248,11 +247,12 @@
                 self.ensure(&it.listed.id);
             }
         }
-        let known: Vec<_> =
+        let mut pool: Vec<_> =
             candidates.into_iter().map(|it| (it, &self.places[&it.listed.id])).collect();
-        let is_open = |it: &&(&Upstream, &Place)| it.1.avoid_until_ms <= now_ms;
-        let open: Vec<_> = known.iter().filter(is_open).copied().collect();
-        let pool = if open.is_empty() { known } else { open };
+        let is_open = |it: &(&Upstream, &Place)| it.1.avoid_until_ms <= now_ms;
+        if pool.iter().any(is_open) {
+            pool.retain(is_open);
+        }
         let (upstream, uncached_tokens) = match self.settings.strategy {
             Strategy::Cost => self.least_cost(prompt, &pool, now_ms, rng)?,
             strategy => (self.baseline(strategy, &pool, now_ms, rng)?, tokens_of(prompt)),
@@ -387,11 +387,10 @@
     }
 
     /// Takes a peer's report.
-    pub fn hear(&mut self, peer: u64, report: &[(u32, InProgress)], now_ms: u64) {
-        for (upstream, it) in report {
+    pub fn hear(&mut self, peer: u64, in_progress: Vec<(u32, InProgress)>, now_ms: u64) {
+        for (upstream, it) in &in_progress {
             self.peers_sum.entry(*upstream).or_default().add(*it);
         }
-        let in_progress = report.to_vec();
         let former = self.peers.insert(peer, PeerReport { heard_ms: now_ms, in_progress });
         let is_old =
             |_: &u64, it: &mut PeerReport| PEER_REPORT_KEPT_MS < now_ms.saturating_sub(it.heard_ms);
--- a/crates/lentilhitch_policy/src/placement/choice.rs
+++ b/crates/lentilhitch_policy/src/placement/choice.rs
@@ -7,12 +7,11 @@
 
 use std::str::FromStr;
 
-use rand::{Rng, seq::IteratorRandom};
-use serde::{Deserialize, Serialize};
+use rand::{Rng, seq::index};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How an upstream is chosen. All but the first are baselines to compare with.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Strategy {
     /// The least expected cost of a few.
     #[default]
@@ -73,8 +72,7 @@
         return;
     }
     let wanted = chosen.len() + n;
-    let drawn = (0..len).sample(rng, wanted);
-    for idx in drawn {
+    for idx in index::sample(rng, len, wanted) {
         if chosen.len() < wanted && !chosen.contains(&idx) {
             chosen.push(idx);
         }
--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -24,6 +24,13 @@
     }
 }
 
+impl Settings {
+    /// What the bucket of a rate holds while all nodes are in reach.
+    fn bucket(self, rate: TeamRate) -> f64 {
+        rate.burst * self.burst_share
+    }
+}
+
 /// The nodes that share a rate.
 #[derive(Clone, Copy, Debug)]
 pub struct Peering {
@@ -67,6 +74,37 @@
     has_part: bool,
 }
 
+/// A node's even share of a rate.
+#[derive(Clone, Copy, Debug)]
+struct Even {
+    per_ms: f64,
+    /// Of what the bucket holds.
+    part: f64,
+    /// Whether the charging node is cut off from most of its peers.
+    is_cut_off: bool,
+}
+
+impl Peer {
+    /// Charges the peer for the time since it was last charged: what it used to admit, or the even share if it is silent.
+    fn charge(&mut self, silent: Option<Even>, now_ms: u64) -> f64 {
+        let elapsed_ms = now_ms.saturating_sub(self.charged_ms) as f64;
+        let mut charge = silent.map_or(self.per_ms, |it| it.per_ms) * elapsed_ms;
+        if let Some(even) = silent
+            && !std::mem::replace(&mut self.has_part, true)
+        {
+            charge += even.part;
+            if !even.is_cut_off {
+                // Until now it was charged what it used to admit, and may have admitted its even part.
+                let unheard_ms = self.charged_ms.saturating_sub(self.heard_ms) as f64;
+                charge += (even.per_ms - self.per_ms).max(0.0) * unheard_ms;
+            }
+        }
+        self.charged_ms = now_ms;
+        self.charged += charge;
+        charge
+    }
+}
+
 /// What accrues in the first second of a process is left to those that it has not heard of yet.
 const START_QUIET_MS: u64 = 1_000;
 
@@ -96,7 +134,7 @@
     /// many processes may start at once.
     pub fn new(settings: Settings, rate: TeamRate, running_ms: u64, now_ms: u64) -> Self {
         let accrued = rate.per_s * running_ms.saturating_sub(START_QUIET_MS) as f64 / 1000.0;
-        let full = rate.burst * settings.burst_share;
+        let full = settings.bucket(rate);
         Self {
             settings,
             rate,
@@ -114,7 +152,7 @@
     pub fn set_rate(&mut self, rate: TeamRate, now_ms: u64) {
         self.fill(now_ms, None);
         self.rate = rate;
-        self.full = rate.burst * self.settings.burst_share;
+        self.full = self.settings.bucket(rate);
         self.level = self.level.min(self.full);
     }
 
@@ -212,27 +250,15 @@
         let is_cut_off = peering.is_some_and(|it| it.is_cut_off);
         // While most are in reach, a silent one may have had its part of a full bucket. One that is cut off itself
         // leaves the others their part of what it knows of.
-        let part = if is_cut_off { self.level.min(self.full).max(0.0) } else { self.full };
-        let part = part / n_nodes as f64;
+        let shared = if is_cut_off { self.level.min(self.full).max(0.0) } else { self.full };
+        let even = Even { per_ms: even_per_ms, part: shared / n_nodes as f64, is_cut_off };
         for peer in self.peers.values_mut() {
             let is_silent = silent_after_ms < now_ms.saturating_sub(peer.heard_ms);
             n_silent += usize::from(is_silent);
-            let peer_per_ms = if is_silent { even_per_ms } else { peer.per_ms };
-            let mut charge = peer_per_ms * now_ms.saturating_sub(peer.charged_ms) as f64;
-            if is_silent && !std::mem::replace(&mut peer.has_part, true) {
-                charge += part;
-                if !is_cut_off {
-                    // Until now it was charged what it used to admit, and may have admitted its even part.
-                    let unheard_ms = peer.charged_ms.saturating_sub(peer.heard_ms);
-                    charge += (even_per_ms - peer.per_ms).max(0.0) * unheard_ms as f64;
-                }
-            }
-            peer.charged_ms = now_ms;
-            peer.charged += charge;
-            self.level -= charge;
+            self.level -= peer.charge(is_silent.then_some(even), now_ms);
         }
         let heard_share = n_nodes.saturating_sub(n_silent).max(1) as f64 / n_nodes as f64;
-        self.full = self.rate.burst * self.settings.burst_share * heard_share;
+        self.full = self.settings.bucket(self.rate) * heard_share;
         self.level = self.level.min(self.full);
     }
 
--- a/crates/lentilhitch_policy/src/traffic.rs
+++ b/crates/lentilhitch_policy/src/traffic.rs
@@ -67,8 +67,6 @@
 /// A group of upstreams that answer alike.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
-    /// Connections that an upstream accepts from all callers together.
-    pub connections_max: u32,
     pub engine: Option<Engine>,
     pub scaling: Option<Scaling>,
 }
@@ -77,9 +75,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Engine {
     pub slots: u32,
-    pub kv_tokens: u64,
     pub can_move: bool,
-    pub can_back_up: bool,
 }
 
 /// Bounds and prices of the replicas that may be ordered.
--- a/crates/lentilhitch_policy/src/usage.rs
+++ b/crates/lentilhitch_policy/src/usage.rs
@@ -153,14 +153,14 @@
         let Settings { window_ms, settle_ms, wait_max_ms, late_ms } = self.settings;
         let current = true_ms / window_ms;
         let first = (true_ms.saturating_sub(late_ms + window_ms) / window_ms) + 1;
+        // An earlier life of a node that runs again counts no more.
+        let mut newest: FxHashMap<&InstanceName, u64> = FxHashMap::default();
+        for ((node, _), it) in &self.nodes {
+            let through_ms = newest.entry(node).or_default();
+            *through_ms = it.through_ms.max(*through_ms);
+        }
         let is_due = |window: &WindowNo| {
             let end_ms = (window + 1) * window_ms;
-            // An earlier life of a node that runs again counts no more.
-            let mut newest: FxHashMap<&InstanceName, u64> = FxHashMap::default();
-            for ((node, _), it) in &self.nodes {
-                let through_ms = newest.entry(node).or_default();
-                *through_ms = it.through_ms.max(*through_ms);
-            }
             let n_past = newest.values().filter(|it| end_ms + settle_ms <= **it).count();
             let begin_ms = end_ms.saturating_sub(window_ms);
             let n_counted = newest.values().filter(|it| begin_ms <= **it).count();
--- a/crates/lentilhitch_policy/tests/placement.rs
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -139,14 +139,14 @@
         let only = std::slice::from_ref(&upstreams[0]);
         there.place(Some(&prompt(it, 10, 100 + it, 5_000)), only, 0);
     }
-    here.board.hear(9, &there.board.report(), 0);
+    here.board.hear(9, there.board.report(), 0);
     for it in 0..10 {
         let placed = here.place(Some(&prompt(50 + it, 10, 200 + it, 500)), &upstreams, 100);
         assert_eq!(placed.upstream, upstreams[1].listed.id, "request {it}");
     }
     let late = here.board.n_requests(&upstreams[0].listed.id, 60_000);
     assert_eq!(late, 10, "a report is forgotten when the next one of any peer comes");
-    here.board.hear(8, &[], 60_000);
+    here.board.hear(8, Vec::new(), 60_000);
     assert_eq!(here.board.n_requests(&upstreams[0].listed.id, 60_000), 0);
 }
 
@@ -248,7 +248,7 @@
                 })
                 .collect();
             let listed: Vec<_> = report.iter().map(|it| (*it.0, *it.1)).collect();
-            board.hear(peer, &listed, now_ms);
+            board.hear(peer, listed, now_ms);
             last.insert(peer, (now_ms, report));
             last.retain(|_, it| now_ms - it.0 <= 5_000);
             for it in &upstreams {
@@ -314,7 +314,7 @@
                 let report = nodes[from].board.report();
                 for (to, node) in nodes.iter_mut().enumerate().filter(|it| it.0 != from) {
                     assert_ne!(to, from);
-                    node.board.hear(from as u64, &report, now_ms);
+                    node.board.hear(from as u64, report.clone(), now_ms);
                 }
             }
         }
--- a/crates/lentilhitch_standin/src/estate/site.rs
+++ b/crates/lentilhitch_standin/src/estate/site.rs
@@ -172,17 +172,6 @@
         self.caller().request_with_key(node, id, path, KEY)
     }
 
-    /// A request with some key at a node.
-    pub fn request_with_key(
-        &self,
-        node: usize,
-        id: &str,
-        path: &str,
-        key: &str,
-    ) -> reqwest::RequestBuilder {
-        self.caller().request_with_key(node, id, path, key)
-    }
-
     /// Sends a request and reads its answer as far as it comes.
     pub async fn send(&self, request: reqwest::RequestBuilder) -> anyhow::Result<Answer> {
         read_answer(request).await
@@ -213,7 +202,8 @@
         read_answer(self.request_with_key(node, id, path, KEY)).await
     }
 
-    fn request_with_key(
+    /// A request with some key at a node.
+    pub fn request_with_key(
         &self,
         node: usize,
         id: &str,
