--- a/crates/lentilhitch/tests/edge_life.rs
+++ b/crates/lentilhitch/tests/edge_life.rs
@@ -5,6 +5,10 @@
     users_platform::{Behavior, Site, SiteOptions, StoreFault},
 };
 use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 
 #[tokio::test]
 async fn configuration_takes_effect_at_all_nodes_and_is_not_replaced_by_an_older_version() {
@@ -53,6 +57,33 @@
     }
 }
 
+#[tokio::test]
+async fn internal_connections_stay_open_while_requests_are_answered_on_them() {
+    /// Longer than a node waits for a request head on these addresses.
+    const DURATION: std::time::Duration = std::time::Duration::from_secs(4);
+    const REQUEST_INTERVAL: std::time::Duration = std::time::Duration::from_millis(250);
+    let site = Site::start(SiteOptions::default()).await.unwrap();
+    let node = &site.nodes[0];
+    for (address, path) in [
+        (node.ready, "/lentilhitch/readiness"),
+        (node.metrics, "/v1/status"),
+        (node.exchange, "/v1/status"),
+    ] {
+        let mut connection = TcpStream::connect(address).await.unwrap();
+        let started = std::time::Instant::now();
+        while started.elapsed() < DURATION {
+            let request = format!("GET {path} HTTP/1.1\r\nhost: node\r\n\r\n");
+            connection.write_all(request.as_bytes()).await.unwrap();
+            let mut response = vec![0; 4_096];
+            let n_bytes = connection.read(&mut response).await.unwrap();
+            let response = String::from_utf8_lossy(&response[..n_bytes]);
+            let elapsed = started.elapsed();
+            assert!(response.starts_with("HTTP/1.1 200 "), "{path} after {elapsed:?}: {response}");
+            tokio::time::sleep(REQUEST_INTERVAL).await;
+        }
+    }
+}
+
 #[tokio::test]
 async fn node_without_configuration_responds_503_until_the_store_is_available() {
     let mut site = Site::start(SiteOptions::default()).await.unwrap();
--- a/crates/lentilhitch_gateway/src/ingress.rs
+++ b/crates/lentilhitch_gateway/src/ingress.rs
@@ -149,14 +149,16 @@
         };
         let respond = respond.clone();
         tokio::task::spawn_local(async move {
+            let limits = ClientLimits::default();
+            let phase_tracker =
+                Rc::new(PhaseTracker::new(limits.idle_timeout_ms, limits.header_timeout_ms));
+            let io = TokioIo::new(ClientIo::new(stream, phase_tracker.clone()));
             let service = service_fn(|request| {
+                phase_tracker.on_request_head();
                 let response = respond(request);
+                let response = response.map(|it| it.with_phase_tracker(phase_tracker.clone()));
                 async { Ok::<_, Infallible>(response) }
             });
-            let limits = ClientLimits::default();
-            let phase_tracker =
-                Rc::new(PhaseTracker::new(limits.idle_timeout_ms, limits.header_timeout_ms));
-            let io = TokioIo::new(ClientIo::new(stream, phase_tracker));
             if let Err(err) = http1::Builder::new().serve_connection(io, service).await {
                 log::debug!("connection failed: {err}");
             }
--- a/crates/lentilhitch_standin/src/harness/process.rs
+++ b/crates/lentilhitch_standin/src/harness/process.rs
@@ -6,7 +6,7 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU8, Ordering},
+    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::Instant,
 };
@@ -16,14 +16,15 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use parking_lot::Mutex;
 
 use crate::harness::{POLL_INTERVAL, WAIT_TIMEOUT};
 
-/// Number of log lines that a panicking test prints for each process.
+/// Number of log lines that a failing test prints for each process.
 const LOG_TAIL_LINES: usize = 25;
 
-/// Last byte of the next loopback address.
-static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+/// Position of the next loopback address to try.
+static NEXT_HOST: AtomicU32 = AtomicU32::new(1);
 
 /// A child process that is killed when this handle is dropped.
 #[derive(Debug)]
@@ -124,15 +125,19 @@
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
+
+    /// Returns the last lines of the output.
+    pub(crate) fn log_tail(&self) -> String {
+        let text = self.log_text();
+        let lines: Vec<_> = text.lines().collect();
+        lines[lines.len().saturating_sub(LOG_TAIL_LINES)..].join("\n")
+    }
 }
 
 impl Drop for Process {
     fn drop(&mut self) {
         if thread::panicking() {
-            let text = self.log_text();
-            let lines: Vec<_> = text.lines().collect();
-            let tail = &lines[lines.len().saturating_sub(LOG_TAIL_LINES)..];
-            eprintln!("--- log of {}\n{}", self.name, tail.join("\n"));
+            eprintln!("--- log of {}\n{}", self.name, self.log_tail());
         }
         self.kill();
     }
@@ -150,11 +155,30 @@
     TcpListener::bind((own_ip(), 0))?.local_addr()
 }
 
-/// Returns a separate loopback address, formed from the ID of this process and a counter.
+/// Port of the listener that reserves a loopback address.
+const RESERVATION_PORT: u16 = 19_999;
+
+/// Listeners that reserve the loopback addresses of this process until it exits.
+static RESERVATIONS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+
+/// Returns a loopback address that no other process of this harness uses while this process runs. The search starts at
+/// an address formed from the ID of this process, so that concurrent tests seldom try the same addresses.
 pub(crate) fn own_ip() -> IpAddr {
-    let pid = std::process::id().to_le_bytes();
-    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed).max(1);
-    IpAddr::V4(Ipv4Addr::new(127, pid[1] | 1, pid[0], host))
+    let mut candidate =
+        std::process::id().rotate_left(8) ^ NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    loop {
+        let [_, second, third, fourth] = candidate.to_be_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, second | 1, third, fourth));
+        candidate = candidate.wrapping_add(1);
+        // Addresses ending in 0 or 255 are skipped, since some tools take them for networks and broadcasts.
+        if !(1..255).contains(&fourth) {
+            continue;
+        }
+        if let Ok(reservation) = TcpListener::bind((ip, RESERVATION_PORT)) {
+            RESERVATIONS.lock().push(reservation);
+            return ip;
+        }
+    }
 }
 
 /// Returns the path of a binary of this workspace. Binaries are in the folder of the running binary, or in its parent
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -40,6 +40,7 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
+    pub exchange: SocketAddr,
     settings: PathBuf,
 }
 
@@ -135,8 +136,9 @@
         let path = self.folder.path().join(format!("{name}.json"));
         fs::write(&path, settings.to_string())?;
         let process = start_process(&name, &path)?;
+        let exchange = SocketAddr::new(ip, first_port + 1);
         let metrics = SocketAddr::new(ip, first_port + 2);
-        self.nodes.push(Node { process, front, ready, metrics, settings: path });
+        self.nodes.push(Node { process, front, ready, metrics, exchange, settings: path });
         Ok(())
     }
 
@@ -151,7 +153,10 @@
     /// Waits until every node reports that it is ready.
     pub async fn until_ready(&self) -> anyhow::Result<()> {
         for node in &self.nodes {
-            until("a node is ready", || async { self.is_ready(node).await }).await?;
+            let ready = until("a node is ready", || async { self.is_ready(node).await }).await;
+            ready.with_context(|| {
+                format!("log of {}:\n{}", node.process.name, node.process.log_tail())
+            })?;
         }
         Ok(())
     }
