--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -16,13 +16,12 @@
 use lentilhitch_types::{Fingerprint, ServiceName, TeamName};
 
 use crate::{
+    body_memory::{BodyMemoryGuard, MemoryExhausted},
     client_response::Rejection,
     node::{Node, NodePhase},
     platform::{Platform, RequestHead},
 };
 
-/// Request bodies that are being read may take at most the node's memory divided by this number.
-const BODY_MEMORY_DIVISOR: u64 = 5;
 /// `Retry-After` of rejections for which no better estimate exists.
 const RETRY_AFTER_DEFAULT_MS: u64 = 500;
 
@@ -147,7 +146,7 @@
     if body.size_hint().lower() > bytes_max as u64 {
         return Err(Rejection::BodyTooLarge);
     }
-    let mut memory = BodyMemoryGuard { node, n_bytes: 0 };
+    let mut memory = BodyMemoryGuard::new(node);
     let mut buffer = BytesMut::new();
     let mut single_chunk: Option<Bytes> = None;
     loop {
@@ -158,8 +157,11 @@
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(chunk) = frame.into_data() else { continue };
-        memory.reserve(chunk.len())?;
-        if bytes_max < memory.n_bytes {
+        memory.reserve(chunk.len()).map_err(|MemoryExhausted| Rejection::Unavailable {
+            reason: "too many bodies are being read",
+            retry_after_ms: RETRY_AFTER_DEFAULT_MS,
+        })?;
+        if bytes_max < memory.n_bytes() {
             return Err(Rejection::BodyTooLarge);
         }
         match single_chunk.take() {
@@ -174,35 +176,6 @@
     Ok(single_chunk.unwrap_or_else(|| buffer.freeze()))
 }
 
-/// Memory that is reserved for a body while it is being read. Released when dropped.
-struct BodyMemoryGuard<'a, P> {
-    node: &'a Rc<Node<P>>,
-    n_bytes: usize,
-}
-
-impl<P> BodyMemoryGuard<'_, P> {
-    /// Reserves memory for received bytes, or rejects the request if too much is reserved already.
-    fn reserve(&mut self, n_bytes: usize) -> Result<(), Rejection> {
-        let bytes_max = (self.node.settings.memory_bytes / BODY_MEMORY_DIVISOR) as usize;
-        let mut state = self.node.state.borrow_mut();
-        if bytes_max < state.buffered_bytes + n_bytes {
-            return Err(Rejection::Unavailable {
-                reason: "too many bodies are being read",
-                retry_after_ms: RETRY_AFTER_DEFAULT_MS,
-            });
-        }
-        state.buffered_bytes += n_bytes;
-        self.n_bytes += n_bytes;
-        Ok(())
-    }
-}
-
-impl<P> Drop for BodyMemoryGuard<'_, P> {
-    fn drop(&mut self) {
-        self.node.state.borrow_mut().buffered_bytes -= self.n_bytes;
-    }
-}
-
 impl<P: Platform> Node<P> {
     /// Replaces a rejection by a temporary one if this node's configuration was neither read nor confirmed recently,
     /// because the request may be valid under a newer configuration.
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod admission;
 mod attempts;
+mod body_memory;
 mod client_io;
 mod client_response;
 mod clock;
--- a/crates/lentilhitch_gateway/src/pool.rs
+++ b/crates/lentilhitch_gateway/src/pool.rs
@@ -1,6 +1,14 @@
 //! Connections to upstreams. Each connection carries one request at a time.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -12,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time::timeout};
 
 use lentilhitch_types::UpstreamName;
 
@@ -31,6 +39,11 @@
 /// Interval between TCP keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum size of the head of a response, and of each part of its body that is read at once.
+const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
+/// Maximum number of informational responses (status 1xx) before the response to a request.
+const INFORMATIONAL_RESPONSES_MAX: u32 = 16;
+
 /// An open connection. Dropping it closes it, even while a request is in progress.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -51,7 +64,16 @@
     /// No byte was sent.
     NotSent,
     /// The connection broke after the request may have reached the upstream.
-    Broken(hyper::Error),
+    Broken(SendError),
+}
+
+/// Reason why a connection broke during a request.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum SendError {
+    #[error(transparent)]
+    Http(hyper::Error),
+    #[error("too many informational responses")]
+    TooManyInformationalResponses,
 }
 
 impl Connection {
@@ -70,7 +92,10 @@
         let keepalive =
             TcpKeepalive::new().with_time(KEEPALIVE_DELAY).with_interval(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&keepalive)?;
-        let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+        let handshake = Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             if let Err(err) = connection.await {
@@ -81,21 +106,45 @@
     }
 
     /// Sends a request and waits for the head of the response.
-    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> SendResult {
+    pub(crate) async fn send(&mut self, mut request: Request<Full<Bytes>>) -> SendResult {
         if self.sender.ready().await.is_err() {
             return SendResult::NotSent;
         }
         self.is_fresh = false;
-        match self.sender.try_send_request(request).await {
+        let informational = Arc::new(InformationalResponses::default());
+        let counter = informational.clone();
+        hyper::ext::on_informational(&mut request, move |_| counter.count());
+        let result = tokio::select! {
+            result = self.sender.try_send_request(request) => result,
+            () = informational.too_many.notified() => {
+                return SendResult::Broken(SendError::TooManyInformationalResponses);
+            }
+        };
+        match result {
             Ok(response) => SendResult::Response(response),
             Err(mut err) => match err.take_message() {
                 Some(_) => SendResult::NotSent,
-                None => SendResult::Broken(err.into_error()),
+                None => SendResult::Broken(SendError::Http(err.into_error())),
             },
         }
     }
 }
 
+/// Informational responses to one request.
+#[derive(Default)]
+struct InformationalResponses {
+    n_received: AtomicU32,
+    too_many: Notify,
+}
+
+impl InformationalResponses {
+    fn count(&self) {
+        if INFORMATIONAL_RESPONSES_MAX < self.n_received.fetch_add(1, Ordering::Relaxed) + 1 {
+            self.too_many.notify_one();
+        }
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     idle_since_ms: u64,
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -13,13 +13,17 @@
 
 use bytes::Bytes;
 use http::{Response, header, response};
-use http_body_util::BodyExt as _;
+use http_body_util::{BodyExt as _, Limited};
 use tokio::{
     sync::mpsc::{self, Sender},
     time::{Instant, sleep_until, timeout},
 };
 
-use lentilhitch_policy::{events::EventSplitter, placement::AttemptResult, traffic::UpstreamEntry};
+use lentilhitch_policy::{
+    events::{EventSplitter, EventTooLarge},
+    placement::AttemptResult,
+    traffic::UpstreamEntry,
+};
 
 use crate::{
     attempts::Attempts,
@@ -43,6 +47,8 @@
 /// Time before the end of a leaving upstream at which its runs are transferred. Copying the KV cache and starting at
 /// the new upstream take far less than this time.
 const TRANSFER_LEAD_MS: u64 = 1_200;
+/// Maximum size of the response to a request to transfer a KV cache.
+const TRANSFER_RESPONSE_BYTES_MAX: usize = 64 * 1024;
 /// Timeout of a KV cache transfer.
 const TRANSFER_TIMEOUT_MS: u64 = 1_500;
 
@@ -70,6 +76,16 @@
     splitter: EventSplitter,
 }
 
+/// What has become of a chunk of a stream.
+enum Pushed {
+    /// The chunk completed an event.
+    Progress,
+    NoProgress,
+    /// The chunk belongs to no event of an acceptable size.
+    TooLarge,
+    ClientDisconnected,
+}
+
 /// How the relay of the stream from one upstream ended.
 enum RelayOutcome {
     Complete,
@@ -151,11 +167,20 @@
                 frame = body.frame() => match frame {
                     Some(Ok(frame)) => {
                         let Ok(data) = frame.into_data() else { continue };
-                        stall_timer.as_mut().reset(Instant::now() + stall_timeout);
                         assignment.set_result(AttemptResult::Served);
-                        if !self.push(&data).await {
-                            assignment.set_result(AttemptResult::Canceled);
-                            return RelayOutcome::ClientDisconnected;
+                        match self.push(&data).await {
+                            Pushed::Progress => {
+                                stall_timer.as_mut().reset(Instant::now() + stall_timeout);
+                            }
+                            Pushed::NoProgress => {}
+                            Pushed::ClientDisconnected => {
+                                assignment.set_result(AttemptResult::Canceled);
+                                return RelayOutcome::ClientDisconnected;
+                            }
+                            Pushed::TooLarge => {
+                                assignment.set_result(AttemptResult::Failed);
+                                return RelayOutcome::Broken("stream contains bytes that are no events");
+                            }
                         }
                     }
                     Some(Err(_)) | None if transfer.is_some() => {
@@ -203,8 +228,11 @@
                     if let Some((to, kv_copy)) = transferred {
                         // Events that the source sent before it stopped the run are passed on first.
                         while let Ok(Some(Ok(frame))) = timeout(DRAIN_TIMEOUT, body.frame()).await {
-                            if let Ok(data) = frame.into_data() && !self.push(&data).await {
-                                return RelayOutcome::ClientDisconnected;
+                            let Ok(data) = frame.into_data() else { continue };
+                            match self.push(&data).await {
+                                Pushed::ClientDisconnected => return RelayOutcome::ClientDisconnected,
+                                Pushed::TooLarge => break,
+                                Pushed::Progress | Pushed::NoProgress => {}
                             }
                         }
                         self.splitter.take_rest();
@@ -236,11 +264,22 @@
         }
     }
 
-    /// Passes on the events that are complete now. Returns whether the client is still connected.
-    async fn push(&mut self, data: &[u8]) -> bool {
-        let Some(events) = self.splitter.push(data) else { return true };
+    /// Passes on the events that are complete now. Only a new event is progress: an engine that has stalled may still
+    /// send parts of an event, or events without an id, now and then.
+    async fn push(&mut self, data: &[u8]) -> Pushed {
+        let previous_id = self.splitter.last_id();
+        let events = match self.splitter.push(data) {
+            Ok(Some(events)) => events,
+            Ok(None) => return Pushed::NoProgress,
+            Err(EventTooLarge) => return Pushed::TooLarge,
+        };
         self.attempts.count_usage_once();
-        self.chunks.send(Ok(events)).await.is_ok()
+        if self.chunks.send(Ok(events)).await.is_err() {
+            return Pushed::ClientDisconnected;
+        }
+        let last_id = self.splitter.last_id();
+        let is_progress = last_id != previous_id || last_id.is_none();
+        if is_progress { Pushed::Progress } else { Pushed::NoProgress }
     }
 
     /// Returns an upstream to which a run can be transferred from a leaving upstream.
@@ -352,7 +391,7 @@
         let mut connection = Connection::open(from.address, transfer_timeout).await.ok()?;
         let SendResult::Response(response) = connection.send(request).await else { return None };
         let (parts, body): (response::Parts, _) = response.into_parts();
-        let body = body.collect().await.ok()?.to_bytes();
+        let body = Limited::new(body, TRANSFER_RESPONSE_BYTES_MAX).collect().await.ok()?.to_bytes();
         Some(P::decode_kv_transfer(parts.status, &body))
     });
     let result = transfer.await.ok().flatten();
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, header, response};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -17,6 +17,7 @@
 
 use crate::{
     admission::AdmittedRequest,
+    body_memory::{BodyMemoryGuard, MemoryExhausted},
     node::Node,
     platform::{KvCopy, Platform, ResponseHead, ResponseKind, UpstreamRequestHead},
     pool::{Connection, SendResult},
@@ -282,11 +283,10 @@
         body_timeout_ms: u64,
     ) -> Result<(response::Parts, Bytes), &'static str> {
         self.assignment.set_result(AttemptResult::Failed);
-        let body = http_body_util::Limited::new(self.body, RESPONSE_BYTES_MAX);
-        let body = match timeout(Duration::from_millis(body_timeout_ms), body.collect()).await {
+        let body = read_body(node, self.body);
+        let body = match timeout(Duration::from_millis(body_timeout_ms), body).await {
             Err(_) => return Err("the answer did not end in time"),
-            Ok(Err(_)) => return Err("the answer broke off"),
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(res) => res?,
         };
         let is_failure = self.parts.status.is_server_error();
         self.assignment.set_result(if is_failure {
@@ -308,6 +308,29 @@
     }
 }
 
+/// Reads a body of at most [`RESPONSE_BYTES_MAX`], as far as the node has memory for it. A body without a length, which
+/// ends with its connection, might otherwise never end.
+async fn read_body<P>(node: &Rc<Node<P>>, mut body: Incoming) -> Result<Bytes, &'static str> {
+    let mut memory = BodyMemoryGuard::new(node);
+    let mut first: Option<Bytes> = None;
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| "the answer broke off")?;
+        let Ok(chunk) = frame.into_data() else { continue };
+        memory.reserve(chunk.len()).map_err(|MemoryExhausted| "no memory for the answer")?;
+        if RESPONSE_BYTES_MAX < memory.n_bytes() {
+            return Err("the answer is too large");
+        }
+        if first.is_none() && buffer.is_empty() {
+            first = Some(chunk);
+            continue;
+        }
+        buffer.extend(first.take());
+        buffer.extend_from_slice(&chunk);
+    }
+    Ok(first.unwrap_or_else(|| buffer.freeze()))
+}
+
 /// Maximum number of bytes that are read of a response that is not needed.
 const DISCARD_BYTES_MAX: usize = 64 * 1024;
 
--- a/crates/lentilhitch_policy/src/events.rs
+++ b/crates/lentilhitch_policy/src/events.rs
@@ -2,8 +2,12 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event. A larger event is passed on in parts. Engines send far smaller events.
-const EVENT_BYTES_MAX: usize = 1024 * 1024;
+/// Maximum size of an event. Engines send far smaller events.
+const EVENT_BYTES_MAX: usize = 256 * 1024;
+
+/// The stream contains an event that exceeds the maximum size, or bytes that are no events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTooLarge;
 
 /// Splits a stream into complete events and keeps the id of the last one.
 #[derive(Debug, Default)]
@@ -18,17 +22,26 @@
         Self { last_id, ..Self::default() }
     }
 
-    /// Appends a chunk. Returns the bytes of all events that are complete now, unchanged.
-    pub fn push(&mut self, chunk: &[u8]) -> Option<Bytes> {
+    /// Appends a chunk. Returns the bytes of all events that are complete now, unchanged, if there are any.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
+        // A line end of an earlier chunk may belong to the end of an event in this chunk.
+        let searched_from = self.partial.len().saturating_sub(EVENT_END_BYTES_MAX - 1);
         self.partial.extend_from_slice(chunk);
-        let end = last_event_end(&self.partial)?;
+        let Some(end) = last_event_end(&self.partial[searched_from..]) else {
+            return if EVENT_BYTES_MAX < self.partial.len() {
+                Err(EventTooLarge)
+            } else {
+                Ok(None)
+            };
+        };
+        let end = searched_from + end;
         let complete = self.partial.split_to(end).freeze();
         for line in complete.split(|it| *it == b'\n') {
             if let Some(id) = parse_id(line) {
                 self.last_id = Some(id);
             }
         }
-        Some(complete)
+        Ok(Some(complete))
     }
 
     /// Returns the id of the last complete event.
@@ -42,11 +55,11 @@
     }
 }
 
-/// Returns the length of the prefix that consists of complete events, or all of the bytes if they exceed the maximum.
+/// Size of the longest end of an event.
+const EVENT_END_BYTES_MAX: usize = 4;
+
+/// Returns the index after the last end of an event.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    if EVENT_BYTES_MAX < bytes.len() {
-        return Some(bytes.len());
-    }
     let lf = last_match_end(bytes, b"\n\n");
     let crlf = last_match_end(bytes, b"\r\n\r\n");
     lf.max(crlf)
--- a/crates/lentilhitch_policy/tests/events.rs
+++ b/crates/lentilhitch_policy/tests/events.rs
@@ -49,13 +49,24 @@
         let mut splitter = EventSplitter::after(None);
         let mut passed = Vec::new();
         for chunk in case.chunks {
-            passed.extend(splitter.push(chunk.as_bytes()).into_iter().flatten());
+            passed.extend(splitter.push(chunk.as_bytes()).unwrap().into_iter().flatten());
         }
         assert_eq!(String::from_utf8(passed).unwrap(), case.passed, "{}", case.name);
         assert_eq!(splitter.last_id(), case.last_id, "{}", case.name);
     }
 }
 
+#[test]
+fn bytes_without_the_end_of_an_event_are_not_kept_without_limit() {
+    const CHUNKS_MAX: usize = 1_024;
+    let mut splitter = EventSplitter::after(None);
+    assert!(splitter.push(b"id: 1\ndata: a\n\n").unwrap().is_some());
+    let chunk = [b'x'; 1_024];
+    let n_accepted = (0..CHUNKS_MAX).take_while(|_| splitter.push(&chunk) == Ok(None)).count();
+    assert!(n_accepted < CHUNKS_MAX, "{n_accepted} chunks were kept");
+    assert_eq!(splitter.last_id(), Some(1));
+}
+
 proptest! {
     #[test]
     fn chunk_boundaries_do_not_matter(n_events in 1_u64..30, chunk_sizes in proptest::collection::vec(1_usize..40, 1..60)) {
@@ -67,7 +78,7 @@
         let mut rest = text.as_bytes();
         for chunk_size in chunk_sizes.iter().cycle() {
             let (chunk, after) = rest.split_at((*chunk_size).min(rest.len()));
-            passed.extend(splitter.push(chunk).into_iter().flatten());
+            passed.extend(splitter.push(chunk).unwrap().into_iter().flatten());
             prop_assert!(text.as_bytes().starts_with(&passed));
             rest = after;
             if rest.is_empty() {
--- a/crates/lentilhitch_standin/src/users_platform.rs
+++ b/crates/lentilhitch_standin/src/users_platform.rs
@@ -5,10 +5,12 @@
 //! requests they received and change their behavior. The nodes are processes of the shipped binary.
 
 mod log_store;
+mod raw_upstream;
 mod site;
 mod upstream;
 
 pub use log_store::{LogStore, StoreFault};
+pub use raw_upstream::{RawResponse, RawUpstream};
 pub use site::{Client, ClientResponse, Site, SiteOptions};
 pub use upstream::{Behavior, ExecutedRequest, Upstream};
 
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -83,6 +83,14 @@
 impl Site {
     /// Starts the store, the upstreams and the nodes, and waits until all nodes are ready.
     pub async fn start(options: SiteOptions) -> anyhow::Result<Self> {
+        let site = Self::start_without_waiting(options).await?;
+        site.until_ready().await?;
+        Ok(site)
+    }
+
+    /// Starts the store, the upstreams and the nodes. Nodes are not ready before there is an upstream, so a caller whose
+    /// options contain none adds one.
+    pub async fn start_without_waiting(options: SiteOptions) -> anyhow::Result<Self> {
         let store = LogStore::start().await?;
         let stream = Behavior::Stream { n_events: 5, interval_ms: 5, break_after: None };
         let engines = start_upstreams("engine", "draft", options.n_engines, stream).await?;
@@ -99,7 +107,6 @@
         for idx in 0..options.n_nodes {
             site.start_node(idx, &options)?;
         }
-        site.until_ready().await?;
         Ok(site)
     }
 
