--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -198,11 +198,16 @@
         };
         let cost = limit.unit.cost(head.total_tokens());
         let now_ms = self.now_ms();
-        let (n_nodes, interval_ms) = (self.n_nodes(), self.gossip_interval_ms());
+        let zone = self.zone_hash();
         let mut state = self.state.borrow_mut();
-        // Time since the last state message of each peer.
-        let ages_ms = state.peers.values().map(|it| now_ms.saturating_sub(it.last_received_ms));
-        let view = ClusterView::new(n_nodes, interval_ms, ages_ms);
+        let gossip = &state.gossip;
+        // The other nodes of each zone, and the age of the zone's state.
+        let peers = gossip.zones().map(|it| {
+            let n_nodes = it.state.n_nodes as usize;
+            let n_nodes = n_nodes.saturating_sub(usize::from(it.state.zone == zone));
+            (n_nodes, now_ms.saturating_sub(it.as_of_ms))
+        });
+        let view = ClusterView::new(gossip.n_nodes(now_ms), gossip.state_age_ms(now_ms), peers);
         let Some(rate) = state.rates.get_mut(team) else { return Ok(0.0) };
         match rate.try_admit(cost, view, now_ms) {
             Ok(()) => {
--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -13,12 +13,13 @@
 use lentilhitch_policy::{
     catalog::Change,
     cursor::{self, CallResult, Cursor, NextCall},
+    gossip::message::NodeAddress,
 };
 use lentilhitch_types::LogOffset;
 
 use crate::{
     gossip::UpstreamUpdate,
-    node::{Node, Peer, name_hash},
+    node::{Node, name_hash},
     platform::{CallError, Listing, Platform, ReadResult, Record, Topic},
 };
 
@@ -178,7 +179,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Number of times that an update of an upstream entry is sent to the peers, since datagrams get lost.
-const UPDATE_SENDS: u8 = 3;
+const UPDATE_SENDS: u8 = 2;
 
 /// Record that a node writes about itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -187,6 +188,9 @@
     pub(crate) gossip: SocketAddr,
     /// HTTP address at which the node responds to its peers' queries for its cluster state.
     pub(crate) exchange: SocketAddr,
+    /// Hash of the name of the node's zone.
+    #[serde(default)]
+    pub(crate) zone: u32,
     /// Random number that the process draws at its start.
     #[serde(rename = "life")]
     pub(crate) incarnation: u64,
@@ -202,7 +206,7 @@
     loop {
         let res = node.refresh_nodes().await;
         topic_status.on_result(&node, &res);
-        node.drop_expired_peers(res.is_ok());
+        node.drop_expired_nodes(res.is_ok());
         let interval_ms =
             if res.is_ok() { node.nodes_poll_interval_ms() } else { NODES_POLL_INTERVAL_MS / 5 };
         let jittered_ms = node.state.borrow_mut().rng.random_range(interval_ms / 2..=interval_ms);
@@ -231,10 +235,12 @@
             / SMALL_DEPLOYMENT_NODES
     }
 
-    /// Returns whether another node is the store reader and this node's list of upstreams was confirmed recently.
+    /// Returns whether another node is the store reader and this node's list of upstreams was confirmed recently, and
+    /// not contradicted since.
     fn is_list_confirmed(&self) -> bool {
         let age_ms = self.state.borrow().catalog.age_ms(self.now_ms());
-        age_ms.is_some_and(|it| it <= self.confirmation_age_max_ms()) && !self.is_store_reader()
+        let is_recent = age_ms.is_some_and(|it| it <= self.confirmation_age_max_ms());
+        is_recent && !self.state.borrow().is_list_doubtful() && !self.is_store_reader()
     }
 
     /// Returns whether another node is the store reader and this node's configuration was confirmed recently. A node
@@ -265,6 +271,7 @@
         {
             let mut state = self.state.borrow_mut();
             state.local_list_read_ms = now_ms;
+            state.n_list_mismatches = 0;
             state.catalog.on_read_succeeded(now_ms, outage_ms);
         }
         for record in records {
@@ -279,8 +286,9 @@
     fn queue_update(&self, offset: LogOffset, change: &Change) {
         let id = change.upstream().clone();
         let mut state = self.state.borrow_mut();
-        let entry = state.catalog.get(&id).map(|it| it.entry.clone());
-        state.upstream_updates.push((UpstreamUpdate { id, offset, entry }, UPDATE_SENDS));
+        let entry = state.catalog.get(&id).map(|it| &it.entry);
+        let update = UpstreamUpdate::of_change(id, offset, entry);
+        state.upstream_updates.push((update, UPDATE_SENDS));
         self.updates_due.notify_one();
     }
 
@@ -320,18 +328,21 @@
             }
         }
         state.local_list_read_ms = now_ms;
+        state.n_list_mismatches = 0;
         state.catalog.on_read_succeeded(now_ms, outage_ms);
         let changes = state.catalog.replace(entries, end, now_ms);
         drop(state);
         self.apply_changes(&changes);
     }
 
-    /// Writes this node's own record to the topic of nodes. Then reads the records of all nodes and applies those of
-    /// the other nodes.
+    /// Writes this node's own record to the topic of nodes. Then reads the records of all nodes and applies those of the
+    /// other nodes. Of two nodes that start at the same time, the one that reads later knows the other, which is enough
+    /// for both to find the delegates of their zone.
     async fn refresh_nodes(&self) -> Result<(), CallError> {
         let local_record = NodeRecord {
             gossip: self.settings.gossip_address,
             exchange: self.settings.exchange_address,
+            zone: self.zone_hash(),
             incarnation: self.incarnation,
             written_ms: self.now_ms(),
         };
@@ -351,8 +362,7 @@
         Ok(())
     }
 
-    /// Updates the peer that wrote the record, or adds the peer if it is not known yet. The record does not contain the
-    /// zone of the peer, which is received in the peer's state messages.
+    /// Records the node that wrote the record.
     fn apply_node_record(&self, record: &Record, now_ms: u64) {
         let Some(value) = &record.value else { return };
         if record.key == self.instance().as_str() {
@@ -366,16 +376,17 @@
                 return;
             }
         };
+        let address = NodeAddress {
+            node: name_hash(&record.key),
+            zone: node_record.zone,
+            gossip: node_record.gossip,
+            exchange: node_record.exchange,
+        };
         let mut state = self.state.borrow_mut();
-        let peer = state.peers.entry(name_hash(&record.key)).or_insert_with(|| {
+        let written = (node_record.incarnation, node_record.written_ms);
+        let is_new_record = state.last_node_records.insert(address.node, written) != Some(written);
+        if state.gossip.on_listed(address, is_new_record, now_ms) {
             log::info!(node = record.key.as_str(); "node discovered");
-            Peer::new(node_record.gossip, node_record.exchange)
-        });
-        if peer.last_record != (node_record.incarnation, node_record.written_ms) {
-            peer.last_listed_ms = now_ms;
         }
-        peer.last_record = (node_record.incarnation, node_record.written_ms);
-        peer.gossip_address = node_record.gossip;
-        peer.exchange_address = node_record.exchange;
     }
 }
--- a/crates/lentilhitch_gateway/src/duties/scaling.rs
+++ b/crates/lentilhitch_gateway/src/duties/scaling.rs
@@ -118,16 +118,19 @@
 
     /// Returns the demand for a service, over all reachable nodes.
     fn demand(&self, service: &ServiceName) -> Demand {
-        let (now_ms, timeout_ms) = (self.now_ms(), self.peer_timeout_ms());
+        let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let upstreams = state.catalog.iter().filter(|it| it.entry.service == *service);
         let n_running =
             upstreams.map(|it| f64::from(state.load_table.n_running(&it.entry.id))).sum();
         let local = state.demand.get_mut(service).map_or(0.0, |it| it.per_s(now_ms));
-        let hash = short_hash(service.as_str());
-        let peers = state.peers.values().filter(|it| it.is_reachable(timeout_ms, now_ms));
-        let remote: f64 = peers.filter_map(|it| it.demand.get(&hash)).sum();
-        Demand { n_running, prefill_tokens_per_s: local + remote }
+        let (others, received_ms) = &state.other_demand;
+        let is_recent = now_ms <= received_ms + OTHER_DEMAND_AGE_MAX_MS;
+        let others = others.get(&short_hash(service.as_str())).filter(|_| is_recent);
+        Demand { n_running, prefill_tokens_per_s: local + others.copied().unwrap_or_default() }
     }
 }
+
+/// Maximum age of the demand of the other nodes, after which only this node's own demand counts.
+const OTHER_DEMAND_AGE_MAX_MS: u64 = 5_000;
--- a/crates/lentilhitch_gateway/src/duties/usage.rs
+++ b/crates/lentilhitch_gateway/src/duties/usage.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::time::sleep;
 
 use lentilhitch_policy::usage::{self, Decision, NodeCounts, UsageLedger};
 use lentilhitch_types::LogOffset;
@@ -17,21 +17,24 @@
 
 /// Interval at which a node sends its counts to the holder.
 const COUNTS_SEND_INTERVAL: Duration = Duration::from_millis(800);
+/// Validities of the lease after which another node holds the lease if the holder was lost.
+const HOLDER_TAKEOVER_LEASES: u64 = 2;
 /// Interval at which the holder writes the counts that it received, so that they survive the loss of all nodes.
 const CHECKPOINT_INTERVAL_MS: u64 = 2_500;
 /// Interval at which the holder checks for usage windows whose final counts are to be fixed or reported.
 const USAGE_CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Periodically sends this node's counts to the holder, or writes them to the store while no holder is reachable.
-pub(crate) async fn send_counts<P: Platform>(
-    node: Rc<Node<P>>,
-    duty: SharedDuty,
-    socket: Rc<UdpSocket>,
-) {
+/// Periodically sends this node's counts to the holder. If no holder has been reachable for the time that a new one needs
+/// to acquire the lease, writes them to the store instead.
+pub(crate) async fn send_counts<P: Platform>(node: Rc<Node<P>>, duty: SharedDuty) {
+    let takeover_ms = HOLDER_TAKEOVER_LEASES * node.settings.bounds.lease_ms;
+    let mut last_holder_ms = node.now_ms();
     loop {
         sleep(COUNTS_SEND_INTERVAL).await;
-        let is_holder = duty.borrow().is_held(node.now_ms());
-        if !is_holder && !node.send_counts(&socket).await {
+        let now_ms = node.now_ms();
+        if duty.borrow().is_held(now_ms) || node.send_counts() {
+            last_holder_ms = now_ms;
+        } else if last_holder_ms + takeover_ms <= now_ms {
             flush_counts(&node).await;
         }
     }
@@ -137,8 +140,7 @@
             self.ledger.insert_counts(counts);
         }
         self.ledger.tick(synced_ms);
-        let n_nodes = node.n_reachable_nodes();
-        let now_ms = node.now_ms();
+        let (now_ms, n_nodes) = (node.now_ms(), node.n_nodes());
         if self.last_checkpoint_ms + CHECKPOINT_INTERVAL_MS <= now_ms {
             self.last_checkpoint_ms = now_ms;
             write_counts(node, self.ledger.undecided_counts()).await?;
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -12,11 +12,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use lentilhitch_policy::cursor::Lag;
+use lentilhitch_policy::{cursor::Lag, gossip::message::NodeAddress};
 
 use crate::{
     gossip::UpstreamUpdate,
-    node::{Node, Peer},
+    node::Node,
     platform::{Platform, Record},
 };
 
@@ -41,9 +41,8 @@
     upstreams: Vec<UpstreamUpdate>,
     /// Time since the list of upstreams was last read or confirmed. `u64::MAX` means that it never was.
     upstreams_age_ms: u64,
-    /// Other nodes that the sender knows of. Each is the hash of the node's name, its gossip address and its exchange
-    /// address, in this order.
-    nodes: Vec<(u64, SocketAddr, SocketAddr)>,
+    /// Other nodes that the sender knows of.
+    nodes: Vec<NodeAddress>,
 }
 
 /// Status of a node, for operators.
@@ -112,11 +111,7 @@
             config: state.config_text.clone(),
             upstreams: state.catalog.entries().map(UpstreamUpdate::from).collect(),
             upstreams_age_ms: state.catalog.age_ms(now_ms).unwrap_or(u64::MAX),
-            nodes: state
-                .peers
-                .iter()
-                .map(|it| (*it.0, it.1.gossip_address, it.1.exchange_address))
-                .collect(),
+            nodes: state.gossip.node_addresses().copied().collect(),
         };
         let mut bytes = Vec::new();
         ciborium::into_writer(&cluster_state, &mut bytes)?;
@@ -131,7 +126,7 @@
             instance: self.instance().to_string(),
             config_version: state.route_table.as_ref().map_or(0, |it| it.config.version),
             n_upstreams: state.catalog.iter().count(),
-            n_peers: state.peers.len(),
+            n_peers: state.gossip.n_peers(),
             n_in_flight: self.n_in_flight.get(),
             is_ready,
         };
@@ -146,15 +141,16 @@
         queried_ms: u64,
         now_ms: u64,
     ) -> Option<SocketAddr> {
-        let timeout_ms = self.peer_timeout_ms();
+        let local_address = self.settings.exchange_address;
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        let zones = state.gossip.zones().filter(|it| it.is_reachable(now_ms));
+        let zones: Vec<_> = zones.filter(|it| it.state.exchange != local_address).collect();
         if is_config_overdue {
             let version = state.route_table.as_ref().map_or(0, |it| it.config.version);
-            let newer = state.peers.values().filter(|it| version < it.config_version);
-            let reachable = newer.filter(|it| it.is_reachable(timeout_ms, now_ms));
-            if let Some(peer) = reachable.choose(&mut state.rng) {
-                return Some(peer.exchange_address);
+            let newer = zones.iter().filter(|it| version < it.state.config.version);
+            if let Some(zone) = newer.choose(&mut state.rng) {
+                return Some(zone.state.exchange);
             }
         }
         // `u64::MAX` means that the list of upstreams was never read or confirmed.
@@ -162,16 +158,24 @@
         if read_age_ms < STORE_READ_AGE_MAX_MS || now_ms < queried_ms + QUERY_INTERVAL_MS {
             return None;
         }
-        let reachable: Vec<_> =
-            state.peers.values().filter(|it| it.is_reachable(timeout_ms, now_ms)).collect();
-        let round = (now_ms / QUERY_INTERVAL_MS) as usize;
-        let local_address = self.settings.exchange_address;
-        let seeds: Vec<_> = self.settings.seeds.iter().filter(|it| **it != local_address).collect();
-        match (reachable.is_empty(), seeds.is_empty()) {
-            (false, _) => Some(reachable[round % reachable.len()].exchange_address),
-            (true, false) => Some(*seeds[round % seeds.len()]),
-            (true, true) => None,
+        let digest = state.catalog.digest();
+        let newer = zones.iter().filter(|it| {
+            let waited_ms = now_ms.saturating_sub(it.as_of_ms);
+            let age_ms = it.state.upstreams.age_ms.saturating_add(waited_ms);
+            it.state.upstreams.version != digest && age_ms < read_age_ms
+        });
+        if let Some(zone) = newer.choose(&mut state.rng) {
+            return Some(zone.state.exchange);
+        }
+        if read_age_ms != u64::MAX && !zones.is_empty() {
+            // No reachable zone has read the list more recently.
+            return None;
         }
+        let known = state.gossip.node_addresses().map(|it| it.exchange);
+        let seeds = self.settings.seeds.iter().copied();
+        known
+            .choose(&mut state.rng)
+            .or_else(|| seeds.filter(|it| *it != local_address).choose(&mut state.rng))
     }
 
     /// Applies the cluster state of a peer: a newer configuration, upstream entries if the peer's list was read or
@@ -188,13 +192,9 @@
             self.apply_updates(cluster_state.upstreams.clone());
         }
         let mut state = self.state.borrow_mut();
-        for (node, gossip_address, exchange_address) in &cluster_state.nodes {
-            if *gossip_address != self.settings.gossip_address {
-                let peer = || Peer {
-                    last_listed_ms: now_ms,
-                    ..Peer::new(*gossip_address, *exchange_address)
-                };
-                state.peers.entry(*node).or_insert_with(peer);
+        for address in &cluster_state.nodes {
+            if address.gossip != self.settings.gossip_address {
+                state.gossip.on_listed(*address, false, now_ms);
             }
         }
     }
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -1,24 +1,21 @@
 //! Gossip between nodes: unacknowledged UDP datagrams.
 //!
-//! Every node sends state messages to every other node, in a small deployment several times a second. A state message
-//! contains among other things the sender's requests in progress at each upstream, the total cost of the requests that
-//! the sender has admitted for each team, the sender's wall-clock time, and evidence of crashes (requests that were
-//! present when an upstream crashed). Loads are current figures, and costs are totals since the start of the sender.
-//! Neither is a difference from an earlier message, so the next message replaces a lost one. Evidence is sent several
-//! times, because datagrams get lost. Usage counts are also sent, to the holder of the duty lease, as running totals of
-//! each usage window. Nothing that requires agreement between nodes is sent as gossip. To keep messages small, names
-//! are sent as hashes and most field names are single letters, since every node sends to every other node.
+//! What nodes tell each other about load, admitted cost, demand, clocks and crashes, and through which nodes it goes, is
+//! decided by [`lentilhitch_policy::gossip`]. This module encodes, sends and receives its messages and applies what they
+//! say to the state of the node.
 //!
 //! The store reader of a zone is the first node of the zone, in the order of the name hashes, that has recently read
 //! the list of upstreams from the store. It sends each changed upstream entry to the other nodes of its zone
-//! immediately, as an update. Each update is sent several times, because datagrams get lost. Each state message
-//! contains a digest of the sender's list of upstreams, and the time since the sender itself read the list from the
+//! immediately, as an update. Each update is sent several times, because datagrams get lost. The primary delegate's
+//! summaries contain a digest of the reader's list of upstreams, and the time since the reader read the list from the
 //! store. An equal digest confirms to the receiver that both lists contain the same incarnations of upstreams in the
-//! same states. The receiver's list is then as recent as the sender's read. A receiver that has lost all datagrams of
-//! an update has another digest, so its list is no longer confirmed. A node whose list was not confirmed recently reads
-//! it from the store itself.
+//! same states. The receiver's list is then as recent as the reader's read. A receiver that has lost all datagrams of
+//! an update has another digest in two summaries in a row. It then reads the list from the store itself, and so does a
+//! node whose list was not confirmed recently.
+//!
+//! Usage counts are sent to the holder of the duty lease directly, as running totals of each usage window.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -26,53 +23,43 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use lentilhitch_policy::{placement::InProgress, traffic::UpstreamEntry, usage::NodeCounts};
+use lentilhitch_policy::{
+    gossip::{
+        Outgoing, Output, Update,
+        message::{LocalState, Message, StoreCopy, Summary, ZoneRates, ZoneState},
+    },
+    shared_rate::PeerReport,
+    traffic::{EntryState, UpstreamEntry},
+    usage::NodeCounts,
+};
 use lentilhitch_types::{Fingerprint, LogOffset, UpstreamName};
 
 use crate::{
     clock::wall_ms,
     discovery::UPSTREAMS_POLL_INTERVAL_MS,
-    node::{Node, Peer, State, short_hash},
+    node::{Node, State, short_hash},
     platform::Platform,
 };
 
-/// Interval between state messages in a small deployment. In a larger one the interval grows with the number of nodes,
-/// so that the traffic of a node does not grow.
-const GOSSIP_INTERVAL_MIN_MS: u64 = 250;
-/// Number of nodes up to which the interval between state messages stays at `GOSSIP_INTERVAL_MIN_MS`.
-const SMALL_DEPLOYMENT_NODES: u64 = 20;
-/// Interval at which an update of an upstream entry is sent again. While there is evidence of crashes to send, it is
-/// also the interval between state messages.
+/// Interval at which an update of an upstream entry is sent again.
 const UPDATE_INTERVAL_MS: u64 = 150;
-/// Minimum interval between urgent reports of admitted requests, in milliseconds per node of the deployment. It limits
-/// the reports that a node receives to one per millisecond.
-const RATES_INTERVAL_PER_NODE_MS: u64 = 1;
-/// Number of intervals without a state message after which a peer is unresponsive. `DELAY_ALLOWANCE_MS` is added.
-const PEER_TIMEOUT_INTERVALS: u64 = 4;
 /// Allowance for delays of messages between nodes.
 const DELAY_ALLOWANCE_MS: u64 = 300;
 /// Maximum size of a datagram that is read.
-const DATAGRAM_BYTES_MAX: usize = 16 * 1024;
-/// Maximum number of pieces of evidence of crashes in one state message.
+const DATAGRAM_BYTES_MAX: usize = 64 * 1024;
+/// Maximum number of pieces of evidence of crashes in one report.
 const EVIDENCE_PER_MESSAGE_MAX: usize = 32;
+/// Number of summaries in a row with another list of upstreams after which a node reads the list itself.
+const LIST_MISMATCHES_MAX: u32 = 2;
 
 /// Content of a datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-enum Message {
-    #[serde(rename = "s")]
-    State(Box<StateMessage>),
+enum Datagram {
+    #[serde(rename = "g")]
+    Gossip(Message),
     /// Usage counts of the sender, for the holder of the duty lease.
     #[serde(rename = "c")]
     Counts(NodeCounts),
-    /// Total cost that the sender has admitted since its start for teams whose rates need an urgent report, by hash of
-    /// the team's name.
-    #[serde(rename = "q")]
-    Rates {
-        node: u64,
-        #[serde(rename = "life")]
-        incarnation: u64,
-        admitted: Vec<(u32, f64)>,
-    },
     /// Changed upstream entries that the sender has read from the store, sent to the other nodes of its zone.
     #[serde(rename = "r")]
     UpstreamUpdates(Vec<UpstreamUpdate>),
@@ -85,195 +72,182 @@
     pub(crate) id: UpstreamName,
     #[serde(rename = "o")]
     pub(crate) offset: LogOffset,
-    /// Absent if the upstream was removed.
-    #[serde(rename = "l")]
-    pub(crate) entry: Option<UpstreamEntry>,
+    #[serde(rename = "c")]
+    pub(crate) change: EntryChange,
 }
 
-/// State of a node, as sent to all other nodes.
+/// Change of an upstream's entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct StateMessage {
-    /// Hash of the sender's name.
-    #[serde(rename = "n")]
-    node: u64,
-    /// Hash of the name of the sender's zone.
-    #[serde(rename = "z")]
-    zone: u32,
+pub(crate) enum EntryChange {
+    #[serde(rename = "e")]
+    Entry(Box<UpstreamEntry>),
+    /// The incarnation that started at `started_ms` is leaving. All replicas of a zone may leave at once, so this is
+    /// kept small.
     #[serde(rename = "l")]
-    incarnation: u64,
-    /// Wall-clock time of the sender, in milliseconds since the Unix epoch.
-    #[serde(rename = "w")]
-    wall_ms: u64,
-    /// HTTP address at which the sender responds to its peers' queries for its cluster state.
-    #[serde(rename = "x")]
-    exchange_address: SocketAddr,
-    /// Version of the sender's configuration, and the time in milliseconds since the sender itself last read the
-    /// configuration from the store.
-    #[serde(rename = "v")]
-    config: (u64, u64),
-    /// Digest of the sender's list of upstreams, and the time in milliseconds since the sender itself last read the
-    /// list from the store.
-    #[serde(rename = "u")]
-    upstreams: (u64, u64),
-    /// For each upstream: hash of its name, number of requests in progress, number of waiting requests among them, and
-    /// uncached prompt tokens of the waiting requests.
-    #[serde(rename = "p")]
-    in_progress: Vec<(u32, u32, u32, u32)>,
-    /// Total cost that the sender has admitted since its start for each team, by hash of the team's name.
-    #[serde(rename = "a")]
-    admitted: Vec<(u32, f64)>,
-    /// Uncached prompt tokens per second that the sender sends to each service, by hash of the service's name.
-    #[serde(rename = "d")]
-    demand: Vec<(u32, f32)>,
-    /// Evidence of crashes: requests that were present at a crash of an upstream, each with the id of the crash.
-    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
-    evidence: Vec<(Fingerprint, u64)>,
-    /// End offset of the duty topic after the sender's last claim or renewal. Present only if the sender holds the duty
-    /// lease.
-    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
-    duty_topic_end: Option<LogOffset>,
+    Leaving {
+        #[serde(rename = "b")]
+        started_ms: u64,
+        #[serde(rename = "l")]
+        leaves_in_ms: Option<u64>,
+    },
+    #[serde(rename = "r")]
+    Removed,
 }
 
 impl From<(&UpstreamEntry, LogOffset)> for UpstreamUpdate {
     fn from((entry, offset): (&UpstreamEntry, LogOffset)) -> Self {
-        Self { id: entry.id.clone(), offset, entry: Some(entry.clone()) }
+        Self { id: entry.id.clone(), offset, change: EntryChange::Entry(Box::new(entry.clone())) }
+    }
+}
+
+impl UpstreamUpdate {
+    /// Returns the update that the store reader sends for an upstream, whose entry is `None` if it was removed.
+    pub(crate) fn of_change(
+        id: UpstreamName,
+        offset: LogOffset,
+        entry: Option<&UpstreamEntry>,
+    ) -> Self {
+        let change = match entry {
+            None => EntryChange::Removed,
+            Some(entry) if entry.state == EntryState::Draining => EntryChange::Leaving {
+                started_ms: entry.started_ms,
+                leaves_in_ms: entry.leaves_in_ms,
+            },
+            Some(entry) => EntryChange::Entry(Box::new(entry.clone())),
+        };
+        Self { id, offset, change }
     }
 }
 
 /// Sends and receives gossip until the process exits.
-pub(crate) async fn run<P: Platform>(node: Rc<Node<P>>, socket: Rc<UdpSocket>) -> io::Result<()> {
+pub(crate) async fn run<P: Platform>(node: Rc<Node<P>>, socket: UdpSocket) {
+    tokio::join!(node.outbox.run(&socket), receive_and_tick(&node, &socket));
+}
+
+async fn receive_and_tick<P: Platform>(node: &Node<P>, socket: &UdpSocket) {
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
-    let mut state_timer = Box::pin(sleep(Duration::from_millis(GOSSIP_INTERVAL_MIN_MS)));
+    let mut tick_timer = Box::pin(sleep(Duration::ZERO));
     let mut updates_timer = Box::pin(sleep(Duration::from_millis(UPDATE_INTERVAL_MS)));
     let mut next_rates_send = Instant::now();
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((n_bytes, from)) => node.on_datagram(&buffer[..n_bytes], from),
+                Ok((n_bytes, from)) => node.on_datagram(socket, &buffer[..n_bytes], from).await,
                 Err(err) => log::debug!("failed to receive a gossip message: {err}"),
             },
-            () = node.updates_due.notified() => node.send_updates(&socket).await,
+            () = node.updates_due.notified() => node.send_updates(),
             () = async { sleep_until(next_rates_send).await; node.rates_due.notified().await } => {
-                node.send_rates(&socket).await;
-                let interval_ms = RATES_INTERVAL_PER_NODE_MS * node.n_nodes() as u64;
+                node.send_rates(socket).await;
+                let interval_ms = node.state.borrow().gossip.rates_interval_ms();
                 next_rates_send = Instant::now() + Duration::from_millis(interval_ms);
             }
             () = &mut updates_timer => {
-                node.send_updates(&socket).await;
+                node.send_updates();
                 updates_timer = Box::pin(sleep(Duration::from_millis(UPDATE_INTERVAL_MS)));
             }
-            () = &mut state_timer => {
-                node.send_state(&socket).await;
-                let has_evidence = !node.state.borrow().evidence.is_empty();
-                let interval_ms =
-                    if has_evidence { UPDATE_INTERVAL_MS } else { node.gossip_interval_ms() };
-                state_timer = Box::pin(sleep(Duration::from_millis(interval_ms)));
+            () = &mut tick_timer => {
+                node.send_state(socket).await;
+                tick_timer = Box::pin(sleep(Duration::from_millis(node.next_tick_ms())));
             }
         }
     }
 }
 
 impl<P> Node<P> {
-    /// Returns the interval between state messages.
-    pub(crate) fn gossip_interval_ms(&self) -> u64 {
-        GOSSIP_INTERVAL_MIN_MS * (self.n_nodes() as u64).max(SMALL_DEPLOYMENT_NODES)
-            / SMALL_DEPLOYMENT_NODES
-    }
-
-    /// Returns the time without a state message after which a peer is unresponsive.
-    pub(crate) fn peer_timeout_ms(&self) -> u64 {
-        PEER_TIMEOUT_INTERVALS * self.gossip_interval_ms() + DELAY_ALLOWANCE_MS
-    }
-
-    /// Returns the number of reachable nodes, including this node.
-    pub(crate) fn n_reachable_nodes(&self) -> usize {
-        let (now_ms, timeout_ms) = (self.now_ms(), self.peer_timeout_ms());
+    fn next_tick_ms(&self) -> u64 {
+        let now_ms = self.now_ms();
         let state = self.state.borrow();
-        1 + state.peers.values().filter(|it| it.is_reachable(timeout_ms, now_ms)).count()
+        state.gossip.next_tick_ms(!state.evidence.is_empty(), now_ms)
     }
 
-    /// Returns whether a reachable peer has a newer configuration than this node, or this node has none.
+    /// Returns whether a reachable zone has a newer configuration than this node, or this node has none.
     pub(crate) fn is_config_outdated(&self) -> bool {
-        let (now_ms, timeout_ms) = (self.now_ms(), self.peer_timeout_ms());
+        let now_ms = self.now_ms();
         let state = self.state.borrow();
         let Some(route_table) = &state.route_table else { return true };
-        let mut reachable = state.peers.values().filter(|it| it.is_reachable(timeout_ms, now_ms));
-        reachable.any(|it| route_table.config.version < it.config_version)
+        let mut reachable = state.gossip.zones().filter(|it| it.is_reachable(now_ms));
+        reachable.any(|it| route_table.config.version < it.state.config.version)
     }
 
     /// Returns whether this node is the store reader of its zone: no node of the zone with a smaller name hash has
     /// recently read the list of upstreams from the store.
     pub(crate) fn is_store_reader(&self) -> bool {
-        let now_ms = self.now_ms();
-        let age_max_ms = self.confirmation_age_max_ms();
-        let (zone, node) = (self.zone_hash(), self.node_hash());
-        let state = self.state.borrow();
-        let mut preceding = state.peers.iter().filter(|it| it.1.zone == zone && *it.0 < node);
-        !preceding.any(|it| now_ms <= it.1.upstreams_read_ms + age_max_ms)
+        !self.state.borrow().gossip.has_reader(self.now_ms())
     }
 
-    /// Returns the maximum age of a node's own read of the list of upstreams up to which the node can be the store
-    /// reader of its zone and confirms the lists of its peers: the interval between reads, plus the interval between
-    /// state messages, plus an allowance for delays.
+    /// Returns the maximum age of a confirmation of the list of upstreams up to which this node need not read the list
+    /// itself: the interval between reads, plus the time that a state takes from the reader through the primary
+    /// delegate, plus an allowance for delays.
     pub(crate) fn confirmation_age_max_ms(&self) -> u64 {
-        UPSTREAMS_POLL_INTERVAL_MS + self.gossip_interval_ms() + DELAY_ALLOWANCE_MS
+        let state_age_ms = self.state.borrow().gossip.state_age_ms(self.now_ms());
+        UPSTREAMS_POLL_INTERVAL_MS + state_age_ms + DELAY_ALLOWANCE_MS
     }
 }
 
 impl<P: Platform> Node<P> {
+    /// Sends this node's state, and what follows from its role as a delegate.
     async fn send_state(&self, socket: &UdpSocket) {
-        let (message, addresses) = self.state_message();
-        self.send_to_all(socket, &Message::State(Box::new(message)), &addresses).await;
+        let now_ms = self.now_ms();
+        let local_state = self.local_state();
+        let (output, role, previous_role) = {
+            let mut state = self.state.borrow_mut();
+            let previous_role = state.gossip.role();
+            let output = state.gossip.tick(local_state, now_ms);
+            (output, state.gossip.role(), previous_role)
+        };
+        if role != previous_role {
+            let instance = self.instance().as_str();
+            log::info!(instance, role:? = role, previous_role:? = previous_role; "role in gossip changed");
+        }
+        self.handle_output(socket, output).await;
     }
 
     /// Sends this node's usage counts to the holder of the duty lease. Returns whether a reachable holder is known.
-    pub(crate) async fn send_counts(&self, socket: &UdpSocket) -> bool {
+    pub(crate) fn send_counts(&self) -> bool {
         // `now_ms` is this node's monotonic clock. `synced_ms` is the synchronized time, which determines the usage
         // windows.
-        let (now_ms, synced_ms, timeout_ms) =
-            (self.now_ms(), self.synced_ms(), self.peer_timeout_ms());
+        let (now_ms, synced_ms) = (self.now_ms(), self.synced_ms());
         let (counts, holder) = {
             let state = self.state.borrow();
-            // The holder is known by the hash of its name (`it.0`) and the time of its last message as holder (`it.1`).
-            let reachable = state.duty_holder.filter(|it| now_ms <= it.1 + timeout_ms);
-            let holder =
-                reachable.and_then(|it| state.peers.get(&it.0)).map(|it| it.gossip_address);
+            let timeout_ms = DUTY_HOLDER_TIMEOUT_MS + state.gossip.state_age_ms(now_ms);
+            let holder = state.gossip.duty_holder(timeout_ms, now_ms).map(|it| it.0.gossip);
             (state.usage_counter.counts(self.instance(), self.incarnation, synced_ms), holder)
         };
         let Some(holder) = holder else { return false };
-        self.send_to_all(socket, &Message::Counts(counts), &[holder]).await;
+        self.send_to(&Datagram::Counts(counts), &[holder]);
         true
     }
 
-    /// Sends to all nodes the cost that this node has admitted for the teams whose rates need an urgent report.
+    /// Sends the cost that this node has admitted for the teams whose rates need an urgent report, and passes on urgent
+    /// reports of other nodes.
     async fn send_rates(&self, socket: &UdpSocket) {
-        let (message, addresses) = {
+        let now_ms = self.now_ms();
+        let (outgoing, output) = {
             let mut state = self.state.borrow_mut();
+            let state = &mut *state;
             let urgent = state.rates.iter_mut().filter(|it| it.1.needs_urgent_report());
             let admitted = urgent.map(|(team, it)| (short_hash(team.as_str()), it.report()));
-            let admitted = admitted.collect();
-            let node = self.node_hash();
-            let addresses: Vec<_> = state.peers.values().map(|it| it.gossip_address).collect();
-            (Message::Rates { node, incarnation: self.incarnation, admitted }, addresses)
+            let admitted: Vec<_> = admitted.collect();
+            let outgoing =
+                if admitted.is_empty() { Vec::new() } else { state.gossip.report_rates(admitted) };
+            (outgoing, state.gossip.send_rates(now_ms))
         };
-        self.send_to_all(socket, &message, &addresses).await;
+        self.handle_output(socket, Output { outgoing, ..Output::default() }).await;
+        self.handle_output(socket, output).await;
     }
 
     /// Sends the queued updates of upstream entries to the other nodes of the zone, as many in a message as fit. Nodes
     /// in other zones receive updates from the store reader of their own zone. An update stays in the queue until it
     /// has been sent several times, because datagrams get lost.
-    async fn send_updates(&self, socket: &UdpSocket) {
+    fn send_updates(&self) {
         loop {
             let (updates, addresses) = {
                 let mut state = self.state.borrow_mut();
-                let zone = self.zone_hash();
-                let peers = state.peers.values().filter(|it| it.zone == zone);
-                let addresses: Vec<_> = peers.map(|it| it.gossip_address).collect();
-                (state.take_updates_to_send(), addresses)
+                (state.take_updates_to_send(), state.gossip.zone_addresses())
             };
             let is_last = updates.len() < UPDATES_PER_MESSAGE_MAX;
             if !updates.is_empty() {
-                self.send_to_all(socket, &Message::UpstreamUpdates(updates), &addresses).await;
+                self.send_to(&Datagram::UpstreamUpdates(updates), &addresses);
             }
             if is_last {
                 return;
@@ -281,68 +255,84 @@
         }
     }
 
-    async fn send_to_all(&self, socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
-        let mut bytes = Vec::new();
-        if let Err(err) = ciborium::into_writer(message, &mut bytes) {
-            log::error!(error:% = err; "failed to encode a gossip message");
-            return;
-        }
+    fn send_to(&self, datagram: &Datagram, addresses: &[SocketAddr]) {
+        let Some(bytes) = encode(datagram) else { return };
         for address in addresses {
-            if let Err(err) = socket.send_to(&bytes, address).await {
-                log::debug!("failed to send a gossip message to {address}: {err}");
+            self.outbox.push(&bytes, *address);
+        }
+    }
+
+    /// Sends messages and applies updates.
+    async fn handle_output(&self, socket: &UdpSocket, output: Output) {
+        for it in output.updates {
+            self.apply_update(it);
+        }
+        let mut summary_bytes_max = 0;
+        let mut encoded: Option<(Message, Rc<[u8]>)> = None;
+        for Outgoing { to, message } in output.outgoing {
+            let is_summary = matches!(message, Message::Summary(_));
+            // Consecutive messages are often equal.
+            if encoded.as_ref().is_none_or(|it| it.0 != message) {
+                let Some(bytes) = encode(&Datagram::Gossip(message.clone())) else { continue };
+                encoded = Some((message, bytes));
+            }
+            let Some((_, bytes)) = &encoded else { continue };
+            if is_summary {
+                summary_bytes_max = bytes.len().max(summary_bytes_max);
             }
+            send_now(socket, bytes, to).await;
+        }
+        if 0 < summary_bytes_max {
+            self.state.borrow_mut().gossip.on_summary_sent(summary_bytes_max as u64);
         }
     }
 
-    /// Updates the synchronized clock and returns the current state message and the addresses of all peers.
-    fn state_message(&self) -> (StateMessage, Vec<SocketAddr>) {
+    /// Updates the synchronized clock and returns the values that this node reports.
+    fn local_state(&self) -> LocalState {
         let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let offsets: Vec<_> =
-            state.peers.values().map(|it| (it.wall_offset_ms, it.last_received_ms)).collect();
-        state.synced_clock.update(wall_ms(), &offsets, now_ms);
+        state.synced_clock.update(wall_ms(), &state.clock_offsets, now_ms);
         let demand = state.demand.iter_mut();
         let demand = demand
             .map(|(service, meter)| (short_hash(service.as_str()), meter.per_s(now_ms) as f32));
-        let in_progress = state.load_table.report().into_iter();
         let admitted = state.rates.iter_mut();
-        let version = state.route_table.as_ref().map_or(0, |it| it.config.version);
-        let message = StateMessage {
-            node: self.node_hash(),
-            zone: self.zone_hash(),
-            incarnation: self.incarnation,
+        LocalState {
             wall_ms: wall_ms(),
-            exchange_address: self.settings.exchange_address,
-            config: (version, now_ms.saturating_sub(state.local_config_read_ms)),
-            upstreams: (state.catalog.digest(), now_ms.saturating_sub(state.local_list_read_ms)),
-            in_progress: in_progress
-                .map(|(id, it)| (id, it.n_requests, it.n_waiting, it.waiting_tokens))
-                .collect(),
+            config: StoreCopy {
+                version: state.route_table.as_ref().map_or(0, |it| it.config.version),
+                age_ms: now_ms.saturating_sub(state.local_config_read_ms),
+            },
+            upstreams: StoreCopy {
+                version: state.catalog.digest(),
+                age_ms: now_ms.saturating_sub(state.local_list_read_ms),
+            },
+            loads: state.load_table.report(),
             admitted: admitted.map(|(team, it)| (short_hash(team.as_str()), it.report())).collect(),
             demand: demand.collect(),
             evidence: state.take_evidence_to_send(),
             duty_topic_end: state.local_duty_topic_end,
-        };
-        (message, state.peers.values().map(|it| it.gossip_address).collect())
+        }
     }
 
-    fn on_datagram(&self, bytes: &[u8], from: SocketAddr) {
-        let message: Message = match ciborium::from_reader(bytes) {
+    async fn on_datagram(&self, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+        let datagram: Datagram = match ciborium::from_reader(bytes) {
             Ok(it) => it,
             Err(err) => {
                 log::debug!("failed to decode a gossip message from {from}: {err}");
                 return;
             }
         };
-        match message {
-            Message::State(it) => self.on_state_message(&it, from),
-            Message::UpstreamUpdates(updates) => self.apply_updates(updates),
-            Message::Rates { node, incarnation, admitted } => {
-                let now_ms = self.now_ms();
-                self.state.borrow_mut().on_rates(node, incarnation, &admitted, now_ms);
+        match datagram {
+            Datagram::Gossip(message) => {
+                let output = self.state.borrow_mut().gossip.on_message(message, self.now_ms());
+                self.handle_output(socket, output).await;
+                if self.state.borrow().gossip.has_urgent_rates() {
+                    self.rates_due.notify_one();
+                }
             }
-            Message::Counts(counts) => {
+            Datagram::UpstreamUpdates(updates) => self.apply_updates(updates),
+            Datagram::Counts(counts) => {
                 let mut state = self.state.borrow_mut();
                 state.peer_counts.push(counts);
                 let n_excess = state.peer_counts.len().saturating_sub(PEER_COUNTS_MAX);
@@ -351,41 +341,18 @@
         }
     }
 
-    fn on_state_message(&self, message: &StateMessage, from: SocketAddr) {
-        if message.node == self.node_hash() {
-            return;
-        }
+    fn apply_update(&self, update: Update) {
         let now_ms = self.now_ms();
-        let mut guard = self.state.borrow_mut();
-        let state = &mut *guard;
-        let peer = state.peers.entry(message.node);
-        let peer = peer.or_insert_with(|| Peer::new(from, message.exchange_address));
-        peer.gossip_address = from;
-        peer.exchange_address = message.exchange_address;
-        peer.zone = message.zone;
-        peer.last_received_ms = now_ms;
-        peer.incarnation = message.incarnation;
-        peer.wall_offset_ms = message.wall_ms.cast_signed() - now_ms.cast_signed();
-        peer.config_version = message.config.0;
-        peer.upstreams_read_ms = now_ms.saturating_sub(message.upstreams.1);
-        peer.demand = message.demand.iter().map(|it| (it.0, f64::from(it.1))).collect();
-        state.on_confirmation(message, now_ms);
-        let in_progress = message.in_progress.iter();
-        let in_progress: Vec<_> = in_progress
-            .map(|&(id, n_requests, n_waiting, waiting_tokens)| {
-                (id, InProgress { n_requests, n_waiting, waiting_tokens })
-            })
-            .collect();
-        state.load_table.on_peer_report(message.node, in_progress, now_ms);
-        state.on_rates(message.node, message.incarnation, &message.admitted, now_ms);
-        for (request, crash) in &message.evidence {
-            if state.suspects.insert_evidence(*request, *crash) {
-                state.log_if_quarantined(*request);
+        let mut state = self.state.borrow_mut();
+        match update {
+            Update::Cluster { summary, fresh_zones } => {
+                state.apply_summary(*summary, &fresh_zones, self.zone_hash(), now_ms);
+            }
+            Update::Rates(rates) => {
+                for it in rates {
+                    state.apply_zone_rates(&it, self.zone_hash(), now_ms, now_ms);
+                }
             }
-        }
-        if let Some(end) = message.duty_topic_end {
-            state.received_duty_topic_end = Some((end, now_ms));
-            state.duty_holder = Some((message.node, now_ms));
         }
     }
 
@@ -394,9 +361,19 @@
         let now_ms = self.now_ms();
         let changes: Vec<_> = {
             let mut state = self.state.borrow_mut();
-            let changes = updates.into_iter().filter_map(|it| match it.entry {
-                Some(entry) => state.catalog.insert(entry, it.offset, now_ms),
-                None => state.catalog.remove(&it.id, it.offset, now_ms),
+            let changes = updates.into_iter().filter_map(|it| match it.change {
+                EntryChange::Entry(entry) => state.catalog.insert(*entry, it.offset, now_ms),
+                EntryChange::Leaving { started_ms, leaves_in_ms } => {
+                    // An unknown upstream is not used, so its leaving does not matter.
+                    let known = &state.catalog.get(&it.id)?.entry;
+                    if known.started_ms != started_ms {
+                        return None;
+                    }
+                    let draining = EntryState::Draining;
+                    let entry = UpstreamEntry { state: draining, leaves_in_ms, ..known.clone() };
+                    state.catalog.insert(entry, it.offset, now_ms)
+                }
+                EntryChange::Removed => state.catalog.remove(&it.id, it.offset, now_ms),
             });
             changes.collect()
         };
@@ -404,38 +381,109 @@
     }
 }
 
+fn encode(datagram: &Datagram) -> Option<Rc<[u8]>> {
+    let mut bytes = Vec::new();
+    if let Err(err) = ciborium::into_writer(datagram, &mut bytes) {
+        log::error!(error:% = err; "failed to encode a gossip message");
+        return None;
+    }
+    Some(bytes.into())
+}
+
+async fn send_now(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
+    if let Err(err) = socket.send_to(bytes, to).await {
+        log::debug!("failed to send a gossip message to {to}: {err}");
+    }
+}
+
+/// Time without a message that names the holder of the duty lease after which no holder is known. The time that a state
+/// takes to arrive is added.
+const DUTY_HOLDER_TIMEOUT_MS: u64 = 1_000;
 /// Maximum number of usage counts from peers that are kept in case this node acquires the duty lease.
 const PEER_COUNTS_MAX: usize = 4_096;
 /// Maximum number of updates in one message, so that the message fits into one packet.
-const UPDATES_PER_MESSAGE_MAX: usize = 12;
+const UPDATES_PER_MESSAGE_MAX: usize = 24;
+/// Key under which the load table holds the requests in progress of all other nodes.
+const OTHER_NODES: u64 = 0;
 
 impl State {
-    /// Handles a state message as a confirmation. If the peer has the same version of the configuration as this node,
-    /// the peer's last read of the configuration counts as a read by this node. The same applies to the list of
-    /// upstreams if the digests are equal.
-    fn on_confirmation(&mut self, message: &StateMessage, now_ms: u64) {
-        let version = self.route_table.as_ref().map_or(0, |it| it.config.version);
-        if version == message.config.0 {
-            self.config_read_ms = self.config_read_ms.max(now_ms.saturating_sub(message.config.1));
+    /// Applies the state of the cluster.
+    fn apply_summary(
+        &mut self,
+        summary: Summary,
+        fresh_zones: &[u32],
+        local_zone: u32,
+        now_ms: u64,
+    ) {
+        self.load_table.on_peer_report(OTHER_NODES, summary.loads, now_ms);
+        let demand = summary.demand.into_iter().map(|it| (it.0, f64::from(it.1)));
+        self.other_demand = (demand.collect(), now_ms);
+        for zone in &summary.zones {
+            let as_of_ms = now_ms.saturating_sub(zone.age_ms);
+            if fresh_zones.contains(&zone.zone) {
+                let ZoneState { zone, source, ref admitted, .. } = *zone;
+                let rates = ZoneRates { zone, source, admitted: admitted.clone() };
+                self.apply_zone_rates(&rates, local_zone, as_of_ms, now_ms);
+            }
+            self.on_confirmation(zone, zone.zone == local_zone, now_ms);
         }
-        let read_ms = now_ms.saturating_sub(message.upstreams.1);
-        let local_age_ms = self.catalog.age_ms(now_ms);
-        let is_newer = local_age_ms.is_some_and(|it| now_ms.saturating_sub(it) < read_ms);
-        if is_newer && self.catalog.digest() == message.upstreams.0 {
-            self.catalog.confirm(read_ms);
+        let clocks = summary.zones.iter().flat_map(|it| &it.clocks_ms);
+        let offsets = clocks.map(|it| (it.cast_signed() - now_ms.cast_signed(), now_ms));
+        self.clock_offsets = offsets.collect();
+        for (request, crash) in &summary.evidence {
+            if self.suspects.insert_evidence(*request, *crash) {
+                self.log_if_quarantined(*request);
+            }
+        }
+        if let Some(duty) = summary.duty {
+            let as_of_ms = now_ms.saturating_sub(duty.age_ms);
+            self.received_duty_topic_end = Some((duty.topic_end, as_of_ms));
         }
     }
 
-    /// Handles a peer's report of the total cost that it has admitted for each team.
-    fn on_rates(&mut self, node: u64, incarnation: u64, admitted: &[(u32, f64)], now_ms: u64) {
-        for (team, admitted) in admitted {
+    /// Handles the total cost that the nodes of a zone have admitted for each team. In the own zone, this is the cost
+    /// that the other nodes have admitted.
+    fn apply_zone_rates(&mut self, rates: &ZoneRates, local_zone: u32, as_of_ms: u64, now_ms: u64) {
+        let n_nodes = self.gossip.n_nodes_in(rates.zone, now_ms);
+        let n_nodes = n_nodes.saturating_sub(usize::from(rates.zone == local_zone));
+        let (peer, source) = (u64::from(rates.zone), rates.source);
+        for (team, admitted) in &rates.admitted {
             let rate = self.team_names.get(team).and_then(|it| self.rates.get_mut(it));
             if let Some(rate) = rate {
-                rate.handle_report(node, incarnation, *admitted, now_ms);
+                let admitted = *admitted;
+                rate.handle_report(PeerReport { peer, n_nodes, source, admitted, as_of_ms });
             }
         }
     }
 
+    /// Handles the state of a zone as a confirmation. If the zone has the same version of the configuration as this
+    /// node, the last read of the configuration there counts as a read by this node. The same applies to the list of
+    /// upstreams if the digests are equal. Another digest in the own zone shows that this node may have lost an update.
+    fn on_confirmation(&mut self, zone: &ZoneState, is_local: bool, now_ms: u64) {
+        let version = self.route_table.as_ref().map_or(0, |it| it.config.version);
+        if version == zone.config.version {
+            let read_ms = now_ms.saturating_sub(zone.config.age_ms);
+            self.config_read_ms = self.config_read_ms.max(read_ms);
+        }
+        let read_ms = now_ms.saturating_sub(zone.upstreams.age_ms);
+        let local_age_ms = self.catalog.age_ms(now_ms);
+        let is_newer = local_age_ms.is_some_and(|it| now_ms.saturating_sub(it) < read_ms);
+        if !is_newer {
+            return;
+        }
+        if self.catalog.digest() == zone.upstreams.version {
+            self.catalog.confirm(read_ms);
+            self.n_list_mismatches = 0;
+        } else if is_local {
+            self.n_list_mismatches += 1;
+        }
+    }
+
+    /// Returns whether the store reader of the zone has had another list of upstreams for several summaries.
+    pub(crate) fn is_list_doubtful(&self) -> bool {
+        LIST_MISMATCHES_MAX <= self.n_list_mismatches
+    }
+
     /// Returns the updates of upstream entries for the next message. Decrements the number of times that each of them
     /// is still to be sent, and removes an update from the queue after its last time.
     fn take_updates_to_send(&mut self) -> Vec<UpstreamUpdate> {
@@ -449,7 +497,7 @@
         due
     }
 
-    /// Returns the evidence of crashes for the next state message. Decrements the number of times that each piece is
+    /// Returns the evidence of crashes for the next report. Decrements the number of times that each piece is
     /// still to be sent, and removes a piece from the queue after its last time.
     fn take_evidence_to_send(&mut self) -> Vec<(Fingerprint, u64)> {
         let due = self.evidence.iter_mut().take(EVIDENCE_PER_MESSAGE_MAX);
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod ingress;
 mod metrics;
 mod node;
+mod outbox;
 pub mod platform;
 mod pool;
 mod relay;
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddr,
     rc::Rc,
 };
 
@@ -14,6 +13,7 @@
 
 use lentilhitch_policy::{
     catalog::{self, Catalog, Change},
+    gossip::{self, Gossip, message::NodeAddress},
     placement::{self, LoadTable},
     retry::{self, RetryBudget},
     shared_rate::{self, SharedRate},
@@ -30,6 +30,7 @@
     clock::{Clock, wall_ms},
     gossip::UpstreamUpdate,
     metrics::Metrics,
+    outbox::Outbox,
     pool::ConnectionPool,
     settings::NodeSettings,
 };
@@ -56,6 +57,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: ConnectionPool,
     pub(crate) state: RefCell<State>,
+    /// Messages to other nodes that wait to be sent.
+    pub(crate) outbox: Outbox,
     /// Number of requests whose responses have not been sent completely.
     pub(crate) n_in_flight: Rc<Cell<usize>>,
     pub(crate) phase: watch::Sender<NodePhase>,
@@ -103,71 +106,29 @@
     pub(crate) evidence: Vec<(Fingerprint, u64, u8)>,
     /// Changed upstream entries to send to the peers, with the number of times that each is still to be sent.
     pub(crate) upstream_updates: Vec<(UpstreamUpdate, u8)>,
-    /// Other nodes, by hash of their names.
-    pub(crate) peers: FxHashMap<u64, Peer>,
+    /// The exchange of state with the other nodes.
+    pub(crate) gossip: Gossip,
+    /// Offsets of other nodes' wall clocks from this node's monotonic clock, each with the time at which it was received.
+    pub(crate) clock_offsets: Vec<(i64, u64)>,
+    /// Number of summaries in a row that showed another list of upstreams at the store reader of the zone.
+    pub(crate) n_list_mismatches: u32,
+    /// Uncached prompt tokens per second that the other nodes send to each service, by hash of the service's name, and
+    /// when this was last received.
+    pub(crate) other_demand: (FxHashMap<u32, f64>, u64),
+    /// Incarnation and time of writing in the last record of each node in the store, by hash of the node's name. A change
+    /// shows that the node has written a new record.
+    pub(crate) last_node_records: FxHashMap<u64, (u64, u64)>,
     pub(crate) rng: SmallRng,
-    /// Number of bytes of request bodies that are being read.
+    /// Number of bytes of request and response bodies that are being read.
     pub(crate) buffered_bytes: usize,
     /// End offset of the duty topic after this node's last claim or renewal, while this node holds the duty lease.
     pub(crate) local_duty_topic_end: Option<LogOffset>,
     /// End offset of the duty topic as last received from the holder of the duty lease, and when it was received.
     pub(crate) received_duty_topic_end: Option<(LogOffset, u64)>,
-    /// Name hash of the peer that holds the duty lease, and when its last message as the holder was received.
-    pub(crate) duty_holder: Option<(u64, u64)>,
     /// Usage counts received from peers. They are processed while this node holds the duty lease.
     pub(crate) peer_counts: Vec<NodeCounts>,
 }
 
-/// Another node.
-#[derive(Clone, Debug)]
-pub(crate) struct Peer {
-    /// Hash of the name of the peer's zone. It is known from the peer's state messages, and 0 before the first one.
-    pub(crate) zone: u32,
-    pub(crate) gossip_address: SocketAddr,
-    pub(crate) exchange_address: SocketAddr,
-    /// When the peer itself last read the list of upstreams from the store.
-    pub(crate) upstreams_read_ms: u64,
-    /// When the last state message of the peer was received.
-    pub(crate) last_received_ms: u64,
-    /// When a new record of the peer was last read from the store.
-    pub(crate) last_listed_ms: u64,
-    /// Incarnation in the peer's last state message.
-    pub(crate) incarnation: u64,
-    /// Offset of the peer's wall clock from this node's monotonic clock.
-    pub(crate) wall_offset_ms: i64,
-    /// Version of the peer's configuration.
-    pub(crate) config_version: u64,
-    /// Uncached prompt tokens per second that the peer sends to each service, by hash of the service's name.
-    pub(crate) demand: FxHashMap<u32, f64>,
-    /// Incarnation and `written_ms` in the peer's last record in the store. A change of either shows that the peer has
-    /// written a new record.
-    pub(crate) last_record: (u64, u64),
-}
-
-impl Peer {
-    /// Creates a peer from which no message has been received yet.
-    pub(crate) fn new(gossip_address: SocketAddr, exchange_address: SocketAddr) -> Self {
-        Self {
-            zone: 0,
-            gossip_address,
-            exchange_address,
-            upstreams_read_ms: 0,
-            last_received_ms: 0,
-            last_listed_ms: 0,
-            incarnation: 0,
-            wall_offset_ms: 0,
-            config_version: 0,
-            demand: FxHashMap::default(),
-            last_record: (0, 0),
-        }
-    }
-
-    /// Returns whether the last state message of the peer was received within the timeout.
-    pub(crate) fn is_reachable(&self, peer_timeout_ms: u64, now_ms: u64) -> bool {
-        now_ms <= self.last_received_ms + peer_timeout_ms
-    }
-}
-
 /// Meter for the rate at which prompt tokens are sent, with exponential decay.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DemandMeter {
@@ -209,15 +170,22 @@
     name_hash(name) as u32
 }
 
-/// Time for which a peer counts as running after its last state message or its last new record in the store. In large
+/// Time for which a node counts as running after its last message or its last new record in the store. In large
 /// deployments, three intervals between reads of the list of nodes apply instead if they are longer.
-const PEER_RETENTION_MS: u64 = 25_000;
+const NODE_RETENTION_MS: u64 = 25_000;
 
 impl<P> Node<P> {
     pub(crate) fn new(settings: NodeSettings, platform: P) -> anyhow::Result<Self> {
         let clock = Clock::start();
         let seed = name_hash(settings.instance.as_str()) ^ wall_ms();
         let incarnation = rand::random();
+        let address = NodeAddress {
+            node: name_hash(settings.instance.as_str()),
+            zone: short_hash(settings.zone.as_str()),
+            gossip: settings.gossip_address,
+            exchange: settings.exchange_address,
+        };
+        let gossip = Gossip::new(gossip::Settings::default(), address, incarnation);
         let state = State {
             route_table: None,
             config_text: Bytes::new(),
@@ -244,17 +212,22 @@
             upstream_updates: Vec::new(),
             local_duty_topic_end: None,
             received_duty_topic_end: None,
-            duty_holder: None,
             peer_counts: Vec::new(),
-            peers: FxHashMap::default(),
+            gossip,
+            clock_offsets: Vec::new(),
+            n_list_mismatches: 0,
+            other_demand: (FxHashMap::default(), 0),
+            last_node_records: FxHashMap::default(),
             rng: SmallRng::seed_from_u64(seed),
             buffered_bytes: 0,
         };
         let metrics = Metrics::new()?;
         let (phase, _) = watch::channel(NodePhase::Serving);
         let (upstreams_leaving, _) = watch::channel(());
+        let outbox = Outbox::new(settings.link_bytes_per_s);
         Ok(Self {
             settings,
+            outbox,
             platform,
             clock,
             incarnation,
@@ -283,11 +256,6 @@
         &self.settings.instance
     }
 
-    /// Returns the hash that identifies this node in messages between nodes.
-    pub(crate) fn node_hash(&self) -> u64 {
-        name_hash(self.instance().as_str())
-    }
-
     /// Returns the hash that identifies this node's zone in messages between nodes.
     pub(crate) fn zone_hash(&self) -> u32 {
         short_hash(self.settings.zone.as_str())
@@ -307,7 +275,7 @@
 
     /// Returns the number of nodes that count as running, including this node.
     pub(crate) fn n_nodes(&self) -> usize {
-        1 + self.state.borrow().peers.len()
+        self.state.borrow().gossip.n_nodes(self.now_ms())
     }
 
     /// Puts a configuration into force if its version is higher than the current one. `source` is where it came from.
@@ -363,21 +331,20 @@
         self.state.borrow_mut().record_crash(&(entry.id.clone(), entry.started_ms), now_ms);
     }
 
-    /// Drops peers whose last state message and last new record in the store are both too old. Drops none if the list
-    /// of nodes could not be read, in which case `is_store_reachable` is false.
-    pub(crate) fn drop_expired_peers(&self, is_store_reachable: bool) {
+    /// Drops nodes whose last message and last new record in the store are both too old. Drops none if the list of nodes
+    /// could not be read, in which case `is_store_reachable` is false.
+    pub(crate) fn drop_expired_nodes(&self, is_store_reachable: bool) {
         if !is_store_reachable {
             return;
         }
         let now_ms = self.now_ms();
-        let retention_ms = PEER_RETENTION_MS.max(3 * self.nodes_poll_interval_ms());
+        let retention_ms = NODE_RETENTION_MS.max(3 * self.nodes_poll_interval_ms());
         let mut state = self.state.borrow_mut();
-        state
-            .peers
-            .retain(|_, it| now_ms <= it.last_received_ms.max(it.last_listed_ms) + retention_ms);
-        let State { peers, rates, .. } = &mut *state;
-        for rate in rates.values_mut() {
-            rate.retain_peers(|it| peers.contains_key(&it));
+        let state = &mut *state;
+        state.gossip.drop_expired_nodes(retention_ms, now_ms);
+        let zones: Vec<_> = state.gossip.zones().map(|it| u64::from(it.state.zone)).collect();
+        for rate in state.rates.values_mut() {
+            rate.retain_peers(|it| zones.contains(&it));
         }
     }
 }
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -48,8 +48,7 @@
     spawn_local(ingress::serve_exchange(node.clone(), exchange_listener));
     spawn_local(ingress::serve_exchange(node.clone(), admin_listener));
     spawn_local(ingress::serve_clients(node.clone(), frontend_listener));
-    let gossip_socket = Rc::new(gossip_socket);
-    spawn_local(gossip::run(node.clone(), gossip_socket.clone()));
+    spawn_local(gossip::run(node.clone(), gossip_socket));
     spawn_local(discovery::follow_config(node.clone()));
     spawn_local(discovery::follow_upstreams(node.clone()));
     spawn_local(discovery::follow_nodes(node.clone()));
@@ -59,7 +58,7 @@
         spawn_local(duties::keep_lease(node.clone(), duty.clone()));
     }
     if settings.has_usage_duty {
-        spawn_local(duties::send_counts(node.clone(), duty.clone(), gossip_socket));
+        spawn_local(duties::send_counts(node.clone(), duty.clone()));
         spawn_local(duties::report_usage(node.clone(), duty.clone()));
     }
     if settings.has_scaling_duty {
--- a/crates/lentilhitch_gateway/src/settings.rs
+++ b/crates/lentilhitch_gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub has_scaling_duty: bool,
     /// Memory of the node in bytes. It limits the request bodies that are read at the same time.
     pub memory_bytes: u64,
+    /// Speed of the machine's network link.
+    pub link_bytes_per_s: f64,
     /// Interval in milliseconds at which an upstream writes its entry to the store.
     pub upstream_heartbeat_ms: u64,
     /// Strategy by which upstreams are chosen.
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod events;
 pub mod fleet;
 pub mod fold;
+pub mod gossip;
 pub mod journal;
 pub mod kv_transfer;
 pub mod lease;
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -18,6 +18,7 @@
 use lru::LruCache;
 use rand::Rng;
 use rustc_hash::{FxBuildHasher, FxHashMap};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use lentilhitch_types::{UpstreamName, Zone};
@@ -107,8 +108,9 @@
     }
 }
 
-/// Requests that a node has in progress at an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Requests that a node has in progress at an upstream. Encoded as a tuple of its fields, to keep messages small.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
 pub struct InProgress {
     pub n_requests: u32,
     /// Requests among them whose response has not started.
@@ -148,14 +150,26 @@
     was_queue_empty: bool,
 }
 
+impl From<(u32, u32, u32)> for InProgress {
+    fn from((n_requests, n_waiting, waiting_tokens): (u32, u32, u32)) -> Self {
+        Self { n_requests, n_waiting, waiting_tokens }
+    }
+}
+
+impl From<InProgress> for (u32, u32, u32) {
+    fn from(it: InProgress) -> Self {
+        (it.n_requests, it.n_waiting, it.waiting_tokens)
+    }
+}
+
 impl InProgress {
-    fn add(&mut self, other: Self) {
-        self.n_requests += other.n_requests;
-        self.n_waiting += other.n_waiting;
-        self.waiting_tokens += other.waiting_tokens;
+    pub(crate) fn add(&mut self, other: Self) {
+        self.n_requests = self.n_requests.saturating_add(other.n_requests);
+        self.n_waiting = self.n_waiting.saturating_add(other.n_waiting);
+        self.waiting_tokens = self.waiting_tokens.saturating_add(other.waiting_tokens);
     }
 
-    fn subtract(&mut self, other: Self) {
+    pub(crate) fn subtract(&mut self, other: Self) {
         self.n_requests = self.n_requests.saturating_sub(other.n_requests);
         self.n_waiting = self.n_waiting.saturating_sub(other.n_waiting);
         self.waiting_tokens = self.waiting_tokens.saturating_sub(other.waiting_tokens);
--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -1,12 +1,13 @@
 //! Rate limit of a team over all nodes, enforced without a round trip to another node.
 //!
 //! Every node keeps its own copy of one token bucket. From this copy it debits the cost of the requests that it admits
-//! and the cost of the requests that its peers admit. Each peer periodically reports the total cost that it has
+//! and the cost of the requests that the other nodes admit. These are grouped into peers: the other nodes of the own
+//! zone are one peer, and each other zone is one. A periodic report states the total cost that the nodes of a peer have
 //! admitted. Between two reports, a node debits for the peer at the rate that follows from the peer's earlier reports,
 //! and the next report settles the difference. For a peer without a report within the timeout
-//! ([`ClusterView::peer_timeout_ms`]), a node debits that peer's equal share of the rate and of the content of the
-//! bucket. The peer does the same for this node, so the cost admitted by all nodes together stays at the rate while
-//! nodes are cut off from each other.
+//! ([`ClusterView::peer_timeout_ms`]), a node debits the equal shares of the peer's nodes in the rate and in the content
+//! of the bucket. The peer does the same for this node, so the cost admitted by all nodes together stays at the rate
+//! while nodes are cut off from each other.
 //!
 //! If requests shift from one node to another between two reports, the total may exceed the rate, at most by the cost
 //! of the shifted requests. A node reports to its peers immediately if it has admitted more than its equal share of the
@@ -56,13 +57,17 @@
 const PEER_TIMEOUT_SLACK_MS: u64 = 300;
 
 impl ClusterView {
-    /// Determines the timeout of the peers from the time since the last report of each peer (`ages_ms`). A node that
-    /// received reports from fewer than half of its peers during the last 1.25 report intervals is isolated. It then
-    /// uses these 1.25 intervals as the timeout, so it does not wait any longer for the other peers. Otherwise, the
-    /// timeout is `PEER_TIMEOUT_INTERVALS` report intervals and `PEER_TIMEOUT_SLACK_MS`.
-    pub fn new(n_nodes: usize, interval_ms: u64, ages_ms: impl Iterator<Item = u64>) -> Self {
+    /// Determines the timeout of the peers from the number of nodes of each peer and the time since its last report
+    /// (`peers`). A node that received reports of fewer than half of the other nodes during the last 1.25 report
+    /// intervals is isolated. It then uses these 1.25 intervals as the timeout, so it does not wait any longer for the
+    /// other peers. Otherwise, the timeout is `PEER_TIMEOUT_INTERVALS` report intervals and `PEER_TIMEOUT_SLACK_MS`.
+    pub fn new(
+        n_nodes: usize,
+        interval_ms: u64,
+        peers: impl Iterator<Item = (usize, u64)>,
+    ) -> Self {
         let short_timeout_ms = interval_ms + interval_ms / 4;
-        let n_recent = ages_ms.filter(|it| *it <= short_timeout_ms).count();
+        let n_recent: usize = peers.filter(|it| it.1 <= short_timeout_ms).map(|it| it.0).sum();
         let is_isolated = 2 * n_recent + 1 < n_nodes;
         let long_timeout_ms = PEER_TIMEOUT_INTERVALS * interval_ms + PEER_TIMEOUT_SLACK_MS;
         let peer_timeout_ms = if is_isolated { short_timeout_ms } else { long_timeout_ms };
@@ -70,12 +75,27 @@
     }
 }
 
+/// Total cost that a peer has admitted.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerReport {
+    pub peer: u64,
+    /// Number of nodes of the peer.
+    pub n_nodes: usize,
+    /// Identifies who has added the cost up. Totals of different sources do not continue each other.
+    pub source: u64,
+    pub admitted: f64,
+    /// When the total was current.
+    pub as_of_ms: u64,
+}
+
 /// What this node knows of a peer's admissions and has debited for them.
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
-    incarnation: u64,
-    /// Total cost that the peer has admitted since it started.
+    n_nodes: usize,
+    source: u64,
+    /// Total cost that the peer has admitted, as counted by the source.
     admitted: f64,
+    /// When the last reported total was current.
     last_received_ms: u64,
     /// Smoothed cost that the peer admits per millisecond, from its reports.
     admitted_per_ms: f64,
@@ -87,7 +107,7 @@
     is_bucket_share_debited: bool,
 }
 
-/// Equal share of the rate and of the bucket, debited for an unresponsive peer.
+/// Equal share of one node of the rate and of the bucket, debited for each node of an unresponsive peer.
 #[derive(Clone, Copy, Debug)]
 struct EqualShare {
     /// Share of the rate, as cost per millisecond.
@@ -98,11 +118,39 @@
     is_isolated: bool,
 }
 
+impl EqualShare {
+    /// Returns the share of several nodes together.
+    fn of_nodes(self, n_nodes: usize) -> Self {
+        let n_nodes = n_nodes as f64;
+        let (per_ms, bucket_share) = (self.per_ms * n_nodes, self.bucket_share * n_nodes);
+        Self { per_ms, bucket_share, ..self }
+    }
+}
+
 impl Peer {
+    /// Compares a reported total with the cost that was debited since the last report. Returns the cost to refund, which
+    /// is negative if too little was debited.
+    fn settle(&mut self, admitted: f64, as_of_ms: u64) -> f64 {
+        let new = (admitted - self.admitted).max(0.0);
+        let elapsed_ms = as_of_ms.saturating_sub(self.last_received_ms).max(1) as f64;
+        let per_ms = new / elapsed_ms;
+        self.admitted += new;
+        if self.is_bucket_share_debited {
+            // The part of an unresponsive peer's share that the peer did not use is not refunded, because all nodes
+            // would use it at the same time.
+            self.admitted_per_ms = per_ms;
+            return (self.debited - new).min(0.0);
+        }
+        self.admitted_per_ms +=
+            (1.0 - (-elapsed_ms / SMOOTHING_MS).exp()) * (per_ms - self.admitted_per_ms);
+        self.debited - new
+    }
+
     /// Returns the cost to debit for the peer for the time since the last call: at the rate of its reports or, if it is
     /// unresponsive, at the equal share. Records this cost as debited.
     fn next_debit(&mut self, unresponsive: Option<EqualShare>, now_ms: u64) -> f64 {
         let elapsed_ms = now_ms.saturating_sub(self.debited_until_ms) as f64;
+        let unresponsive = unresponsive.map(|it| it.of_nodes(self.n_nodes));
         let mut debit = unresponsive.map_or(self.admitted_per_ms, |it| it.per_ms) * elapsed_ms;
         if let Some(equal_share) = unresponsive
             && !std::mem::replace(&mut self.is_bucket_share_debited, true)
@@ -128,6 +176,11 @@
 
 /// Time constant for smoothing the rate at which a peer admits cost. Long enough for a few requests of a large team.
 const SMOOTHING_MS: f64 = 2_000.0;
+/// Time for which the nodes together admit requests in advance of the content that accrues in it, each its equal share. A
+/// request that would have to wait for a few milliseconds only is not rejected.
+const OVERDRAFT_MS: u64 = 20;
+/// Time without a request of the team after which a report refills the bucket.
+const IDLE_REFILL_INTERVAL_MS: u64 = 500;
 /// Fraction of the capacity below which every admitted request is reported immediately. All nodes then wait for the
 /// bucket to refill, and without the report several of them would admit requests from the same refill.
 const LOW_LEVEL_FRACTION: f64 = 0.25;
@@ -148,6 +201,8 @@
     /// Value of `admitted` in the last report to the peers.
     reported: f64,
     n_nodes: usize,
+    /// View of the last refill.
+    view: Option<ClusterView>,
     peers: FxHashMap<u64, Peer>,
 }
 
@@ -167,13 +222,14 @@
             admitted: 0.0,
             reported: 0.0,
             n_nodes: 1,
+            view: None,
             peers: FxHashMap::default(),
         }
     }
 
     /// Changes the rate and the burst. Content above a lower burst is discarded immediately.
     pub fn set_rate(&mut self, rate: TeamRate, now_ms: u64) {
-        self.refill(now_ms, None);
+        self.refill(now_ms, self.view);
         self.rate = rate;
         self.capacity = self.settings.bucket_capacity(rate);
         self.level = self.level.min(self.capacity);
@@ -200,41 +256,31 @@
         0.0 < unreported && (is_low || self.capacity < unreported * self.n_nodes as f64)
     }
 
-    /// Handles a report of the total cost that a peer has admitted since it started.
-    pub fn handle_report(&mut self, peer: u64, incarnation: u64, admitted: f64, now_ms: u64) {
-        let Some(known) = self.peers.get_mut(&peer) else {
+    /// Handles a report of the total cost that a peer has admitted.
+    pub fn handle_report(&mut self, report: PeerReport) {
+        let PeerReport { peer, n_nodes, source, admitted, as_of_ms } = report;
+        // A node that gets no requests of the team must not set off the cost in the report against content that did not
+        // fit into the bucket in the meantime.
+        if self.refilled_until_ms + IDLE_REFILL_INTERVAL_MS <= as_of_ms {
+            self.refill(as_of_ms, self.view);
+        }
+        let known = self.peers.entry(peer).or_insert_with(|| {
             // Cost that the peer admitted before its first report is not debited.
-            let known = Peer {
-                incarnation,
-                admitted,
-                last_received_ms: now_ms,
-                debited_until_ms: now_ms,
-                ..Peer::default()
-            };
-            self.peers.insert(peer, known);
-            return;
-        };
-        let reported_before = if known.incarnation == incarnation { known.admitted } else { 0.0 };
-        let new = (admitted - reported_before).max(0.0);
-        let elapsed_ms = now_ms.saturating_sub(known.last_received_ms).max(1) as f64;
-        let per_ms = new / elapsed_ms;
-        if known.is_bucket_share_debited {
-            // The part of an unresponsive peer's share that the peer did not use is not refunded, because all nodes
-            // would use it at the same time.
-            known.admitted_per_ms = per_ms;
-            self.level += (known.debited - new).min(0.0);
+            Peer { source, admitted, last_received_ms: as_of_ms, ..Peer::default() }
+        });
+        known.n_nodes = n_nodes;
+        if known.source == source {
+            self.level += known.settle(admitted, as_of_ms);
         } else {
-            known.admitted_per_ms +=
-                (1.0 - (-elapsed_ms / SMOOTHING_MS).exp()) * (per_ms - known.admitted_per_ms);
-            self.level += known.debited - new;
+            // What was debited since the last report of the other source stands.
+            known.admitted = admitted;
         }
-        let admitted = reported_before + new;
         *known = Peer {
-            incarnation,
-            admitted,
-            last_received_ms: now_ms,
+            source,
+            last_received_ms: as_of_ms.max(known.last_received_ms),
             debited: 0.0,
-            debited_until_ms: now_ms,
+            // The peer goes on admitting while the report is on its way.
+            debited_until_ms: as_of_ms,
             is_bucket_share_debited: false,
             ..*known
         };
@@ -246,7 +292,8 @@
         self.refill(now_ms, Some(view));
         // A request that costs more than the capacity is admitted when the bucket is full, and leaves a negative level.
         let capacity = self.capacity;
-        if cost.min(capacity) <= self.level {
+        let overdraft = self.rate.per_s * OVERDRAFT_MS as f64 / 1000.0 / self.n_nodes.max(1) as f64;
+        if cost.min(capacity) <= self.level + overdraft {
             self.level -= cost;
             self.admitted += cost;
             return Ok(());
@@ -272,16 +319,18 @@
 
     /// Adds the content that has accrued since the last call, and debits the cost for all peers in that time.
     fn refill(&mut self, now_ms: u64, view: Option<ClusterView>) {
+        self.view = view;
         let elapsed_ms = now_ms.saturating_sub(self.refilled_until_ms);
         self.refilled_until_ms = self.refilled_until_ms.max(now_ms);
         let per_ms = self.rate.per_s / 1000.0;
         self.level += per_ms * elapsed_ms as f64;
-        let n_nodes = view.map_or(self.peers.len() + 1, |it| it.n_nodes.max(1));
+        let n_reported = 1 + self.peers.values().map(|it| it.n_nodes).sum::<usize>();
+        let n_nodes = view.map_or(n_reported, |it| it.n_nodes.max(1));
         self.n_nodes = n_nodes;
         let equal_per_ms = per_ms / n_nodes as f64;
         let peer_timeout_ms = view.map_or(u64::MAX, |it| it.peer_timeout_ms);
         // Nodes that are known to run but have not reported yet are treated like unresponsive ones.
-        let mut n_unresponsive = n_nodes.saturating_sub(1 + self.peers.len());
+        let mut n_unresponsive = n_nodes.saturating_sub(n_reported);
         self.level -= equal_per_ms * n_unresponsive as f64 * elapsed_ms as f64;
         let is_isolated = view.is_some_and(|it| it.is_isolated);
         // While most peers are reachable, an unresponsive one may have used its share of a full bucket. An isolated
@@ -295,7 +344,7 @@
         };
         for peer in self.peers.values_mut() {
             let is_unresponsive = peer_timeout_ms < now_ms.saturating_sub(peer.last_received_ms);
-            n_unresponsive += usize::from(is_unresponsive);
+            n_unresponsive += if is_unresponsive { peer.n_nodes } else { 0 };
             self.level -= peer.next_debit(is_unresponsive.then_some(equal_share), now_ms);
         }
         let responsive_fraction =
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -0,0 +1,573 @@
+//! The exchange between nodes under a seeded schedule of delays, losses, cuts, freezes and restarts.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    net::{Ipv4Addr, SocketAddr},
+};
+
+use lentilhitch_policy::{
+    gossip::{
+        Gossip, Output, Role, Settings, Update,
+        message::{Loads, LocalState, Message, NodeAddress, StoreCopy, ZoneRates},
+    },
+    placement::InProgress,
+    shared_rate::{self, ClusterView, PeerReport, SharedRate},
+    traffic::{RateUnit, TeamRate},
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use rustc_hash::FxHashMap;
+
+/// Sizes of today's deployments and of the target, as numbers of nodes and zones.
+const SIZES: [(usize, usize); 4] = [(8, 4), (74, 4), (295, 6), (340, 31)];
+/// Number of upstreams that have requests of every node.
+const N_UPSTREAMS: usize = 40;
+const TEAM: u32 = 7;
+const STEP_MS: u64 = 10;
+/// Time at which simulations start, since 0 means never.
+const START_MS: u64 = 1_000_000;
+/// Time after the start at which every size has exchanged its state.
+const SETTLED_MS: u64 = 8_000;
+
+/// A node of a simulation.
+struct Node {
+    gossip: Gossip,
+    address: NodeAddress,
+    incarnation: u64,
+    next_tick_ms: u64,
+    loads: Loads,
+    /// Requests in progress of the other nodes, as last applied.
+    others: FxHashMap<u32, InProgress>,
+    applied_ms: u64,
+    rate: SharedRate,
+    rates_due: bool,
+    next_rates_ms: u64,
+    frozen_until_ms: u64,
+    is_dead: bool,
+    bytes_sent: usize,
+    bytes_received: usize,
+}
+
+/// A message on its way: arrival, sequence number, receiver and sender.
+type InTransit = (u64, u64, usize, usize);
+
+struct Simulation {
+    nodes: Vec<Node>,
+    n_zones: usize,
+    rng: SmallRng,
+    now_ms: u64,
+    n_sent: u64,
+    arrivals: BinaryHeap<Reverse<InTransit>>,
+    messages: FxHashMap<u64, Message>,
+    loss: f64,
+    /// Nodes that are cut off from all others, by position.
+    is_cut: fn(usize, usize, &Simulation) -> bool,
+    /// Whether message sizes are counted.
+    counts_bytes: bool,
+    rate: TeamRate,
+}
+
+fn name_hash(idx: usize) -> u64 {
+    // Spreads the nodes over the order of the hashes.
+    (idx as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+}
+
+fn address(idx: usize, n_zones: usize) -> NodeAddress {
+    let ip = Ipv4Addr::from(0x7F00_0000 + idx as u32 + 1);
+    let socket_address = SocketAddr::from((ip, 7_600));
+    NodeAddress {
+        node: name_hash(idx),
+        zone: (idx % n_zones) as u32 + 1,
+        gossip: socket_address,
+        exchange: socket_address,
+    }
+}
+
+const RATE: TeamRate = TeamRate {
+    per_s: 1_000_000.0,
+    burst: 1_000_000.0,
+    unit: RateUnit::Tokens { default_tokens: 200 },
+};
+
+impl Simulation {
+    /// Starts all nodes, each of which knows all others.
+    fn start((n_nodes, n_zones): (usize, usize), seed: u64) -> Self {
+        let mut simulation = Self {
+            nodes: Vec::new(),
+            n_zones,
+            rng: SmallRng::seed_from_u64(seed),
+            now_ms: START_MS,
+            n_sent: 0,
+            arrivals: BinaryHeap::new(),
+            messages: FxHashMap::default(),
+            loss: 0.01,
+            is_cut: |_, _, _| false,
+            counts_bytes: false,
+            rate: RATE,
+        };
+        for idx in 0..n_nodes {
+            let node = simulation.new_node(idx, n_nodes, 1);
+            simulation.nodes.push(node);
+        }
+        simulation
+    }
+
+    fn new_node(&mut self, idx: usize, n_nodes: usize, incarnation: u64) -> Node {
+        let own = address(idx, self.n_zones);
+        let mut gossip = Gossip::new(Settings::default(), own, incarnation);
+        for other in (0..n_nodes).filter(|it| *it != idx) {
+            gossip.on_listed(address(other, self.n_zones), true, self.now_ms);
+        }
+        let load = InProgress { n_requests: 2, n_waiting: 1, waiting_tokens: 500 };
+        let uptime_ms = if incarnation == 1 { 10_000 } else { 0 };
+        Node {
+            gossip,
+            address: own,
+            incarnation,
+            next_tick_ms: self.now_ms + self.rng.random_range(0..300),
+            loads: (0..N_UPSTREAMS as u32).map(|it| (it, load)).collect(),
+            others: FxHashMap::default(),
+            applied_ms: 0,
+            rate: SharedRate::new(
+                shared_rate::Settings::default(),
+                self.rate,
+                uptime_ms,
+                self.now_ms,
+            ),
+            rates_due: false,
+            next_rates_ms: 0,
+            frozen_until_ms: 0,
+            is_dead: false,
+            bytes_sent: 0,
+            bytes_received: 0,
+        }
+    }
+
+    fn restart(&mut self, idx: usize) {
+        let (n_nodes, incarnation) = (self.nodes.len(), self.nodes[idx].incarnation + 1);
+        self.nodes[idx] = self.new_node(idx, n_nodes, incarnation);
+    }
+
+    fn run_for(&mut self, duration_ms: u64) {
+        self.run_until(self.now_ms + duration_ms, |_| false);
+    }
+
+    /// Runs until the condition holds or the time is over. Returns whether the condition holds.
+    fn run_until(&mut self, end_ms: u64, is_met: impl Fn(&Self) -> bool) -> bool {
+        while self.now_ms < end_ms {
+            self.step();
+            if is_met(self) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        while let Some(Reverse((arrival_ms, number, to, from))) = self.arrivals.peek().copied() {
+            if self.now_ms < arrival_ms {
+                break;
+            }
+            self.arrivals.pop();
+            let Some(message) = self.messages.remove(&number) else { continue };
+            self.receive(to, from, message);
+        }
+        for idx in 0..self.nodes.len() {
+            if !self.is_running(idx) {
+                continue;
+            }
+            if self.nodes[idx].next_tick_ms <= self.now_ms {
+                self.tick(idx);
+            }
+            let node = &self.nodes[idx];
+            if node.rates_due && node.next_rates_ms <= self.now_ms {
+                self.send_rates(idx);
+            }
+        }
+    }
+
+    fn is_running(&self, idx: usize) -> bool {
+        let node = &self.nodes[idx];
+        !node.is_dead && node.frozen_until_ms <= self.now_ms
+    }
+
+    fn tick(&mut self, idx: usize) {
+        let now_ms = self.now_ms;
+        let node = &mut self.nodes[idx];
+        let state = LocalState {
+            wall_ms: now_ms,
+            config: StoreCopy { version: 1, age_ms: 0 },
+            upstreams: StoreCopy { version: 1, age_ms: 100 },
+            loads: node.loads.clone(),
+            admitted: vec![(TEAM, node.rate.report())],
+            ..LocalState::default()
+        };
+        let output = node.gossip.tick(state, now_ms);
+        node.next_tick_ms = now_ms + node.gossip.next_tick_ms(false, now_ms);
+        self.handle(idx, output);
+    }
+
+    fn send_rates(&mut self, idx: usize) {
+        let now_ms = self.now_ms;
+        let node = &mut self.nodes[idx];
+        node.rates_due = false;
+        node.next_rates_ms = now_ms + node.gossip.rates_interval_ms();
+        let mut output = Output::default();
+        if node.rate.needs_urgent_report() {
+            let admitted = vec![(TEAM, node.rate.report())];
+            output.outgoing = node.gossip.report_rates(admitted);
+        }
+        let passed_on = node.gossip.send_rates(now_ms);
+        output.outgoing.extend(passed_on.outgoing);
+        output.updates.extend(passed_on.updates);
+        self.handle(idx, output);
+    }
+
+    fn receive(&mut self, idx: usize, from: usize, message: Message) {
+        let is_cut = self.is_cut;
+        if !self.is_running(idx) || is_cut(idx, from, self) {
+            return;
+        }
+        if self.counts_bytes {
+            self.nodes[idx].bytes_received += encoded_bytes(&message);
+        }
+        let now_ms = self.now_ms;
+        let output = self.nodes[idx].gossip.on_message(message, now_ms);
+        let node = &mut self.nodes[idx];
+        node.rates_due |= node.gossip.has_urgent_rates();
+        self.handle(idx, output);
+    }
+
+    fn handle(&mut self, idx: usize, output: Output) {
+        for update in output.updates {
+            self.apply(idx, update);
+        }
+        let mut summary_bytes = 0;
+        for it in output.outgoing {
+            let SocketAddr::V4(to) = it.to else { continue };
+            let to = (to.ip().to_bits() - 0x7F00_0001) as usize;
+            if self.counts_bytes {
+                let n_bytes = encoded_bytes(&it.message);
+                self.nodes[idx].bytes_sent += n_bytes;
+                if matches!(it.message, Message::Summary(_)) {
+                    summary_bytes = n_bytes.max(summary_bytes);
+                }
+            }
+            if self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let arrival_ms = self.now_ms + self.rng.random_range(1..20);
+            self.n_sent += 1;
+            self.arrivals.push(Reverse((arrival_ms, self.n_sent, to, idx)));
+            self.messages.insert(self.n_sent, it.message);
+        }
+        if 0 < summary_bytes {
+            self.nodes[idx].gossip.on_summary_sent(summary_bytes as u64);
+        }
+    }
+
+    fn apply(&mut self, idx: usize, update: Update) {
+        let now_ms = self.now_ms;
+        let node = &mut self.nodes[idx];
+        match update {
+            Update::Cluster { summary, fresh_zones } => {
+                node.others = summary.loads.iter().copied().collect();
+                node.applied_ms = now_ms;
+                for zone in summary.zones.iter().filter(|it| fresh_zones.contains(&it.zone)) {
+                    let (zone_id, source) = (zone.zone, zone.source);
+                    let admitted = zone.admitted.clone();
+                    let rates = ZoneRates { zone: zone_id, source, admitted };
+                    node.apply_rates(&rates, now_ms - zone.age_ms, now_ms);
+                }
+            }
+            Update::Rates(rates) => {
+                for it in &rates {
+                    node.apply_rates(it, now_ms, now_ms);
+                }
+            }
+        }
+    }
+
+    /// Lets a client ask a node for a request of the team, and returns whether the node admits it.
+    fn try_admit(&mut self, idx: usize, cost: f64) -> bool {
+        let now_ms = self.now_ms;
+        let node = &mut self.nodes[idx];
+        let view = node.view(now_ms);
+        let is_admitted = node.rate.try_admit(cost, view, now_ms).is_ok();
+        node.rates_due |= is_admitted && node.rate.needs_urgent_report();
+        is_admitted
+    }
+
+    /// Returns whether every running node sees exactly what the other running nodes have in progress.
+    fn is_converged(&self) -> bool {
+        let running: Vec<_> = self.nodes.iter().filter(|it| !it.is_dead).collect();
+        let mut total: FxHashMap<u32, u32> = FxHashMap::default();
+        for (upstream, it) in running.iter().flat_map(|it| &it.loads) {
+            *total.entry(*upstream).or_default() += it.n_requests;
+        }
+        running.iter().all(|node| {
+            node.loads.iter().all(|(upstream, own)| {
+                let others = node.others.get(upstream).map_or(0, |it| it.n_requests);
+                others + own.n_requests == total[upstream]
+            })
+        })
+    }
+
+    fn primaries_of(&self, zone: u32) -> Vec<usize> {
+        let in_zone = (0..self.nodes.len()).filter(|it| self.nodes[*it].address.zone == zone);
+        let primaries = in_zone.filter(|it| self.nodes[*it].gossip.role() == Role::Primary);
+        primaries.filter(|it| !self.nodes[*it].is_dead).collect()
+    }
+
+    fn interval_ms(&self) -> u64 {
+        self.nodes.iter().map(|it| it.gossip.interval_ms(self.now_ms)).max().unwrap_or_default()
+    }
+}
+
+impl Node {
+    fn apply_rates(&mut self, rates: &ZoneRates, as_of_ms: u64, now_ms: u64) {
+        let is_own = rates.zone == self.address.zone;
+        let n_nodes = self.gossip.n_nodes_in(rates.zone, now_ms) - usize::from(is_own);
+        for (_, admitted) in &rates.admitted {
+            self.rate.handle_report(PeerReport {
+                peer: u64::from(rates.zone),
+                n_nodes,
+                source: rates.source,
+                admitted: *admitted,
+                as_of_ms,
+            });
+        }
+    }
+
+    fn view(&self, now_ms: u64) -> ClusterView {
+        let own_zone = self.address.zone;
+        let peers = self.gossip.zones().map(|it| {
+            let n_nodes = it.state.n_nodes as usize - usize::from(it.state.zone == own_zone);
+            (n_nodes, now_ms - it.as_of_ms)
+        });
+        ClusterView::new(self.gossip.n_nodes(now_ms), self.gossip.state_age_ms(now_ms), peers)
+    }
+}
+
+fn encoded_bytes(message: &Message) -> usize {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).unwrap();
+    bytes.len()
+}
+
+#[test]
+fn every_node_sees_the_requests_of_all_others() {
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 1);
+        let end_ms = simulation.now_ms + SETTLED_MS;
+        assert!(simulation.run_until(end_ms, Simulation::is_converged), "{size:?}");
+        assert_eq!(simulation.nodes[0].gossip.n_nodes(simulation.now_ms), size.0, "{size:?}");
+        assert_eq!(simulation.nodes[0].gossip.n_live_nodes(simulation.now_ms), size.0, "{size:?}");
+    }
+}
+
+#[test]
+fn a_change_is_known_everywhere_after_a_few_intervals() {
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 2);
+        simulation.run_for(SETTLED_MS);
+        simulation.loss = 0.0;
+        simulation.nodes[1].loads[0].1.n_requests = 90;
+        // Up to one interval each at the node, at its delegate and at the delegate of the receiver, and the delays.
+        let bound_ms = 3 * simulation.interval_ms() + 100;
+        let end_ms = simulation.now_ms + bound_ms;
+        let is_known = simulation.run_until(end_ms, Simulation::is_converged);
+        assert!(is_known, "{size:?}: not within {bound_ms} ms");
+    }
+}
+
+#[test]
+fn state_converges_despite_lost_messages() {
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 3);
+        simulation.loss = 0.1;
+        let end_ms = simulation.now_ms + 2 * SETTLED_MS;
+        assert!(simulation.run_until(end_ms, Simulation::is_converged), "{size:?}");
+    }
+}
+
+#[test]
+fn a_lost_delegate_is_replaced_in_a_time_that_does_not_grow_with_the_nodes() {
+    for size in SIZES {
+        for n_lost in [1, 2] {
+            let mut simulation = Simulation::start(size, 4);
+            simulation.run_for(SETTLED_MS);
+            let mut in_zone: Vec<_> =
+                (0..size.0).filter(|it| simulation.nodes[*it].address.zone == 1).collect();
+            in_zone.sort_by_key(|it| simulation.nodes[*it].address.node);
+            if in_zone.len() <= n_lost {
+                continue;
+            }
+            for idx in &in_zone[..n_lost] {
+                simulation.nodes[*idx].is_dead = true;
+            }
+            // The silence of the lost delegates, the warm-up of the new primary, and three steps of the exchange.
+            let bound_ms = (3 + 2 + 3 + 1) * simulation.interval_ms() + 300 + 500;
+            let end_ms = simulation.now_ms + bound_ms;
+            let is_converged = simulation.run_until(end_ms, Simulation::is_converged);
+            assert!(is_converged, "{size:?}, {n_lost} lost: not within {bound_ms} ms");
+            let primaries = simulation.primaries_of(1);
+            assert_eq!(primaries, [in_zone[n_lost]], "{size:?}, {n_lost} lost");
+        }
+    }
+}
+
+#[test]
+fn a_delegate_that_wakes_after_a_freeze_takes_over_again() {
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 5);
+        simulation.run_for(SETTLED_MS);
+        let primary = simulation.primaries_of(1)[0];
+        simulation.nodes[primary].frozen_until_ms = simulation.now_ms + 6_000;
+        simulation.run_for(6_000);
+        assert!(!simulation.primaries_of(1).is_empty(), "{size:?}");
+        let end_ms = simulation.now_ms + SETTLED_MS;
+        let is_settled = |it: &Simulation| it.is_converged() && it.primaries_of(1) == [primary];
+        assert!(simulation.run_until(end_ms, is_settled), "{size:?}");
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_keeps_its_own_state_and_rejoins() {
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 6);
+        simulation.run_for(SETTLED_MS);
+        simulation.is_cut =
+            |a, b, it| (it.nodes[a].address.zone == 1) != (it.nodes[b].address.zone == 1);
+        simulation.run_for(10_000);
+        let n_in_zone = simulation.nodes.iter().filter(|it| it.address.zone == 1).count();
+        let inside = &simulation.nodes[0].gossip;
+        let outside = &simulation.nodes[1].gossip;
+        let now_ms = simulation.now_ms;
+        assert_eq!(inside.n_live_nodes(now_ms), n_in_zone, "{size:?}");
+        assert_eq!(outside.n_live_nodes(now_ms), size.0 - n_in_zone, "{size:?}");
+        assert_eq!(inside.n_nodes(now_ms), size.0, "{size:?}: the others still count");
+        simulation.is_cut = |_, _, _| false;
+        let end_ms = simulation.now_ms + SETTLED_MS;
+        assert!(simulation.run_until(end_ms, Simulation::is_converged), "{size:?}");
+    }
+}
+
+#[test]
+fn traffic_of_a_node_does_not_grow_with_the_nodes() {
+    /// Bytes per second that a node may use for control at the target size.
+    const BYTES_PER_S_MAX: usize = 5_000;
+    /// Number of nodes from which on the limit of the target size applies.
+    const LARGE_NODES: usize = 295;
+    /// Limit of smaller deployments, whose nodes exchange their state more often.
+    const SMALL_BYTES_PER_S_MAX: usize = 3 * BYTES_PER_S_MAX;
+    const DURATION_S: u64 = 10;
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 7);
+        simulation.counts_bytes = true;
+        simulation.run_for(SETTLED_MS);
+        for it in &mut simulation.nodes {
+            (it.bytes_sent, it.bytes_received) = (0, 0);
+        }
+        simulation.run_for(DURATION_S * 1_000);
+        let members = simulation.nodes.iter().filter(|it| it.gossip.role() == Role::Member);
+        let received = members.map(|it| it.bytes_received / DURATION_S as usize);
+        let received_max = received.max().unwrap_or_default();
+        let sent: usize = simulation.nodes.iter().map(|it| it.bytes_sent).sum();
+        let sent_mean = sent / size.0 / DURATION_S as usize;
+        println!(
+            "{size:?}: members receive up to {received_max} B/s, a node sends {sent_mean} B/s on average, interval {} ms",
+            simulation.interval_ms()
+        );
+        let limit = if size.0 < LARGE_NODES { SMALL_BYTES_PER_S_MAX } else { BYTES_PER_S_MAX };
+        assert!(received_max <= limit, "{size:?}: {received_max} B/s received");
+    }
+}
+
+#[test]
+fn a_shared_rate_holds_while_demand_shifts_and_nodes_are_lost() {
+    const WINDOW_MS: u64 = 8_000;
+    const DURATION_MS: u64 = 20_000;
+    /// Fraction by which operators allow the rate to be exceeded, and the fixed allowance.
+    const EXCESS_FRACTION: f64 = 0.1;
+    const EXCESS_FIXED: f64 = 140_000.0;
+    const COST: f64 = 12_000.0;
+    /// Minimum fraction of the rate that is used.
+    const USED_MIN: f64 = 0.6;
+    struct Case {
+        name: &'static str,
+        /// Time at which all demand moves to another zone, again and again.
+        shift_interval_ms: u64,
+        is_zone_cut: bool,
+        restarts_delegate: bool,
+        restarts_all: bool,
+    }
+    let base = Case {
+        name: "demand in one zone after the other",
+        shift_interval_ms: 1_000,
+        is_zone_cut: false,
+        restarts_delegate: false,
+        restarts_all: false,
+    };
+    let cases = [
+        Case { name: "a zone is cut off", is_zone_cut: true, ..base },
+        Case { name: "a delegate restarts", restarts_delegate: true, ..base },
+        Case { name: "all nodes restart", restarts_all: true, ..base },
+        base,
+    ];
+    for size in [(8, 4), (74, 4), (340, 31)] {
+        for case in &cases {
+            let mut simulation = Simulation::start(size, 8);
+            simulation.run_for(SETTLED_MS);
+            let start_ms = simulation.now_ms;
+            let mut admitted: Vec<(u64, f64)> = Vec::new();
+            let mut pending = 0.0;
+            while simulation.now_ms < start_ms + DURATION_MS {
+                let elapsed_ms = simulation.now_ms - start_ms;
+                if elapsed_ms == 8_000 {
+                    if case.is_zone_cut {
+                        simulation.is_cut = |a, b, it| {
+                            (it.nodes[a].address.zone == 1) != (it.nodes[b].address.zone == 1)
+                        };
+                    }
+                    if case.restarts_delegate {
+                        let primary = simulation.primaries_of(1)[0];
+                        simulation.restart(primary);
+                    }
+                    if case.restarts_all {
+                        for idx in 0..size.0 {
+                            simulation.restart(idx);
+                        }
+                    }
+                }
+                simulation.step();
+                pending += 5.0 * RATE.per_s * STEP_MS as f64 / 1_000.0;
+                let zone = (elapsed_ms / case.shift_interval_ms) as usize % size.1;
+                while COST <= pending {
+                    pending -= COST;
+                    let n_in_zone = size.0.div_ceil(size.1);
+                    let idx = zone + size.1 * simulation.rng.random_range(0..n_in_zone);
+                    if idx < size.0 && simulation.try_admit(idx, COST) {
+                        admitted.push((simulation.now_ms, COST));
+                    }
+                }
+            }
+            let sum_from = |from: u64| -> f64 {
+                let within = admitted.iter().filter(|it| (from..from + WINDOW_MS).contains(&it.0));
+                within.map(|it| it.1).sum()
+            };
+            let starts = (start_ms..start_ms + DURATION_MS - WINDOW_MS).step_by(100);
+            let worst = starts.map(sum_from).fold(0.0, f64::max);
+            let allowed = (RATE.per_s * WINDOW_MS as f64 / 1_000.0 + RATE.burst)
+                * (1.0 + EXCESS_FRACTION)
+                + EXCESS_FIXED;
+            let total: f64 = admitted.iter().map(|it| it.1).sum();
+            let used = total / (RATE.per_s * DURATION_MS as f64 / 1_000.0);
+            let name = case.name;
+            println!("{size:?} {name}: worst {:.3} of allowed, used {used:.3}", worst / allowed);
+            assert!(worst <= allowed, "{size:?} {name}: {worst} admitted, {allowed} allowed");
+            assert!(USED_MIN <= used, "{size:?} {name}: {used} used");
+        }
+    }
+}
--- a/crates/lentilhitch_policy/tests/shared_rate.rs
+++ b/crates/lentilhitch_policy/tests/shared_rate.rs
@@ -1,7 +1,7 @@
 //! Rate of a team shared by several nodes: a team above its rate, nodes cut off from each other, nodes killed at once.
 
 use lentilhitch_policy::{
-    shared_rate::{ClusterView, Settings, SharedRate},
+    shared_rate::{ClusterView, PeerReport, Settings, SharedRate},
     traffic::{RateUnit, TeamRate},
 };
 
@@ -161,7 +161,7 @@
             // Clients are distributed unevenly: a third of the requests arrive at one node.
             let node = if n_requests % 3 == 0 { 0 } else { n_requests % case.n_nodes };
             let others = last_received_ms[node].iter().enumerate().filter(|it| it.0 != node);
-            let ages_ms = others.map(|it| now_ms - it.1);
+            let ages_ms = others.map(|it| (1, now_ms - it.1));
             let view = ClusterView::new(case.n_nodes, case.gossip_ms, ages_ms);
             if nodes[node].try_admit(cost, view, now_ms).is_ok() {
                 admitted.push((now_ms, cost));
@@ -190,7 +190,13 @@
     let admitted = nodes[from].report();
     for (idx, node) in nodes.iter_mut().enumerate().filter(|it| it.0 != from) {
         if is_reachable(idx) {
-            node.handle_report(from as u64, incarnation, admitted, now_ms);
+            node.handle_report(PeerReport {
+                peer: from as u64,
+                n_nodes: 1,
+                source: incarnation,
+                admitted,
+                as_of_ms: now_ms,
+            });
         }
     }
 }
@@ -220,6 +226,22 @@
     assert_eq!(rate.try_admit(50_000.0, SINGLE_NODE, 500), Ok(()));
 }
 
+#[test]
+fn a_request_that_would_wait_for_milliseconds_is_admitted() {
+    for n_nodes in [1, 10, 340] {
+        let view = ClusterView { n_nodes, ..SINGLE_NODE };
+        let cost = RATE.per_s * 0.01 / n_nodes as f64;
+        let mut nodes: Vec<_> =
+            (0..n_nodes).map(|_| SharedRate::new(Settings::default(), RATE, 0, 0)).collect();
+        let admitted = nodes.iter_mut().flat_map(|node| {
+            (0..100).map(|_| f64::from(u8::from(node.try_admit(cost, view, 0).is_ok())) * cost)
+        });
+        let admitted: f64 = admitted.sum();
+        assert!(cost <= admitted, "{n_nodes} nodes: {admitted}");
+        assert!(admitted <= RATE.per_s * 0.021, "{n_nodes} nodes: {admitted}");
+    }
+}
+
 #[test]
 fn a_request_larger_than_the_burst_is_admitted_when_the_bucket_is_full() {
     let mut rate = SharedRate::new(Settings::default(), RATE, 10_000, 0);
