--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -188,7 +188,8 @@
     /// Sends this node's state, and what follows from its role as a delegate.
     async fn send_state(&self, socket: &UdpSocket) {
         let now_ms = self.now_ms();
-        let local_state = self.local_state();
+        let starts_interval = self.state.borrow().gossip.starts_interval();
+        let local_state = if starts_interval { self.local_state() } else { LocalState::default() };
         let (output, role, previous_role) = {
             let mut state = self.state.borrow_mut();
             let previous_role = state.gossip.role();
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -392,8 +392,15 @@
         SILENT_INTERVALS * interval_ms + DELAY_ALLOWANCE_MS
     }
 
+    /// Returns whether the next tick starts an interval, in which case it sends the state of this node. What the state
+    /// marks as sent, such as evidence, must not be taken for any other tick.
+    pub fn starts_interval(&self) -> bool {
+        self.slot == 0
+    }
+
     /// Sends this node's state and, if this node is a delegate, what the other nodes need of it. A primary has several
-    /// ticks in an interval, and sends summaries to some of the nodes of its zone in each.
+    /// ticks in an interval, and sends summaries to some of the nodes of its zone in each. The state is ignored unless
+    /// the tick starts an interval.
     pub fn tick(&mut self, state: LocalState, now_ms: u64) -> Output {
         let mut output = Output::default();
         self.number += 1;
@@ -403,7 +410,7 @@
             self.delegate_since_ms = None;
         }
         self.last_tick_ms = now_ms;
-        if self.slot == 0 {
+        if self.starts_interval() {
             self.start_interval(state, &mut output, now_ms);
         }
         if self.role == Role::Primary {
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -9,12 +9,13 @@
 use lentilhitch_policy::{
     gossip::{
         Gossip, Output, Role, Settings, Update,
-        message::{Loads, LocalState, Message, NodeAddress, StoreCopy, ZoneRates},
+        message::{Evidence, Loads, LocalState, Message, NodeAddress, StoreCopy, ZoneRates},
     },
     placement::InProgress,
     shared_rate::{self, ClusterView, PeerReport, SharedRate},
     traffic::{RateUnit, TeamRate},
 };
+use lentilhitch_types::Fingerprint;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use rustc_hash::FxHashMap;
 
@@ -38,7 +39,9 @@
     loads: Loads,
     /// Requests in progress of the other nodes, as last applied.
     others: FxHashMap<u32, InProgress>,
-    applied_ms: u64,
+    /// Evidence to report, and evidence that was received.
+    evidence: Evidence,
+    received_evidence: Evidence,
     rate: SharedRate,
     rates_due: bool,
     next_rates_ms: u64,
@@ -127,7 +130,8 @@
             next_tick_ms: self.now_ms + self.rng.random_range(0..300),
             loads: (0..N_UPSTREAMS as u32).map(|it| (it, load)).collect(),
             others: FxHashMap::default(),
-            applied_ms: 0,
+            evidence: Evidence::new(),
+            received_evidence: Evidence::new(),
             rate: SharedRate::new(
                 shared_rate::Settings::default(),
                 self.rate,
@@ -195,14 +199,10 @@
     fn tick(&mut self, idx: usize) {
         let now_ms = self.now_ms;
         let node = &mut self.nodes[idx];
-        let state = LocalState {
-            wall_ms: now_ms,
-            config: StoreCopy { version: 1, age_ms: 0 },
-            upstreams: StoreCopy { version: 1, age_ms: 100 },
-            loads: node.loads.clone(),
-            admitted: vec![(TEAM, node.rate.report())],
-            ..LocalState::default()
-        };
+        let mut state = LocalState::default();
+        if node.gossip.starts_interval() {
+            state = node.state(now_ms);
+        }
         let output = node.gossip.tick(state, now_ms);
         node.next_tick_ms = now_ms + node.gossip.next_tick_ms(false, now_ms);
         self.handle(idx, output);
@@ -273,7 +273,7 @@
         match update {
             Update::Cluster { summary, fresh_zones } => {
                 node.others = summary.loads.iter().copied().collect();
-                node.applied_ms = now_ms;
+                node.received_evidence.extend(&summary.evidence);
                 for zone in summary.zones.iter().filter(|it| fresh_zones.contains(&it.zone)) {
                     let (zone_id, source) = (zone.zone, zone.source);
                     let admitted = zone.admitted.clone();
@@ -326,6 +326,19 @@
 }
 
 impl Node {
+    /// Returns the state to report, and takes the evidence.
+    fn state(&mut self, now_ms: u64) -> LocalState {
+        LocalState {
+            wall_ms: now_ms,
+            config: StoreCopy { version: 1, age_ms: 0 },
+            upstreams: StoreCopy { version: 1, age_ms: 100 },
+            loads: self.loads.clone(),
+            admitted: vec![(TEAM, self.rate.report())],
+            evidence: std::mem::take(&mut self.evidence),
+            ..LocalState::default()
+        }
+    }
+
     fn apply_rates(&mut self, rates: &ZoneRates, as_of_ms: u64, now_ms: u64) {
         let is_own = rates.zone == self.address.zone;
         let n_nodes = self.gossip.n_nodes_in(rates.zone, now_ms) - usize::from(is_own);
@@ -454,6 +467,26 @@
     }
 }
 
+#[test]
+fn evidence_of_a_primary_and_of_a_member_reaches_all_nodes() {
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 9);
+        simulation.run_for(SETTLED_MS);
+        let primary = simulation.primaries_of(1)[0];
+        let mut expected = Evidence::new();
+        for (idx, crash) in [(primary, 1), (size.0 - 1, 2)] {
+            let piece = (Fingerprint::of(&[b"request"]), crash);
+            expected.push(piece);
+            simulation.nodes[idx].evidence.push(piece);
+        }
+        let is_known = |it: &Simulation| {
+            it.nodes.iter().all(|it| expected.iter().all(|e| it.received_evidence.contains(e)))
+        };
+        let end_ms = simulation.now_ms + SETTLED_MS;
+        assert!(simulation.run_until(end_ms, is_known), "{size:?}");
+    }
+}
+
 #[test]
 fn traffic_of_a_node_does_not_grow_with_the_nodes() {
     /// Bytes per second that a node may use for control at the target size.
