--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -86,9 +86,14 @@
         let result = match res {
             Ok(FetchResult::Records { records, next, .. }) => {
                 node.record_config_read();
+                let previous_version = node.config_version();
                 for record in records {
                     node.apply_config_record(record, "store");
                 }
+                let version = node.config_version();
+                if previous_version < version && node.is_store_reader() {
+                    node.announce_config(version);
+                }
                 CallResult::UpTo(next)
             }
             Ok(FetchResult::Expired) => CallResult::Expired,
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -49,6 +49,8 @@
 const DATAGRAM_BYTES_MAX: usize = 64 * 1024;
 /// Maximum number of pieces of evidence of crashes in one report.
 const EVIDENCE_PER_MESSAGE_MAX: usize = 32;
+/// Number of times that a new configuration is announced.
+const CONFIG_ANNOUNCEMENTS: u8 = 3;
 /// Number of summaries in a row with another list of upstreams after which a node reads the list itself.
 const LIST_MISMATCHES_MAX: u32 = 2;
 
@@ -60,6 +62,9 @@
     /// Usage counts of the sender, for the holder of the duty lease.
     #[serde(rename = "c")]
     Counts(NodeCounts),
+    /// Version of a configuration that the sender has read from the store, sent to the other nodes of its zone.
+    #[serde(rename = "v")]
+    ConfigVersion(u64),
     /// Changed upstream entries that the sender has read from the store, sent to the other nodes of its zone.
     #[serde(rename = "r")]
     UpstreamUpdates(Vec<UpstreamUpdate>),
@@ -160,11 +165,15 @@
         state.gossip.next_tick_ms(!state.evidence.is_empty(), now_ms)
     }
 
-    /// Returns whether a reachable zone has a newer configuration than this node, or this node has none.
+    /// Returns whether a newer configuration than that of this node was announced or is in force in a reachable zone, or
+    /// this node has none.
     pub(crate) fn is_config_outdated(&self) -> bool {
         let now_ms = self.now_ms();
         let state = self.state.borrow();
         let Some(route_table) = &state.route_table else { return true };
+        if route_table.config.version < state.announced_config_version {
+            return true;
+        }
         let mut reachable = state.gossip.zones().filter(|it| it.is_reachable(now_ms));
         reachable.any(|it| route_table.config.version < it.state.config.version)
     }
@@ -256,6 +265,15 @@
         }
     }
 
+    /// Announces a new configuration to the other nodes of the zone. The announcement is sent several times, because
+    /// datagrams get lost, and summaries alone may arrive too late.
+    pub(crate) fn announce_config(&self, version: u64) {
+        let addresses = self.state.borrow().gossip.zone_addresses();
+        for _ in 0..CONFIG_ANNOUNCEMENTS {
+            self.send_to(&Datagram::ConfigVersion(version), &addresses);
+        }
+    }
+
     fn send_to(&self, datagram: &Datagram, addresses: &[SocketAddr]) {
         let Some(bytes) = encode(datagram) else { return };
         for address in addresses {
@@ -332,6 +350,10 @@
                     self.rates_due.notify_one();
                 }
             }
+            Datagram::ConfigVersion(version) => {
+                let mut state = self.state.borrow_mut();
+                state.announced_config_version = version.max(state.announced_config_version);
+            }
             Datagram::UpstreamUpdates(updates) => self.apply_updates(updates),
             Datagram::Counts(counts) => {
                 let mut state = self.state.borrow_mut();
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -81,6 +81,8 @@
     pub(crate) local_config_read_ms: u64,
     /// When this node itself last read the list of upstreams from the store, or 0 if it never did.
     pub(crate) local_list_read_ms: u64,
+    /// Highest version of a configuration that a node of the zone has announced.
+    pub(crate) announced_config_version: u64,
     /// This node's copy of the list of upstreams.
     pub(crate) catalog: Catalog,
     /// Load of each upstream, as known to this node.
@@ -192,6 +194,7 @@
             config_read_ms: 0,
             local_config_read_ms: 0,
             local_list_read_ms: 0,
+            announced_config_version: 0,
             catalog: Catalog::new(catalog::Settings::default()),
             load_table: LoadTable::new(
                 placement::Settings {
