Relay: log how an upstream's body ended and how many bytes of a partial event it left

Cause: the lines `stream ended` and `resuming stream in a new attempt` could not distinguish the hypotheses of the incident: a body that ends with its connection, an error that a lower layer turned into an end, a run stopped by a KV cache transfer. Change: both lines carry `body_end` (explicit, connection end, error) and `partial_bytes`. No behavior changes.

--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use lentilhitch_policy::{
     events::{EventSplitter, EventTooLarge},
     placement::AttemptResult,
+    stream_end::EndMarker,
     traffic::UpstreamEntry,
 };
 
@@ -62,7 +63,12 @@
     let status = response.parts.status;
     let (chunks, body) = mpsc::channel(QUEUED_CHUNKS_MAX);
     let resume_after = attempts.admitted.head.resume_after;
-    let relay = StreamRelay { attempts, chunks, splitter: EventSplitter::after(resume_after) };
+    let relay = StreamRelay {
+        attempts,
+        chunks,
+        splitter: EventSplitter::after(resume_after),
+        body_end: None,
+    };
     tokio::task::spawn_local(relay.run(response));
     let mut response = Response::new(ResponseBody::chunks(body));
     *response.status_mut() = status;
@@ -74,6 +80,17 @@
     attempts: Attempts<P>,
     chunks: Sender<Result<Bytes, StreamAborted>>,
     splitter: EventSplitter,
+    /// End of the body that was read last. `None` before the first end.
+    body_end: Option<BodyEnd>,
+}
+
+/// End of the body of one upstream's response, for the logs.
+#[derive(Clone, Copy)]
+struct BodyEnd {
+    /// Marker of the end, or `error` if reading the body failed.
+    how: &'static str,
+    /// Number of bytes that followed the last complete event.
+    n_partial_bytes: usize,
 }
 
 /// What has become of a chunk of a stream.
@@ -142,7 +159,8 @@
             return None;
         }
         let last_id = self.splitter.last_id();
-        log::info!(request = self.id(), why = reason, last_id; "resuming stream in a new attempt");
+        let (body_end, partial_bytes) = self.body_end_fields();
+        log::info!(request = self.id(), why = reason, last_id, body_end, partial_bytes; "resuming stream in a new attempt");
         let response = self.attempts.next_response(last_id).await.ok()?;
         self.attempts.log_response(&response.entry.id, response.parts.status.as_u16());
         response.parts.status.is_success().then_some(*response)
@@ -150,6 +168,7 @@
 
     /// Passes on the stream of one upstream until it ends or is interrupted.
     async fn relay_response(&mut self, response: UpstreamResponse<P>) -> RelayOutcome {
+        let marker = response.end_marker();
         let UpstreamResponse { parts, mut body, connection, mut assignment, entry } = response;
         let node = self.attempts.node.clone();
         let deadline_at_ms = self.attempts.admitted.deadline_at_ms;
@@ -164,7 +183,7 @@
         let mut is_transfer_due = false;
         loop {
             tokio::select! {
-                frame = body.frame() => match frame {
+                frame = body.frame() => match self.record_body_end(marker, frame) {
                     Some(Ok(frame)) => {
                         let Ok(data) = frame.into_data() else { continue };
                         assignment.set_result(AttemptResult::Served);
@@ -183,8 +202,8 @@
                             }
                         }
                     }
-                    Some(Err(_)) | None if transfer.is_some() => {
-                        let is_complete = frame.is_none();
+                    end @ (Some(Err(_)) | None) if transfer.is_some() => {
+                        let is_complete = end.is_none();
                         assignment.set_result(AttemptResult::Served);
                         return self.finish_transfer(transfer.take(), is_complete).await;
                     }
@@ -244,6 +263,21 @@
         }
     }
 
+    /// Passes a frame through. Records the end of the body.
+    fn record_body_end<F, E>(
+        &mut self,
+        marker: EndMarker,
+        frame: Option<Result<F, E>>,
+    ) -> Option<Result<F, E>> {
+        let how = match frame {
+            Some(Ok(_)) => return frame,
+            Some(Err(_)) => "error",
+            None => marker.as_str(),
+        };
+        self.body_end = Some(BodyEnd { how, n_partial_bytes: self.splitter.n_partial_bytes() });
+        frame
+    }
+
     /// Waits for the result of a KV cache transfer after the stream from the source of the transfer has ended.
     async fn finish_transfer<F>(
         &mut self,
@@ -318,7 +352,13 @@
     fn log_end(&self, outcome: &'static str) {
         let elapsed_ms = self.attempts.node.now_ms() - self.attempts.admitted.arrived_ms;
         let last_id = self.splitter.last_id();
-        log::info!(request = self.id(), how = outcome, last_id, elapsed_ms; "stream ended");
+        let (body_end, partial_bytes) = self.body_end_fields();
+        log::info!(request = self.id(), how = outcome, last_id, body_end, partial_bytes, elapsed_ms; "stream ended");
+    }
+
+    /// Returns the fields of [`BodyEnd`], if a body has ended.
+    fn body_end_fields(&self) -> (Option<&'static str>, Option<usize>) {
+        (self.body_end.map(|it| it.how), self.body_end.map(|it| it.n_partial_bytes))
     }
 
     fn log_transfer(&self, from: &str, to: &UpstreamEntry) {
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -3,13 +3,15 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, header, response};
+use http::{HeaderValue, Request, header, response};
+use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use lentilhitch_policy::{
     placement::{Assignment, AttemptResult},
+    stream_end::EndMarker,
     traffic::{Repeat, UpstreamEntry},
 };
 
@@ -276,6 +278,21 @@
 }
 
 impl<P: Platform> UpstreamResponse<P> {
+    /// Returns how the end of the body is marked.
+    pub(crate) fn end_marker(&self) -> EndMarker {
+        let headers = &self.parts.headers;
+        let is_chunked = |value: &HeaderValue| {
+            let last = value.as_bytes().rsplit(|it| *it == b',').next().unwrap_or_default();
+            last.trim_ascii().eq_ignore_ascii_case(b"chunked")
+        };
+        // A transfer coding takes precedence over a length.
+        let is_explicit = match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+            Some(value) => is_chunked(value),
+            None => headers.contains_key(header::CONTENT_LENGTH) || self.body.is_end_stream(),
+        };
+        if is_explicit { EndMarker::Explicit } else { EndMarker::ConnectionEnd }
+    }
+
     /// Reads the complete response. The connection returns to the pool unless the read fails.
     pub(crate) async fn read_to_end(
         mut self,
--- a/crates/lentilhitch_policy/src/events.rs
+++ b/crates/lentilhitch_policy/src/events.rs
@@ -49,6 +49,11 @@
         self.last_id
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn n_partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Removes and returns the bytes after the last complete event. Even a stream that ends normally may leave some.
     pub fn take_rest(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod retry;
 pub mod routing;
 pub mod shared_rate;
+pub mod stream_end;
 pub mod suspects;
 pub mod synced_clock;
 pub mod traffic;
