Tests for streams that are broken off without an error fail on this code

Change: the byte-by-byte stand-in sends a script of responses, closes or resets connections, and answers KV cache transfers; the test file edge_unframed uses it.

--- a/crates/lentilhitch/tests/edge_garbage.rs
+++ b/crates/lentilhitch/tests/edge_garbage.rs
@@ -3,7 +3,7 @@
 
 use lentilhitch_standin::{
     harness::until,
-    users_platform::{RawResponse, RawUpstream, Site, SiteOptions},
+    users_platform::{RawEnd, RawResponse, RawScript, RawUpstream, Site, SiteOptions},
 };
 
 /// Memory of the smallest machines that nodes run on.
@@ -29,7 +29,7 @@
 const LOST: Case = Case {
     name: "",
     path: "/book/x",
-    response: RawResponse { start: "", repeated: "" },
+    response: RawResponse { start: "", end: RawEnd::Repeat("") },
     status: 502,
     is_complete: true,
 };
@@ -40,30 +40,39 @@
             name: "header fields",
             response: RawResponse {
                 start: with_head!(""),
-                repeated: "x-filler: aaaaaaaaaaaaaaaa\r\n",
+                end: RawEnd::Repeat("x-filler: aaaaaaaaaaaaaaaa\r\n"),
             },
             ..LOST
         },
         Case {
             name: "one header field",
-            response: RawResponse { start: with_head!("x-filler: "), repeated: "aaaaaaaaaaaaaaaa" },
+            response: RawResponse {
+                start: with_head!("x-filler: "),
+                end: RawEnd::Repeat("aaaaaaaaaaaaaaaa"),
+            },
             ..LOST
         },
         Case {
             name: "informational responses",
-            response: RawResponse { start: "", repeated: "HTTP/1.1 103 Early Hints\r\n\r\n" },
+            response: RawResponse {
+                start: "",
+                end: RawEnd::Repeat("HTTP/1.1 103 Early Hints\r\n\r\n"),
+            },
             ..LOST
         },
         Case {
             name: "no protocol",
-            response: RawResponse { start: "", repeated: "these bytes are no response " },
+            response: RawResponse {
+                start: "",
+                end: RawEnd::Repeat("these bytes are no response "),
+            },
             ..LOST
         },
         Case {
             name: "chunk extension",
             response: RawResponse {
                 start: with_head!("transfer-encoding: chunked\r\n\r\n5;"),
-                repeated: "a=b;",
+                end: RawEnd::Repeat("a=b;"),
             },
             ..LOST
         },
@@ -71,7 +80,7 @@
             name: "chunks",
             response: RawResponse {
                 start: with_head!("transfer-encoding: chunked\r\n\r\n"),
-                repeated: "10\r\naaaaaaaaaaaaaaaa\r\n",
+                end: RawEnd::Repeat("10\r\naaaaaaaaaaaaaaaa\r\n"),
             },
             ..LOST
         },
@@ -79,7 +88,7 @@
             name: "trailers",
             response: RawResponse {
                 start: with_head!("transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"),
-                repeated: "x-filler: aaaaaaaaaaaaaaaa\r\n",
+                end: RawEnd::Repeat("x-filler: aaaaaaaaaaaaaaaa\r\n"),
             },
             ..LOST
         },
@@ -87,7 +96,7 @@
             name: "body without a length",
             response: RawResponse {
                 start: with_head!("connection: close\r\n\r\n"),
-                repeated: "aaaaaaaaaaaaaaaa",
+                end: RawEnd::Repeat("aaaaaaaaaaaaaaaa"),
             },
             ..LOST
         },
@@ -96,7 +105,7 @@
             path: "/ask/x",
             response: RawResponse {
                 start: with_head!("content-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n"),
-                repeated: "aaaaaaaaaaaaaaaa",
+                end: RawEnd::Repeat("aaaaaaaaaaaaaaaa"),
             },
             status: 200,
             is_complete: false,
@@ -105,7 +114,7 @@
             name: "bytes after a complete response",
             response: RawResponse {
                 start: with_head!("content-length: 5\r\n\r\nhello"),
-                repeated: "aaaaaaaaaaaaaaaa",
+                end: RawEnd::Repeat("aaaaaaaaaaaaaaaa"),
             },
             status: 200,
             ..LOST
@@ -119,8 +128,8 @@
     for case in cases() {
         let site = Site::start_without_waiting(options).await.unwrap();
         let service = if case.path == "/ask/x" { "draft" } else { "filing" };
-        let upstream =
-            RawUpstream::start(&site.store, "raw-0", service, case.response).await.unwrap();
+        let script = RawScript::new(vec![case.response]);
+        let upstream = RawUpstream::start(&site.store, "raw-0", service, script).await.unwrap();
         site.until_ready().await.unwrap();
         for id in ["g1", "g2"] {
             let n_closed = upstream.n_closed();
--- /dev/null
+++ b/crates/lentilhitch/tests/edge_unframed.rs
@@ -0,0 +1,215 @@
+//! Responses whose end is marked only by the end of their connection, or not at all: what the client receives as complete
+//! is complete.
+
+use lentilhitch_standin::{
+    harness::until,
+    users_platform::{
+        Behavior, ClientResponse, RawEnd, RawResponse, RawScript, RawUpstream, Site, SiteOptions,
+        Upstream,
+    },
+};
+use serde_json::json;
+
+/// Head of a response without length and chunks, followed by the start of its body.
+macro_rules! unframed {
+    ($body:literal) => {
+        concat!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-stamp: s\r\n\r\n", $body)
+    };
+}
+
+/// Head of a chunked response, followed by the start of its body.
+macro_rules! chunked {
+    ($body:literal) => {
+        concat!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-stamp: s\r\n",
+            "transfer-encoding: chunked\r\n\r\n",
+            $body
+        )
+    };
+}
+
+const OPTIONS: SiteOptions =
+    SiteOptions { n_nodes: 1, n_engines: 0, n_applications: 0, usage_window_s: 1.0 };
+
+async fn start(service: &str, script: RawScript) -> (Site, RawUpstream) {
+    let site = Site::start_without_waiting(OPTIONS).await.unwrap();
+    let upstream = RawUpstream::start(&site.store, "raw-0", service, script).await.unwrap();
+    site.until_ready().await.unwrap();
+    (site, upstream)
+}
+
+/// Reads a response whose connection is reset after its first bytes.
+async fn call_with_reset(site: &Site, upstream: &RawUpstream, path: &str) -> ClientResponse {
+    let call = site.call(0, "u1", path);
+    let reset = async {
+        until("the request is at the upstream", || async { 0 < upstream.n_requests() }).await?;
+        upstream.allow_resets();
+        anyhow::Ok(())
+    };
+    let (response, reset) = tokio::join!(call, reset);
+    reset.unwrap();
+    response.unwrap()
+}
+
+/// Guards against streams that an upstream broke off inside an event and that reached the client as complete.
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_is_not_completed() {
+    struct Case {
+        name: &'static str,
+        start: &'static str,
+        event_ids: &'static [u64],
+        is_complete: bool,
+    }
+    let cases = [
+        Case {
+            name: "after an event",
+            start: unframed!("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+            event_ids: &[1, 2],
+            is_complete: true,
+        },
+        Case {
+            name: "after a comment",
+            start: unframed!("id: 1\ndata: a\n\n: end\n"),
+            event_ids: &[1],
+            is_complete: true,
+        },
+        Case {
+            name: "inside the data of an event",
+            start: unframed!("id: 1\ndata: a\n\nid: 2\nda"),
+            event_ids: &[1],
+            is_complete: false,
+        },
+        Case {
+            name: "before the empty line of an event",
+            start: unframed!("id: 1\ndata: a\n\nid: 2\ndata: b\n"),
+            event_ids: &[1],
+            is_complete: false,
+        },
+        Case {
+            name: "before the first event",
+            start: unframed!(""),
+            event_ids: &[],
+            is_complete: false,
+        },
+        Case {
+            name: "chunks, with a last chunk inside an event",
+            start: chunked!("f\r\nid: 1\ndata: a\n\n\r\n8\r\nid: 2\nda\r\n0\r\n\r\n"),
+            event_ids: &[1],
+            is_complete: false,
+        },
+        Case {
+            name: "chunks, without the last one",
+            start: chunked!("f\r\nid: 1\ndata: a\n\n\r\n"),
+            event_ids: &[1],
+            is_complete: false,
+        },
+        Case {
+            name: "chunks, with the last one after an event",
+            start: chunked!("f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"),
+            event_ids: &[1],
+            is_complete: true,
+        },
+    ];
+    for case in cases {
+        let response = RawResponse { start: case.start, end: RawEnd::Close };
+        let (site, _upstream) = start("draft", RawScript::new(vec![response])).await;
+        let response = site.call(0, "u1", "/ask/x").await.unwrap();
+        assert_eq!(response.status, 200, "{}: {response:?}", case.name);
+        assert_eq!(response.is_complete, case.is_complete, "{}: {response:?}", case.name);
+        assert_eq!(response.event_ids(), case.event_ids, "{}: {response:?}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_is_resumed_if_the_route_allows_it() {
+    let cases = [
+        ("inside an event", unframed!("id: 1\ndata: a\n\nid: 2\nda")),
+        ("before the first event", unframed!("")),
+    ];
+    for (name, start_text) in cases {
+        let resumed = match name {
+            "inside an event" => unframed!("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+            _ => unframed!("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+        };
+        let responses =
+            [start_text, resumed].map(|start| RawResponse { start, end: RawEnd::Close });
+        let (site, upstream) = start("draft", RawScript::new(responses.into())).await;
+        let response = site.call(0, "u1", "/review/x").await.unwrap();
+        assert!(response.is_complete, "{name}: {response:?}");
+        assert_eq!(response.event_ids(), [1, 2, 3], "{name}: {response:?}");
+        assert_eq!(upstream.n_requests(), 2, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn response_without_length_is_complete_only_if_its_connection_is_closed_in_order() {
+    let response = |end| RawResponse { start: unframed!("booked"), end };
+    let (site, _upstream) = start("filing", RawScript::new(vec![response(RawEnd::Close)])).await;
+    let closed = site.call(0, "u1", "/book/x").await.unwrap();
+    assert_eq!((closed.status, &closed.body[..]), (200, &b"booked"[..]));
+    assert!(closed.is_complete);
+
+    let (site, upstream) = start("filing", RawScript::new(vec![response(RawEnd::Reset)])).await;
+    let reset = call_with_reset(&site, &upstream, "/book/x").await;
+    assert_eq!(reset.status, 502, "{reset:?}");
+
+    let stream = RawResponse { start: unframed!("id: 1\ndata: a\n\n"), end: RawEnd::Reset };
+    let (site, upstream) = start("draft", RawScript::new(vec![stream])).await;
+    let reset = call_with_reset(&site, &upstream, "/ask/x").await;
+    assert!(!reset.is_complete, "{reset:?}");
+}
+
+/// Guards against runs that a KV cache transfer has stopped and whose streams reached the client as complete.
+#[tokio::test]
+async fn stream_of_a_run_that_a_transfer_may_have_stopped_is_not_completed() {
+    struct Case {
+        name: &'static str,
+        kv_transfer: &'static str,
+        is_complete: bool,
+    }
+    let cases = [
+        Case {
+            name: "the run had ended before",
+            kv_transfer: "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+            is_complete: true,
+        },
+        Case {
+            name: "the upstream states no copy",
+            kv_transfer: "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n",
+            is_complete: false,
+        },
+        Case {
+            name: "the response to the transfer is lost",
+            kv_transfer: "HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\n{",
+            is_complete: false,
+        },
+    ];
+    for case in cases {
+        let response =
+            RawResponse { start: unframed!("id: 1\ndata: a\n\n"), end: RawEnd::CloseOnTransfer };
+        let script = RawScript { kv_transfer: case.kv_transfer, ..RawScript::new(vec![response]) };
+        let (site, upstream) = start("draft", script).await;
+        let mut response = site.request(0, "u1", "/ask/x").send().await.unwrap();
+        response.chunk().await.unwrap();
+        let _other = Upstream::start_with_entry(&site.store, "engine-9", "draft", Behavior::Full)
+            .await
+            .unwrap();
+        until("the other engine is known", || async {
+            site.nodes[0].process.log_text().contains("engine-9")
+        })
+        .await
+        .unwrap();
+        upstream.write_entry(
+            &site.store,
+            &json!({ "state": "draining", "leaves_ms": 1_000, "seq": 2 }),
+        );
+        let is_complete = loop {
+            match response.chunk().await {
+                Ok(Some(_)) => {}
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        assert_eq!(is_complete, case.is_complete, "{}", case.name);
+    }
+}
--- a/crates/lentilhitch_standin/src/users_platform.rs
+++ b/crates/lentilhitch_standin/src/users_platform.rs
@@ -10,7 +10,7 @@
 mod upstream;
 
 pub use log_store::{LogStore, StoreFault};
-pub use raw_upstream::{RawResponse, RawUpstream};
+pub use raw_upstream::{RawEnd, RawResponse, RawScript, RawUpstream};
 pub use site::{Client, ClientResponse, Site, SiteOptions};
 pub use upstream::{Behavior, ExecutedRequest, Upstream};
 
