Streams that end inside an event are broken off, however their end is marked

What callers saw: a response with status 200 and a complete framing whose last events are missing. Cause: the relay took the end of an upstream's body for the end of the stream, and passed a partial event on. A body without length and chunks ends with its connection, so a crash that closes the connection in order looks like its end. Change: the pure module stream_end decides whether a stream is complete. It is not if it ends inside an event, nor if it ends with its connection before its first event. Then it is resumed where the route allows it and aborted otherwise, the attempt counts as failed, and the connection as broken, so crashes of such upstreams reach the quarantine. Comments after the last event are passed on as before. Conclusion: the end at an event boundary of a connection closed in order stays a complete stream, as the protocol states.

--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use lentilhitch_policy::{
     events::{EventSplitter, EventTooLarge},
     placement::AttemptResult,
-    stream_end::EndMarker,
+    stream_end::{EndMarker, StreamEnd},
     traffic::UpstreamEntry,
 };
 
@@ -154,7 +154,6 @@
     /// another attempt. The upstream is chosen anew. Unlike this, [`Attempts::resume_from_copy`] continues the run at
     /// one given upstream.
     async fn resume(&mut self, reason: &'static str) -> Option<UpstreamResponse<P>> {
-        self.splitter.take_rest();
         if !self.attempts.may_retry() {
             return None;
         }
@@ -168,6 +167,7 @@
 
     /// Passes on the stream of one upstream until it ends or is interrupted.
     async fn relay_response(&mut self, response: UpstreamResponse<P>) -> RelayOutcome {
+        self.splitter.start_body();
         let marker = response.end_marker();
         let UpstreamResponse { parts, mut body, connection, mut assignment, entry } = response;
         let node = self.attempts.node.clone();
@@ -202,24 +202,26 @@
                             }
                         }
                     }
-                    end @ (Some(Err(_)) | None) if transfer.is_some() => {
-                        let is_complete = end.is_none();
+                    end => {
+                        let is_error = end.is_some();
+                        let is_connection_broken = is_error || marker == EndMarker::ConnectionEnd;
+                        let was_transfer_pending = transfer.is_some();
+                        let outcome = self.finish_body(is_error, marker, transfer.take()).await;
                         assignment.set_result(AttemptResult::Served);
-                        return self.finish_transfer(transfer.take(), is_complete).await;
-                    }
-                    Some(Err(_)) => {
-                        assignment.set_result(AttemptResult::Failed);
-                        record_broken_connection_and_probe(&node, self.attempts.admitted.fingerprint, &entry);
-                        return RelayOutcome::Broken("stream broke off");
-                    }
-                    None => {
-                        assignment.set_result(AttemptResult::Served);
-                        node.pool.put(&entry.id, connection, keep_alive_ms(&parts), node.clock);
-                        let rest = self.splitter.take_rest();
-                        if !rest.is_empty() && self.chunks.send(Ok(rest)).await.is_err() {
-                            return RelayOutcome::ClientDisconnected;
+                        match &outcome {
+                            RelayOutcome::Broken(_) if !was_transfer_pending => {
+                                assignment.set_result(AttemptResult::Failed);
+                                if is_connection_broken {
+                                    let fingerprint = self.attempts.admitted.fingerprint;
+                                    record_broken_connection_and_probe(&node, fingerprint, &entry);
+                                }
+                            }
+                            RelayOutcome::Complete => {
+                                node.pool.put(&entry.id, connection, keep_alive_ms(&parts), node.clock);
+                            }
+                            _ => {}
                         }
-                        return RelayOutcome::Complete;
+                        return outcome;
                     }
                 },
                 () = self.chunks.closed() => {
@@ -254,7 +256,6 @@
                                 Pushed::Progress | Pushed::NoProgress => {}
                             }
                         }
-                        self.splitter.take_rest();
                         assignment.set_result(AttemptResult::Served);
                         return RelayOutcome::Transferred(to, kv_copy);
                     }
@@ -278,24 +279,37 @@
         frame
     }
 
-    /// Waits for the result of a KV cache transfer after the stream from the source of the transfer has ended.
-    async fn finish_transfer<F>(
+    /// Handles the end of the body of one upstream's response. If a KV cache transfer is pending, waits for its result.
+    async fn finish_body<F>(
         &mut self,
-        transfer: Option<Pin<Box<F>>>,
-        is_complete: bool,
+        is_error: bool,
+        marker: EndMarker,
+        transfer: Option<F>,
     ) -> RelayOutcome
     where
         F: Future<Output = Option<(UpstreamEntry, KvCopy)>>,
     {
-        let Some(transfer) = transfer else { return RelayOutcome::Broken("stream broke off") };
-        match transfer.await {
-            Some((to, kv_copy)) => {
-                self.splitter.take_rest();
-                RelayOutcome::Transferred(to, kv_copy)
-            }
-            None if is_complete => RelayOutcome::Complete,
-            None => RelayOutcome::Broken("stream broke off"),
+        if let Some(transfer) = transfer
+            && let Some((to, kv_copy)) = transfer.await
+        {
+            return RelayOutcome::Transferred(to, kv_copy);
+        }
+        if is_error {
+            return RelayOutcome::Broken("stream broke off");
+        }
+        let end = StreamEnd {
+            marker,
+            has_event: self.splitter.has_event(),
+            is_inside_event: self.splitter.is_inside_event(),
+        };
+        if let Some(reason) = end.incomplete_reason() {
+            return RelayOutcome::Broken(reason);
+        }
+        let rest = self.splitter.take_rest();
+        if !rest.is_empty() && self.chunks.send(Ok(rest)).await.is_err() {
+            return RelayOutcome::ClientDisconnected;
         }
+        RelayOutcome::Complete
     }
 
     /// Passes on the events that are complete now. Only a new event is progress: an engine that has stalled may still
--- a/crates/lentilhitch_policy/src/events.rs
+++ b/crates/lentilhitch_policy/src/events.rs
@@ -14,6 +14,8 @@
 pub struct EventSplitter {
     partial: BytesMut,
     last_id: Option<u64>,
+    /// Whether the current body has contained a complete event.
+    has_event: bool,
 }
 
 impl EventSplitter {
@@ -22,6 +24,12 @@
         Self { last_id, ..Self::default() }
     }
 
+    /// Starts the body of another response, which continues after the last event. Discards the bytes of a partial event.
+    pub fn start_body(&mut self) {
+        self.partial.clear();
+        self.has_event = false;
+    }
+
     /// Appends a chunk. Returns the bytes of all events that are complete now, unchanged, if there are any.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
         // A line end of an earlier chunk may belong to the end of an event in this chunk.
@@ -36,7 +44,8 @@
         };
         let end = searched_from + end;
         let complete = self.partial.split_to(end).freeze();
-        for line in complete.split(|it| *it == b'\n') {
+        for line in lines(&complete) {
+            self.has_event |= is_field(line);
             if let Some(id) = parse_id(line) {
                 self.last_id = Some(id);
             }
@@ -49,17 +58,42 @@
         self.last_id
     }
 
+    /// Returns whether the current body has contained a complete event. Comments are not events.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
+    /// Returns whether an event has started that is not complete.
+    pub fn is_inside_event(&self) -> bool {
+        let is_inside_line = self.partial.last().is_some_and(|it| !is_line_end(*it));
+        is_inside_line || lines(&self.partial).any(is_field)
+    }
+
     /// Returns the number of bytes after the last complete event.
     pub fn n_partial_bytes(&self) -> usize {
         self.partial.len()
     }
 
-    /// Removes and returns the bytes after the last complete event. Even a stream that ends normally may leave some.
+    /// Removes and returns the bytes after the last complete event, for example a comment.
     pub fn take_rest(&mut self) -> Bytes {
         self.partial.split().freeze()
     }
 }
 
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+/// Returns the lines of a text. A pair of carriage return and line feed gives an additional empty line.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    bytes.split(|it| is_line_end(*it))
+}
+
+/// Returns whether a line is a field of an event, rather than empty or a comment.
+fn is_field(line: &[u8]) -> bool {
+    !line.is_empty() && !line.starts_with(b":")
+}
+
 /// Size of the longest end of an event.
 const EVENT_END_BYTES_MAX: usize = 4;
 
--- a/crates/lentilhitch_policy/src/stream_end.rs
+++ b/crates/lentilhitch_policy/src/stream_end.rs
@@ -1,4 +1,7 @@
-//! The end of the body of an event stream.
+//! Decides whether an event stream whose body has ended is complete.
+//!
+//! A body that ends with its connection has no mark of its own: an upstream that crashes may close the connection in the
+//! same way as one that has finished. Such a stream is complete only if it ends right after an event.
 
 /// How the framing of a response marks the end of its body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,3 +21,27 @@
         }
     }
 }
+
+/// End of the body of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamEnd {
+    pub marker: EndMarker,
+    /// Whether the body contained a complete event.
+    pub has_event: bool,
+    /// Whether the body ended after the start of an event that is not complete.
+    pub is_inside_event: bool,
+}
+
+impl StreamEnd {
+    /// Returns why the stream is not complete, or `None` if it is.
+    pub fn incomplete_reason(self) -> Option<&'static str> {
+        let is_unmarked = self.marker == EndMarker::ConnectionEnd;
+        if self.is_inside_event {
+            Some("stream ended inside an event")
+        } else if is_unmarked && !self.has_event {
+            Some("stream ended before its first event")
+        } else {
+            None
+        }
+    }
+}
--- a/crates/lentilhitch_policy/tests/events.rs
+++ b/crates/lentilhitch_policy/tests/events.rs
@@ -56,6 +56,67 @@
     }
 }
 
+#[test]
+fn partial_events_are_told_from_comments_and_empty_lines() {
+    struct Case {
+        name: &'static str,
+        chunks: &'static [&'static str],
+        has_event: bool,
+        is_inside_event: bool,
+    }
+    const EVENT: &str = "id: 1\ndata: a\n\n";
+    let cases = [
+        Case { name: "nothing", chunks: &[], has_event: false, is_inside_event: false },
+        Case { name: "one event", chunks: &[EVENT], has_event: true, is_inside_event: false },
+        Case {
+            name: "the start of a field",
+            chunks: &[EVENT, "d"],
+            has_event: true,
+            is_inside_event: true,
+        },
+        Case {
+            name: "all fields without the empty line",
+            chunks: &["id: 1\ndata: a\n"],
+            has_event: false,
+            is_inside_event: true,
+        },
+        Case {
+            name: "carriage returns, without the empty line",
+            chunks: &["id: 1\r\ndata: a\r\n\r"],
+            has_event: false,
+            is_inside_event: true,
+        },
+        Case {
+            name: "comments only",
+            chunks: &[": ping\n\n", ": ping\n"],
+            has_event: false,
+            is_inside_event: false,
+        },
+        Case {
+            name: "part of a comment",
+            chunks: &[EVENT, ": pi"],
+            has_event: true,
+            is_inside_event: true,
+        },
+        Case {
+            name: "more empty lines",
+            chunks: &[EVENT, "\n", "\r\n"],
+            has_event: true,
+            is_inside_event: false,
+        },
+    ];
+    for case in cases {
+        let mut splitter = EventSplitter::default();
+        for chunk in case.chunks {
+            splitter.push(chunk.as_bytes()).unwrap();
+        }
+        assert_eq!(splitter.has_event(), case.has_event, "{}", case.name);
+        assert_eq!(splitter.is_inside_event(), case.is_inside_event, "{}", case.name);
+        splitter.start_body();
+        assert!(!splitter.has_event() && !splitter.is_inside_event(), "{}", case.name);
+    }
+}
+
 #[test]
 fn bytes_without_the_end_of_an_event_are_not_kept_without_limit() {
     const CHUNKS_MAX: usize = 1_024;
