A stream whose run a KV cache transfer may have stopped is not completed by the end of its connection

Cause: the request for a transfer stops the run, and the upstream closes the stream without its end. When the result of the transfer is not known, the relay took the end of a body without length and chunks for the end of the stream. Change: a transfer without a copy states whether the run may have been stopped: not if the request was never sent, if the run had ended (404) or if the request was not accepted (other 4xx than 409). The requests of transfers are a module of their own.

--- a/crates/lentilhitch/tests/edge_unframed.rs
+++ b/crates/lentilhitch/tests/edge_unframed.rs
@@ -173,6 +173,11 @@
             kv_transfer: "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
             is_complete: true,
         },
+        Case {
+            name: "the upstream does not know the request",
+            kv_transfer: "HTTP/1.1 405 Method Not Allowed\r\ncontent-length: 0\r\n\r\n",
+            is_complete: true,
+        },
         Case {
             name: "the upstream states no copy",
             kv_transfer: "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n",
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod pool;
 mod relay;
 mod run;
+mod run_transfer;
 mod settings;
 mod upstream_attempt;
 
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -86,8 +86,10 @@
     Kept { handle: String },
     /// The source has no such run.
     Ended,
-    /// The source did not transfer the KV cache.
+    /// The source did not accept the request, and the run continues.
     Refused,
+    /// The response does not tell whether the source stopped the run.
+    Unknown,
 }
 
 /// Whether the upstream that responds ran the request.
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -7,13 +7,13 @@
 
 use std::{
     pin::{Pin, pin},
-    rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
-use http::{Response, header, response};
-use http_body_util::{BodyExt as _, Limited};
+use http::{Response, header};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
 use tokio::{
     sync::mpsc::{self, Sender},
     time::{Instant, sleep_until, timeout},
@@ -22,16 +22,15 @@
 use lentilhitch_policy::{
     events::{EventSplitter, EventTooLarge},
     placement::AttemptResult,
-    stream_end::{EndMarker, StreamEnd},
+    stream_end::{EndMarker, RunStop, StreamEnd},
     traffic::UpstreamEntry,
 };
 
 use crate::{
     attempts::Attempts,
     client_response::{ResponseBody, StreamAborted},
-    node::Node,
-    platform::{KvCopy, KvTransfer, Platform},
-    pool::{Connection, SendResult},
+    platform::{KvCopy, Platform},
+    run_transfer::{self, TransferOutcome},
     upstream_attempt::{UpstreamResponse, keep_alive_ms, record_broken_connection_and_probe},
 };
 
@@ -42,16 +41,6 @@
 const STALL_TIMEOUT_INTERVAL_MULTIPLE: u64 = 4;
 /// Minimum time without data after which a stream counts as stalled.
 const STALL_TIMEOUT_MIN_MS: u64 = 1_500;
-/// Delay before a run is transferred from a leaving upstream that does not state when it will end. Many streams finish
-/// within this delay.
-const TRANSFER_DELAY_MS: u64 = 1_000;
-/// Time before the end of a leaving upstream at which its runs are transferred. Copying the KV cache and starting at
-/// the new upstream take far less than this time.
-const TRANSFER_LEAD_MS: u64 = 1_200;
-/// Maximum size of the response to a request to transfer a KV cache.
-const TRANSFER_RESPONSE_BYTES_MAX: usize = 64 * 1024;
-/// Timeout of a KV cache transfer.
-const TRANSFER_TIMEOUT_MS: u64 = 1_500;
 
 /// Starts to relay an upstream's stream and returns the response to the client.
 pub(crate) fn stream_response<P: Platform>(
@@ -103,6 +92,17 @@
     ClientDisconnected,
 }
 
+/// What interrupted a stream.
+#[derive(Clone, Copy)]
+enum BreakCause {
+    /// The connection ended before the stream was complete.
+    ConnectionLost,
+    /// The upstream stalled or sent something that is no stream.
+    Upstream,
+    /// The transfer of the run's KV cache, which may have stopped the run.
+    Transfer,
+}
+
 /// How the relay of the stream from one upstream ended.
 enum RelayOutcome {
     Complete,
@@ -110,7 +110,7 @@
     /// The deadline of the request has passed.
     DeadlinePassed,
     /// The stream was interrupted, for this reason.
-    Broken(&'static str),
+    Broken(BreakCause, &'static str),
     /// The run was stopped, and this upstream can fetch the run's KV cache.
     Transferred(UpstreamEntry, KvCopy),
 }
@@ -128,7 +128,7 @@
                     self.log_end("deadline passed");
                     return self.abort().await;
                 }
-                RelayOutcome::Broken(reason) => reason,
+                RelayOutcome::Broken(_, reason) => reason,
                 RelayOutcome::Transferred(to, kv_copy) => {
                     let last_id = self.splitter.last_id();
                     self.log_transfer(upstream.as_str(), &to);
@@ -169,7 +169,43 @@
     async fn relay_response(&mut self, response: UpstreamResponse<P>) -> RelayOutcome {
         self.splitter.start_body();
         let marker = response.end_marker();
-        let UpstreamResponse { parts, mut body, connection, mut assignment, entry } = response;
+        let UpstreamResponse { parts, body, connection, mut assignment, entry } = response;
+        let outcome = self.relay_body(body, marker, &entry).await;
+        assignment.set_result(self.attempt_result(&outcome));
+        let node = &self.attempts.node;
+        match outcome {
+            RelayOutcome::Complete => {
+                node.pool.put(&entry.id, connection, keep_alive_ms(&parts), node.clock);
+            }
+            RelayOutcome::Broken(BreakCause::ConnectionLost, _) => {
+                let fingerprint = self.attempts.admitted.fingerprint;
+                record_broken_connection_and_probe(node, fingerprint, &entry);
+            }
+            _ => {}
+        }
+        outcome
+    }
+
+    fn attempt_result(&self, outcome: &RelayOutcome) -> AttemptResult {
+        match outcome {
+            RelayOutcome::Broken(BreakCause::ConnectionLost | BreakCause::Upstream, _) => {
+                AttemptResult::Failed
+            }
+            RelayOutcome::ClientDisconnected => AttemptResult::Canceled,
+            RelayOutcome::DeadlinePassed if !self.splitter.has_event() => AttemptResult::Canceled,
+            RelayOutcome::Complete
+            | RelayOutcome::DeadlinePassed
+            | RelayOutcome::Broken(BreakCause::Transfer, _)
+            | RelayOutcome::Transferred(..) => AttemptResult::Served,
+        }
+    }
+
+    async fn relay_body(
+        &mut self,
+        mut body: Incoming,
+        marker: EndMarker,
+        entry: &UpstreamEntry,
+    ) -> RelayOutcome {
         let node = self.attempts.node.clone();
         let deadline_at_ms = self.attempts.admitted.deadline_at_ms;
         let deadline = sleep_until(
@@ -178,92 +214,90 @@
         let mut deadline = pin!(deadline);
         let stall_timeout = Duration::from_millis(self.stall_timeout_ms());
         let mut stall_timer = pin!(sleep_until(Instant::now() + stall_timeout));
-        let mut transfer_timer = pin!(wait_until_transfer_due(node.clone(), entry.clone()));
+        let mut transfer_timer = pin!(run_transfer::wait_until_transfer_due(node, entry.clone()));
         let mut transfer: Option<Pin<Box<_>>> = None;
         let mut is_transfer_due = false;
+        let mut run_stop = RunStop::NotStopped;
         loop {
             tokio::select! {
                 frame = body.frame() => match self.record_body_end(marker, frame) {
                     Some(Ok(frame)) => {
                         let Ok(data) = frame.into_data() else { continue };
-                        assignment.set_result(AttemptResult::Served);
                         match self.push(&data).await {
                             Pushed::Progress => {
                                 stall_timer.as_mut().reset(Instant::now() + stall_timeout);
                             }
                             Pushed::NoProgress => {}
-                            Pushed::ClientDisconnected => {
-                                assignment.set_result(AttemptResult::Canceled);
-                                return RelayOutcome::ClientDisconnected;
-                            }
+                            Pushed::ClientDisconnected => return RelayOutcome::ClientDisconnected,
                             Pushed::TooLarge => {
-                                assignment.set_result(AttemptResult::Failed);
-                                return RelayOutcome::Broken("stream contains bytes that are no events");
+                                let reason = "stream contains bytes that are no events";
+                                return RelayOutcome::Broken(BreakCause::Upstream, reason);
                             }
                         }
                     }
                     end => {
                         let is_error = end.is_some();
-                        let is_connection_broken = is_error || marker == EndMarker::ConnectionEnd;
-                        let was_transfer_pending = transfer.is_some();
-                        let outcome = self.finish_body(is_error, marker, transfer.take()).await;
-                        assignment.set_result(AttemptResult::Served);
-                        match &outcome {
-                            RelayOutcome::Broken(_) if !was_transfer_pending => {
-                                assignment.set_result(AttemptResult::Failed);
-                                if is_connection_broken {
-                                    let fingerprint = self.attempts.admitted.fingerprint;
-                                    record_broken_connection_and_probe(&node, fingerprint, &entry);
-                                }
+                        let Some(transfer) = transfer else {
+                            return self.finish_body(is_error, marker, run_stop).await;
+                        };
+                        return match transfer.await {
+                            TransferOutcome::NoCopy(run_stop) => {
+                                self.finish_body(is_error, marker, run_stop).await
                             }
-                            RelayOutcome::Complete => {
-                                node.pool.put(&entry.id, connection, keep_alive_ms(&parts), node.clock);
+                            TransferOutcome::Stopped(to, kv_copy) => {
+                                RelayOutcome::Transferred(to, kv_copy)
                             }
-                            _ => {}
-                        }
-                        return outcome;
+                        };
                     }
                 },
-                () = self.chunks.closed() => {
-                    assignment.set_result(AttemptResult::Canceled);
-                    return RelayOutcome::ClientDisconnected;
-                }
+                () = self.chunks.closed() => return RelayOutcome::ClientDisconnected,
                 () = &mut deadline => return RelayOutcome::DeadlinePassed,
                 () = &mut stall_timer, if transfer.is_none() => {
                     if self.attempts.may_retry() {
-                        assignment.set_result(AttemptResult::Failed);
-                        return RelayOutcome::Broken("stream stalled");
+                        return RelayOutcome::Broken(BreakCause::Upstream, "stream stalled");
                     }
                     // No other attempt is allowed, so the stream may stall until its deadline.
                     stall_timer.as_mut().reset(Instant::now() + Duration::from_millis(deadline_at_ms));
                 }
                 () = &mut transfer_timer, if !is_transfer_due => {
                     is_transfer_due = true;
-                    if let Some(to) = self.transfer_target(&entry) {
+                    if let Some(to) = self.transfer_target(entry) {
                         let id = self.attempts.admitted.head.id.clone();
-                        transfer = Some(Box::pin(transfer_kv_cache::<P>(id, entry.clone(), to)));
+                        let from = entry.clone();
+                        transfer = Some(Box::pin(run_transfer::stop_and_transfer::<P>(id, from, to)));
                     }
                 }
                 transferred = completion_of(&mut transfer) => {
                     transfer = None;
-                    if let Some((to, kv_copy)) = transferred {
-                        // Events that the source sent before it stopped the run are passed on first.
-                        while let Ok(Some(Ok(frame))) = timeout(DRAIN_TIMEOUT, body.frame()).await {
-                            let Ok(data) = frame.into_data() else { continue };
-                            match self.push(&data).await {
-                                Pushed::ClientDisconnected => return RelayOutcome::ClientDisconnected,
-                                Pushed::TooLarge => break,
-                                Pushed::Progress | Pushed::NoProgress => {}
-                            }
+                    match transferred {
+                        TransferOutcome::NoCopy(it) => run_stop = it,
+                        TransferOutcome::Stopped(to, kv_copy) => {
+                            return self.drain(body, to, kv_copy).await;
                         }
-                        assignment.set_result(AttemptResult::Served);
-                        return RelayOutcome::Transferred(to, kv_copy);
                     }
                 }
             }
         }
     }
 
+    /// Passes on the events that the source sent before it stopped the run.
+    async fn drain(
+        &mut self,
+        mut body: Incoming,
+        to: UpstreamEntry,
+        kv_copy: KvCopy,
+    ) -> RelayOutcome {
+        while let Ok(Some(Ok(frame))) = timeout(DRAIN_TIMEOUT, body.frame()).await {
+            let Ok(data) = frame.into_data() else { continue };
+            match self.push(&data).await {
+                Pushed::ClientDisconnected => return RelayOutcome::ClientDisconnected,
+                Pushed::TooLarge => break,
+                Pushed::Progress | Pushed::NoProgress => {}
+            }
+        }
+        RelayOutcome::Transferred(to, kv_copy)
+    }
+
     /// Passes a frame through. Records the end of the body.
     fn record_body_end<F, E>(
         &mut self,
@@ -279,31 +313,27 @@
         frame
     }
 
-    /// Handles the end of the body of one upstream's response. If a KV cache transfer is pending, waits for its result.
-    async fn finish_body<F>(
+    /// Handles the end of the body of one upstream's response.
+    async fn finish_body(
         &mut self,
         is_error: bool,
         marker: EndMarker,
-        transfer: Option<F>,
-    ) -> RelayOutcome
-    where
-        F: Future<Output = Option<(UpstreamEntry, KvCopy)>>,
-    {
-        if let Some(transfer) = transfer
-            && let Some((to, kv_copy)) = transfer.await
-        {
-            return RelayOutcome::Transferred(to, kv_copy);
-        }
-        if is_error {
-            return RelayOutcome::Broken("stream broke off");
-        }
+        run_stop: RunStop,
+    ) -> RelayOutcome {
         let end = StreamEnd {
             marker,
             has_event: self.splitter.has_event(),
             is_inside_event: self.splitter.is_inside_event(),
+            run_stop,
         };
-        if let Some(reason) = end.incomplete_reason() {
-            return RelayOutcome::Broken(reason);
+        let reason = if is_error { Some("stream broke off") } else { end.incomplete_reason() };
+        if let Some(reason) = reason {
+            let cause = match (run_stop, marker) {
+                (RunStop::MaybeStopped, _) => BreakCause::Transfer,
+                (RunStop::NotStopped, EndMarker::Explicit) if !is_error => BreakCause::Upstream,
+                (RunStop::NotStopped, _) => BreakCause::ConnectionLost,
+            };
+            return RelayOutcome::Broken(cause, reason);
         }
         let rest = self.splitter.take_rest();
         if !rest.is_empty() && self.chunks.send(Ok(rest)).await.is_err() {
@@ -390,72 +420,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Status of the upstream incarnation that runs a stream, according to the catalog.
-enum UpstreamStatus {
-    Ready,
-    /// A later incarnation has taken the upstream's name.
-    Replaced,
-    Leaving {
-        ends_at_ms: Option<u64>,
-    },
-}
-
-fn upstream_status<P>(node: &Node<P>, entry: &UpstreamEntry) -> UpstreamStatus {
-    match node.state.borrow().catalog.get(&entry.id) {
-        Some(it) if it.entry.started_ms != entry.started_ms => UpstreamStatus::Replaced,
-        Some(it) if it.is_ready() => UpstreamStatus::Ready,
-        Some(it) => UpstreamStatus::Leaving { ends_at_ms: it.ends_at_ms },
-        None => UpstreamStatus::Leaving { ends_at_ms: None },
-    }
-}
-
-/// Waits until a run should be transferred from its upstream. Never returns if the upstream was replaced.
-async fn wait_until_transfer_due<P: Platform>(node: Rc<Node<P>>, entry: UpstreamEntry) {
-    let mut changes = node.upstreams_leaving.subscribe();
-    loop {
-        let now_ms = node.now_ms();
-        match upstream_status(&node, &entry) {
-            UpstreamStatus::Ready => {}
-            UpstreamStatus::Replaced => return std::future::pending().await,
-            UpstreamStatus::Leaving { ends_at_ms } => {
-                let transfer_at_ms = ends_at_ms
-                    .map_or(now_ms + TRANSFER_DELAY_MS, |it| it.saturating_sub(TRANSFER_LEAD_MS));
-                tokio::time::sleep(Duration::from_millis(transfer_at_ms.saturating_sub(now_ms)))
-                    .await;
-                return;
-            }
-        }
-        if changes.changed().await.is_err() {
-            return std::future::pending().await;
-        }
-    }
-}
-
-/// Stops a run and transfers its KV cache to another upstream. Returns the upstream at which to continue the run, which
-/// is the source itself if it retained the KV cache.
-async fn transfer_kv_cache<P: Platform>(
-    id: String,
-    from: UpstreamEntry,
-    to: UpstreamEntry,
-) -> Option<(UpstreamEntry, KvCopy)> {
-    let request = P::kv_transfer_request(&id, to.address, true).map(http_body_util::Full::new);
-    let transfer_timeout = Duration::from_millis(TRANSFER_TIMEOUT_MS);
-    let transfer = timeout(transfer_timeout, async {
-        let mut connection = Connection::open(from.address, transfer_timeout).await.ok()?;
-        let SendResult::Response(response) = connection.send(request).await else { return None };
-        let (parts, body): (response::Parts, _) = response.into_parts();
-        let body = Limited::new(body, TRANSFER_RESPONSE_BYTES_MAX).collect().await.ok()?.to_bytes();
-        Some(P::decode_kv_transfer(parts.status, &body))
-    });
-    let result = transfer.await.ok().flatten();
-    log::info!(request = id.as_str(), from = from.id.as_str(), to = to.id.as_str(), result:? = result; "result of KV cache transfer");
-    match result? {
-        KvTransfer::Copied { handle } => Some((to, KvCopy { source: from.address, handle })),
-        KvTransfer::Kept { handle } => {
-            let source = from.address;
-            Some((from, KvCopy { source, handle }))
-        }
-        KvTransfer::Ended | KvTransfer::Refused => None,
-    }
-}
