Responses of another type than an event stream are passed on as a whole on routes with streams

Cause: the relay collected such a body as a partial event and passed it on at the end; since a partial event means a broken stream, it was aborted. Evidence: response_of_another_type_on_a_route_with_streams_is_passed_on failed before (the response was not complete). Change: a successful response with a content type other than text/event-stream is read and passed on like any other.

--- a/crates/lentilhitch/tests/edge_unframed.rs
+++ b/crates/lentilhitch/tests/edge_unframed.rs
@@ -159,6 +159,22 @@
     assert!(!reset.is_complete, "{reset:?}");
 }
 
+/// Guards against whole responses that are taken for broken streams because they contain no event.
+#[tokio::test]
+async fn response_of_another_type_on_a_route_with_streams_is_passed_on() {
+    const BODY: &str = "{\"text\": \"a\"}";
+    let head = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-stamp: s\r\n";
+    let framings = ["content-length: 13\r\n", "connection: close\r\n"];
+    for framing in framings {
+        let text = format!("{head}{framing}content-type: application/json\r\n\r\n{BODY}");
+        let response = RawResponse { start: text.leak(), end: RawEnd::Close };
+        let (site, _upstream) = start("draft", RawScript::new(vec![response])).await;
+        let response = site.call(0, "u1", "/ask/x").await.unwrap();
+        assert!(response.is_complete, "{framing}: {response:?}");
+        assert_eq!(response.body, BODY, "{framing}");
+    }
+}
+
 /// Guards against runs that a KV cache transfer has stopped and whose streams reached the client as complete.
 #[tokio::test]
 async fn stream_of_a_run_that_a_transfer_may_have_stopped_is_not_completed() {
--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, header, response};
+use http::{HeaderMap, Method, Request, Response, header, response};
 use hyper::body::Incoming;
 
 use lentilhitch_policy::traffic::Repeat;
@@ -135,7 +135,7 @@
     response
 }
 
-/// Serves a request whose response is streamed.
+/// Serves a request whose response is streamed. A response of another type than an event stream is passed on as a whole.
 async fn serve_stream<P: Platform>(
     mut attempts: Attempts<P>,
 ) -> Result<Response<ResponseBody>, Rejection> {
@@ -148,11 +148,14 @@
             Err(rejection) => return upstream_failure.ok_or(rejection),
         };
         attempts.log_response(&response.entry.id, response.parts.status.as_u16());
-        if response.parts.status.is_success() {
+        if response.parts.status.is_success() && is_event_stream(&response.parts.headers) {
             return Ok(relay::stream_response(attempts, *response));
         }
         let body_timeout_ms = admitted.remaining_ms(node.now_ms());
         let is_server_error = response.parts.status.is_server_error();
+        if response.parts.status.is_success() {
+            attempts.count_usage_once();
+        }
         match response.read_to_end(&node, body_timeout_ms).await {
             Ok((parts, body)) => {
                 let response = complete_response::<P>(&admitted, &parts, body);
@@ -168,3 +171,10 @@
         }
     }
 }
+
+/// Returns whether a response is an event stream, which it is if it states no type.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(content_type) = headers.get(header::CONTENT_TYPE) else { return true };
+    let essence = content_type.as_bytes().split(|it| *it == b';').next().unwrap_or_default();
+    essence.trim_ascii().eq_ignore_ascii_case(b"text/event-stream")
+}
