Event streams may end their lines with carriage returns or differently from line to line

Cause: only two line feeds or two pairs of carriage return and line feed ended an event. A stream with other line ends, which the format allows, was collected until its end and passed on then; since a partial event means a broken stream, it was aborted. Evidence: two new cases of only_complete_events_pass, which failed before. Change: an event ends with the end of a line and that of an empty one. A line feed followed by a lone carriage return is still part of an event, since it may be the start of a pair.

--- a/crates/lentilhitch_policy/src/events.rs
+++ b/crates/lentilhitch_policy/src/events.rs
@@ -94,14 +94,15 @@
     !line.is_empty() && !line.starts_with(b":")
 }
 
-/// Size of the longest end of an event.
-const EVENT_END_BYTES_MAX: usize = 4;
+/// Ends of an event: the end of a line, followed by that of an empty line. Lines end with a line feed, a carriage return or
+/// both.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+/// Size of the longest of [`EVENT_ENDS`].
+const EVENT_END_BYTES_MAX: usize = 3;
 
 /// Returns the index after the last end of an event.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = last_match_end(bytes, b"\n\n");
-    let crlf = last_match_end(bytes, b"\r\n\r\n");
-    lf.max(crlf)
+    EVENT_ENDS.iter().filter_map(|it| last_match_end(bytes, it)).max()
 }
 
 /// Returns the index after the last occurrence of the pattern.
--- a/crates/lentilhitch_policy/tests/events.rs
+++ b/crates/lentilhitch_policy/tests/events.rs
@@ -38,6 +38,18 @@
             passed: "id:3\r\ndata: a\r\n\r\n",
             last_id: Some(3),
         },
+        Case {
+            name: "carriage returns without line feeds",
+            chunks: &["id:3\rdata: a\r\rid:4\r", "data: b\r\r"],
+            passed: "id:3\rdata: a\r\rid:4\rdata: b\r\r",
+            last_id: Some(4),
+        },
+        Case {
+            name: "different line ends",
+            chunks: &["id: 3\ndata: a\n\r\nid: 4\r\ndata: b\r\n\n"],
+            passed: "id: 3\ndata: a\n\r\nid: 4\r\ndata: b\r\n\n",
+            last_id: Some(4),
+        },
         Case {
             name: "a first line that is not a field of the event stream format",
             chunks: &["x-weight-versions: 4\nid: 9\ndata: a\n\n"],
