A broken stream resets the connection of a client whose protocol version has no chunks

What callers see: an HTTP/1.0 client gets a stream whose end is that of its connection. When the node aborted the stream, it closed the connection in order, so the client took the part for the whole. Evidence: broken_stream_resets_the_connection_of_a_client_without_chunks failed before (the read ended without an error). Change: if the response has no other mark, an abort lets the connection be reset when it is closed.

--- a/crates/lentilhitch/tests/edge_unframed.rs
+++ b/crates/lentilhitch/tests/edge_unframed.rs
@@ -9,6 +9,10 @@
     },
 };
 use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 
 /// Head of a response without length and chunks, followed by the start of its body.
 macro_rules! unframed {
@@ -159,6 +163,30 @@
     assert!(!reset.is_complete, "{reset:?}");
 }
 
+/// Guards against broken streams that look complete to a client whose protocol version has no chunks.
+#[tokio::test]
+async fn broken_stream_resets_the_connection_of_a_client_without_chunks() {
+    let cases = [
+        ("complete", unframed!("id: 1\ndata: a\n\n"), true),
+        ("broken", unframed!("id: 1\ndata: a\n\nid: 2\nda"), false),
+    ];
+    for (name, start_text, is_complete) in cases {
+        let response = RawResponse { start: start_text, end: RawEnd::Close };
+        let (site, _upstream) = start("draft", RawScript::new(vec![response])).await;
+        let mut stream = TcpStream::connect(site.nodes[0].front).await.unwrap();
+        let request = "POST /ask/x HTTP/1.0\r\nhost: estate.example\r\nx-attempt-id: u1\r\n\
+                       authorization: Bearer key-of-etna\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut text = Vec::new();
+        let read = stream.read_to_end(&mut text).await;
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!(read.is_ok(), is_complete, "{name}: {text}");
+        if is_complete {
+            assert!(text.ends_with("id: 1\ndata: a\n\n"), "{name}: {text}");
+        }
+    }
+}
+
 /// Guards against whole responses that are taken for broken streams because they contain no event.
 #[tokio::test]
 async fn response_of_another_type_on_a_route_with_streams_is_passed_on() {
--- a/crates/lentilhitch_gateway/src/client_io.rs
+++ b/crates/lentilhitch_gateway/src/client_io.rs
@@ -9,6 +9,8 @@
     time::Duration,
 };
 
+use http::Version;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -30,6 +32,9 @@
 #[derive(Debug)]
 pub(crate) struct PhaseTracker {
     phase: Cell<Phase>,
+    /// Whether the end of the connection is the only mark of the end of a response.
+    is_end_unmarked: Cell<bool>,
+    is_reset_due: Cell<bool>,
     idle_timeout: Duration,
     head_timeout: Duration,
 }
@@ -38,14 +43,24 @@
     pub(crate) fn new(idle_timeout_ms: u64, head_timeout_ms: u64) -> Self {
         Self {
             phase: Cell::new(Phase::Idle),
+            is_end_unmarked: Cell::new(false),
+            is_reset_due: Cell::new(false),
             idle_timeout: Duration::from_millis(idle_timeout_ms),
             head_timeout: Duration::from_millis(head_timeout_ms),
         }
     }
 
     /// Marks the connection as busy. To be called when a complete request head has been read.
-    pub(crate) fn on_request_head(&self) {
+    pub(crate) fn on_request_head(&self, version: Version) {
         self.phase.set(Phase::Busy);
+        // Earlier versions have no chunks.
+        self.is_end_unmarked.set(version < Version::HTTP_11);
+    }
+
+    /// To be called when a response is aborted before its end. If the client could take the end of the connection for
+    /// that of the response, the connection is reset.
+    pub(crate) fn on_response_abort(&self) {
+        self.is_reset_due.set(self.is_end_unmarked.get());
     }
 
     /// Marks the connection as idle. To be called when the response has been sent.
@@ -85,6 +100,17 @@
     }
 }
 
+impl Drop for ClientIo {
+    fn drop(&mut self) {
+        if !self.phase_tracker.is_reset_due.get() {
+            return;
+        }
+        if let Err(err) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!("failed to reset a client connection: {err}");
+        }
+    }
+}
+
 impl AsyncRead for ClientIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/lentilhitch_gateway/src/client_response.rs
+++ b/crates/lentilhitch_gateway/src/client_response.rs
@@ -4,7 +4,7 @@
     cell::Cell,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
@@ -85,14 +85,14 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
-        match &mut self.source {
-            Source::Complete(bytes) => {
-                Poll::Ready(bytes.take().filter(|it| !it.is_empty()).map(|it| Ok(Frame::data(it))))
-            }
-            Source::Chunks(chunks) => {
-                chunks.poll_recv(cx).map(|it| it.map(|it| it.map(Frame::data)))
-            }
+        let chunk = match &mut self.source {
+            Source::Complete(bytes) => bytes.take().filter(|it| !it.is_empty()).map(Ok),
+            Source::Chunks(chunks) => ready!(chunks.poll_recv(cx)),
+        };
+        if let (Some(Err(_)), Some(phase_tracker)) = (&chunk, &self.phase_tracker) {
+            phase_tracker.on_response_abort();
         }
+        Poll::Ready(chunk.map(|it| it.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/lentilhitch_gateway/src/ingress.rs
+++ b/crates/lentilhitch_gateway/src/ingress.rs
@@ -73,7 +73,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         let (node, phase_tracker) = (node.clone(), phase_tracker.clone());
         async move {
-            phase_tracker.on_request_head();
+            phase_tracker.on_request_head(request.version());
             let mut response = forward::serve(node.clone(), request).await;
             if *node.phase.borrow() != NodePhase::Serving {
                 let close = header::HeaderValue::from_static("close");
@@ -153,8 +153,8 @@
             let phase_tracker =
                 Rc::new(PhaseTracker::new(limits.idle_timeout_ms, limits.header_timeout_ms));
             let io = TokioIo::new(ClientIo::new(stream, phase_tracker.clone()));
-            let service = service_fn(|request| {
-                phase_tracker.on_request_head();
+            let service = service_fn(|request: Request<Incoming>| {
+                phase_tracker.on_request_head(request.version());
                 let response = respond(request);
                 let response = response.map(|it| it.with_phase_tracker(phase_tracker.clone()));
                 async { Ok::<_, Infallible>(response) }
