An upstream that states in a response that it is leaving gets no more requests

Change: the head of each response is read for the statement, whatever its status, those to KV cache transfers included (not on responses of another upstream or to another request). The upstream leaves placement on that node at once, its streams are handled as for any other notice, and the other nodes of the zone are told by the updates that exist. The statement holds for that incarnation, also while the list says ready or after the upstream was removed and listed again; the same now holds for one whose entry said that it leaves. The header goes on to clients like others.

--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -14,6 +14,7 @@
     catalog::Change,
     cursor::{self, CallResult, Cursor, NextCall},
     gossip::message::NodeAddress,
+    traffic::UpstreamEntry,
 };
 use lentilhitch_types::LogOffset;
 
@@ -297,6 +298,20 @@
         self.updates_due.notify_one();
     }
 
+    /// Handles the statement of an upstream, in a response, that its incarnation is leaving.
+    pub(crate) fn on_stated_leaving(&self, entry: &UpstreamEntry) {
+        let now_ms = self.now_ms();
+        let change = {
+            let mut state = self.state.borrow_mut();
+            state.catalog.set_leaving(&entry.id, entry.started_ms, None, now_ms)
+        };
+        if let Some(change) = change {
+            self.apply_changes(std::slice::from_ref(&change));
+            // Receivers take a statement that an incarnation is leaving at any offset.
+            self.queue_update(LogOffset::default(), &change);
+        }
+    }
+
     /// Applies one record of an upstream and returns the resulting change, if any.
     pub(crate) fn apply_upstream_record(&self, record: &Record, now_ms: u64) -> Option<Change> {
         let mut state = self.state.borrow_mut();
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -65,7 +65,8 @@
     /// Version of a configuration that the sender has read from the store, sent to the other nodes of its zone.
     #[serde(rename = "v")]
     ConfigVersion(u64),
-    /// Changed upstream entries that the sender has read from the store, sent to the other nodes of its zone.
+    /// Changed upstream entries that the sender has read from the store, and upstreams that have told the sender that they
+    /// are leaving. Sent to the other nodes of its zone.
     #[serde(rename = "r")]
     UpstreamUpdates(Vec<UpstreamUpdate>),
 }
@@ -387,14 +388,7 @@
             let changes = updates.into_iter().filter_map(|it| match it.change {
                 EntryChange::Entry(entry) => state.catalog.insert(*entry, it.offset, now_ms),
                 EntryChange::Leaving { started_ms, leaves_in_ms } => {
-                    // An unknown upstream is not used, so its leaving does not matter.
-                    let known = &state.catalog.get(&it.id)?.entry;
-                    if known.started_ms != started_ms {
-                        return None;
-                    }
-                    let draining = EntryState::Draining;
-                    let entry = UpstreamEntry { state: draining, leaves_in_ms, ..known.clone() };
-                    state.catalog.insert(entry, it.offset, now_ms)
+                    state.catalog.set_leaving(&it.id, started_ms, leaves_in_ms, now_ms)
                 }
                 EntryChange::Removed => state.catalog.remove(&it.id, it.offset, now_ms),
             });
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -109,6 +109,8 @@
     pub id: Option<String>,
     pub kind: ResponseKind,
     pub load: Option<ReportedLoad>,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// Encoding of requests and responses in HTTP headers and bodies.
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -263,8 +263,8 @@
                     is_transfer_due = true;
                     if let Some(to) = self.transfer_target(entry) {
                         let id = self.attempts.admitted.head.id.clone();
-                        let from = entry.clone();
-                        transfer = Some(Box::pin(run_transfer::stop_and_transfer::<P>(id, from, to)));
+                        let (node, from) = (self.attempts.node.clone(), entry.clone());
+                        transfer = Some(Box::pin(run_transfer::stop_and_transfer(node, id, from, to)));
                     }
                 }
                 transferred = completion_of(&mut transfer) => {
--- a/crates/lentilhitch_gateway/src/run_transfer.rs
+++ b/crates/lentilhitch_gateway/src/run_transfer.rs
@@ -1,7 +1,7 @@
 //! Transfer of runs from an upstream that is leaving: when it is due, and the request that stops the run and copies its KV
 //! cache.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::Request;
@@ -37,13 +37,14 @@
 
 /// Stops a run and transfers its KV cache to another upstream.
 pub(crate) async fn stop_and_transfer<P: Platform>(
+    node: Rc<Node<P>>,
     id: String,
     from: UpstreamEntry,
     to: UpstreamEntry,
 ) -> TransferOutcome {
     let transfer_timeout = Duration::from_millis(TRANSFER_TIMEOUT_MS);
     let request = P::kv_transfer_request(&id, to.address, true);
-    let result = timeout(transfer_timeout, request_transfer::<P>(request, from.address)).await;
+    let result = timeout(transfer_timeout, request_transfer(&node, request, &from)).await;
     let result = result.unwrap_or(Err(RunStop::MaybeStopped));
     log::info!(request = id.as_str(), from = from.id.as_str(), to = to.id.as_str(), result:? = result; "result of KV cache transfer");
     let source = from.address;
@@ -62,11 +63,12 @@
 
 /// Sends the request for a transfer. Returns an error if it gets no complete response.
 async fn request_transfer<P: Platform>(
+    node: &Node<P>,
     request: Request<Bytes>,
-    address: SocketAddr,
+    from: &UpstreamEntry,
 ) -> Result<KvTransfer, RunStop> {
     let connect_timeout = Duration::from_millis(TRANSFER_TIMEOUT_MS);
-    let connection = Connection::open(address, connect_timeout).await;
+    let connection = Connection::open(from.address, connect_timeout).await;
     let mut connection = connection.map_err(|_| RunStop::NotStopped)?;
     let response = match connection.send(request.map(Full::new)).await {
         SendResult::Response(it) => it,
@@ -74,6 +76,7 @@
         SendResult::Broken(_) => return Err(RunStop::MaybeStopped),
     };
     let (parts, body) = response.into_parts();
+    node.on_upstream_statements(from, &P::decode_response(&parts));
     let body = Limited::new(body, TRANSFER_RESPONSE_BYTES_MAX).collect().await;
     let body = body.map_err(|_| RunStop::MaybeStopped)?;
     Ok(P::decode_kv_transfer(parts.status, &body.to_bytes()))
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -242,13 +242,18 @@
     mut assignment: AssignmentGuard<P>,
 ) -> AttemptOutcome<P> {
     let (parts, body) = response.into_parts();
-    let ResponseHead { id, kind, load } = P::decode_response(&parts);
+    let head = P::decode_response(&parts);
     let entry = params.entry;
-    if let Some(load) = load {
-        let now_ms = node.now_ms();
-        node.state.borrow_mut().load_table.record_load(&entry.id, load, now_ms);
+    let is_other_id = head.id.as_deref() != Some(&params.admitted.head.id);
+    let is_from_entry = match head.kind {
+        ResponseKind::NotRun => true,
+        ResponseKind::Ran => !is_other_id,
+        ResponseKind::Misdirected => false,
+    };
+    if is_from_entry {
+        node.on_upstream_statements(&entry, &head);
     }
-    match kind {
+    match head.kind {
         ResponseKind::NotRun => {
             assignment.set_result(AttemptResult::Full);
             let response = UpstreamResponse { parts, body, connection, assignment, entry };
@@ -260,7 +265,7 @@
             assignment.set_result(AttemptResult::Unreachable);
             AttemptOutcome::NotRun("another upstream has the address")
         }
-        ResponseKind::Ran if id.as_deref() != Some(&params.admitted.head.id) => {
+        ResponseKind::Ran if is_other_id => {
             assignment.set_result(AttemptResult::Failed);
             AttemptOutcome::Unknown("the answer belongs to another request")
         }
@@ -277,6 +282,19 @@
     }
 }
 
+impl<P: Platform> Node<P> {
+    /// Handles what an upstream states about itself in the head of a response.
+    pub(crate) fn on_upstream_statements(&self, entry: &UpstreamEntry, head: &ResponseHead) {
+        if let Some(load) = head.load {
+            let now_ms = self.now_ms();
+            self.state.borrow_mut().load_table.record_load(&entry.id, load, now_ms);
+        }
+        if head.is_leaving {
+            self.on_stated_leaving(entry);
+        }
+    }
+}
+
 impl<P: Platform> UpstreamResponse<P> {
     /// Returns how the end of the body is marked.
     pub(crate) fn end_marker(&self) -> EndMarker {
--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -4,7 +4,8 @@
 //! entry is removed from the list is dropped from the catalog at once. During an outage of the list, however, entries
 //! may expire although their upstreams still run. The first successful read after an outage therefore starts a grace
 //! period. An upstream whose entry is removed during this period, and which is not leaving, stays in use until the
-//! period ends, and longer if it writes its entry again. A leaving upstream stays leaving until its incarnation ends.
+//! period ends, and longer if it writes its entry again. A leaving upstream stays leaving until its incarnation ends,
+//! also if it is removed and listed again. An upstream may state that it leaves in its responses before its entry does.
 //!
 //! Every entry carries the offset at which it was written. A node receives entries from the list or from other nodes,
 //! in any order. The entry with the highest offset wins.
@@ -94,10 +95,13 @@
     grace_until_ms: u64,
     /// Offset of the newest known entry of each upstream, including removed upstreams.
     versions: FxHashMap<UpstreamName, LogOffset>,
+    /// Start of the last incarnation of each upstream that is known to leave, including removed upstreams. The list may
+    /// still contain it, or contain it again, as ready.
+    leaving: FxHashMap<UpstreamName, u64>,
 }
 
-/// Number of stored versions at which those of removed upstreams are discarded.
-const VERSIONS_MAX: usize = 65_536;
+/// Number of stored versions, and of leaving incarnations, at which those of removed upstreams are discarded.
+const REMOVED_MAX: usize = 65_536;
 
 impl Catalog {
     /// Creates an empty catalog.
@@ -166,13 +170,18 @@
     /// Inserts or updates an upstream from an entry that was written at `offset`.
     pub fn insert(
         &mut self,
-        entry: UpstreamEntry,
+        mut entry: UpstreamEntry,
         offset: LogOffset,
         now_ms: u64,
     ) -> Option<Change> {
         if !self.accept_version(&entry.id, offset) {
             return None;
         }
+        if entry.state == EntryState::Draining {
+            self.remember_leaving(&entry.id, entry.started_ms);
+        } else if self.leaving.get(&entry.id) == Some(&entry.started_ms) {
+            entry.state = EntryState::Draining;
+        }
         let ends_at_ms = entry.leaves_in_ms.map(|it| now_ms + it);
         let Some(current) = self.upstreams.get_mut(&entry.id) else {
             let id = entry.id.clone();
@@ -199,6 +208,40 @@
         (was_ready && is_leaving).then(|| Change::Leaving(current.entry.id.clone()))
     }
 
+    /// Records that an incarnation of an upstream is leaving, whatever its entry says. `leaves_in_ms` is how long it
+    /// continues to run, if known.
+    pub fn set_leaving(
+        &mut self,
+        id: &UpstreamName,
+        started_ms: u64,
+        leaves_in_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Option<Change> {
+        self.remember_leaving(id, started_ms);
+        let current = self.upstreams.get_mut(id)?;
+        if current.entry.started_ms != started_ms {
+            return None;
+        }
+        let ends_at_ms = leaves_in_ms.map(|it| now_ms + it);
+        current.ends_at_ms = current.ends_at_ms.or(ends_at_ms);
+        let was_ready = current.is_ready();
+        current.entry.state = EntryState::Draining;
+        was_ready.then(|| Change::Leaving(id.clone()))
+    }
+
+    fn remember_leaving(&mut self, id: &UpstreamName, started_ms: u64) {
+        if started_ms == 0 {
+            // The start is unknown, so a later incarnation could not be told from this one.
+            return;
+        }
+        if REMOVED_MAX <= self.leaving.len() {
+            let Self { leaving, upstreams, .. } = self;
+            leaving.retain(|id, _| upstreams.contains_key(id));
+        }
+        let last_started_ms = self.leaving.entry(id.clone()).or_default();
+        *last_started_ms = started_ms.max(*last_started_ms);
+    }
+
     /// Handles the removal of an upstream's entry from the list at `offset`. Drops the upstream. During the grace
     /// period after an outage, an upstream that is not leaving is dropped only at the end of the period.
     pub fn remove(&mut self, id: &UpstreamName, offset: LogOffset, now_ms: u64) -> Option<Change> {
@@ -237,7 +280,7 @@
 
     /// Records the offset of an entry and returns whether the entry is at least as new as the newest known one.
     fn accept_version(&mut self, id: &UpstreamName, offset: LogOffset) -> bool {
-        if VERSIONS_MAX <= self.versions.len() {
+        if REMOVED_MAX <= self.versions.len() {
             let Self { versions, upstreams, .. } = self;
             versions.retain(|id, _| upstreams.contains_key(id));
         }
--- a/crates/lentilhitch_policy/tests/catalog.rs
+++ b/crates/lentilhitch_policy/tests/catalog.rs
@@ -30,6 +30,8 @@
 enum Step {
     Ready(&'static str, u64),
     Draining(&'static str, u64),
+    /// The incarnation states in a response that it is leaving.
+    StatedLeaving(&'static str, u64),
     Removed(&'static str),
     /// A read of the list after the usual interval.
     Read,
@@ -120,12 +122,55 @@
     ]
 }
 
+/// Upstreams that state that they are leaving, or whose entries do, and that the list then contains as ready.
+fn leaving_cases() -> Vec<Case> {
+    use Step::{Draining, Ready, Removed, StatedLeaving};
+    vec![
+        Case {
+            name: "leaving according to a response, while the list still says ready",
+            steps: vec![Ready("u", 1), StatedLeaving("u", 1), Ready("u", 1)],
+            ready: vec![],
+        },
+        Case {
+            name: "leaving according to a response, then removed and listed as ready again",
+            steps: vec![Ready("u", 1), StatedLeaving("u", 1), Removed("u"), Ready("u", 1)],
+            ready: vec![],
+        },
+        Case {
+            name: "leaving according to its entry, then removed and listed as ready again",
+            steps: vec![Ready("u", 1), Draining("u", 1), Removed("u"), Ready("u", 1)],
+            ready: vec![],
+        },
+        Case {
+            name: "leaving, then removed and listed again without the start of its incarnation",
+            steps: vec![Ready("u", 0), Draining("u", 0), Removed("u"), Ready("u", 0)],
+            ready: vec!["u"],
+        },
+        Case {
+            name: "stated to be leaving before it is listed",
+            steps: vec![StatedLeaving("u", 1), Ready("u", 1)],
+            ready: vec![],
+        },
+        Case {
+            name: "a new incarnation after one that stated that it was leaving",
+            steps: vec![Ready("u", 1), StatedLeaving("u", 1), Ready("u", 2)],
+            ready: vec!["u"],
+        },
+        Case {
+            name: "an older incarnation that stated that it was leaving",
+            steps: vec![Ready("u", 2), StatedLeaving("u", 1)],
+            ready: vec!["u"],
+        },
+    ]
+}
+
 #[test]
 fn only_ready_upstreams_get_requests() {
     use Step::{
-        Confirmed, Draining, Failed, Read, ReadAfterDelay, ReadAfterOutage, Ready, Removed, Tick,
+        Confirmed, Draining, Failed, Read, ReadAfterDelay, ReadAfterOutage, Ready, Removed,
+        StatedLeaving, Tick,
     };
-    for case in cases() {
+    for case in cases().into_iter().chain(leaving_cases()) {
         let mut catalog = Catalog::new(Settings::default());
         let mut now_ms = 10_000;
         let mut offset = LogOffset(0);
@@ -146,6 +191,9 @@
                         now_ms,
                     );
                 }
+                StatedLeaving(id, started_ms) => {
+                    catalog.set_leaving(&id.parse().unwrap(), started_ms, None, now_ms);
+                }
                 Removed(id) => {
                     catalog.remove(&id.parse().unwrap(), offset, now_ms);
                 }
