Nodes keep the pauses that upstreams ask for when they turn a request away

Change: the pure module pauses keeps, for each upstream and incarnation, until when it accepts requests from this node, with a random addition so that the nodes that were turned away together do not return together. It is not passed on to other nodes. First attempts, retries, transfers of runs and continuations leave the upstream out. Requests without another upstream are rejected at once with a Retry-After after the first pause. Fractions are read; negative values, dates and other texts are ignored with a log line; a pause is limited to five minutes. Evidence: with pauses ignored, the two new process tests fail (5 requests for 1; a rejection instead of another upstream's response). They pass with them. pauses has a load test: 340 nodes turned away at one moment return spread out.

--- a/crates/lentilhitch/tests/edge_statements.rs
+++ b/crates/lentilhitch/tests/edge_statements.rs
@@ -76,3 +76,61 @@
         call_until(&site, 0, &upstream, 2).await;
     }
 }
+
+/// Guards against requests to an upstream during the pause that it has asked for, and against pauses that make no sense.
+#[tokio::test]
+async fn upstream_that_asks_for_a_pause_gets_no_request_from_the_node_meanwhile() {
+    macro_rules! refused {
+        ($retry_after:literal) => {
+            concat!(
+                "HTTP/1.1 503 Service Unavailable\r\nx-attempt-id: {id}\r\nx-server-stamp: s\r\n",
+                "x-not-executed: 1\r\nretry-after: ",
+                $retry_after,
+                "\r\ncontent-length: 0\r\n\r\n"
+            )
+        };
+    }
+    let cases = [
+        ("seconds", refused!("60"), true),
+        ("with a fraction", refused!("60.25"), true),
+        ("far too long", refused!("1e300"), true),
+        ("negative", refused!("-60"), false),
+        ("no number", refused!("soon"), false),
+        ("not a number", refused!("NaN"), false),
+        ("a date", refused!("Fri, 04 Dec 2026 12:00:00 GMT"), false),
+        ("empty", refused!(""), false),
+    ];
+    for (name, head, is_paused) in cases {
+        let site = Site::start(SiteOptions::default()).await.unwrap();
+        let script = RawScript::new(vec![response(head)]);
+        let upstream = RawUpstream::start(&site.store, "raw-0", "filing", script).await.unwrap();
+        call_until(&site, 0, &upstream, 1).await;
+        if !is_paused {
+            call_until(&site, 0, &upstream, 2).await;
+            continue;
+        }
+        call_many(&site, 0).await;
+        assert_eq!(upstream.n_requests(), 1, "{name}");
+        // The pause concerns the incarnation that asked for it.
+        upstream.write_entry(&site.store, &json!({ "seq": 1, "born": 2 }));
+        call_until(&site, 0, &upstream, 2).await;
+    }
+}
+
+#[tokio::test]
+async fn request_without_an_upstream_during_a_pause_is_rejected_with_a_time_after_the_pause() {
+    let options = SiteOptions { n_applications: 0, ..SiteOptions::default() };
+    let site = Site::start(options).await.unwrap();
+    let head = "HTTP/1.1 503 Service Unavailable\r\nx-attempt-id: {id}\r\nx-server-stamp: s\r\n\
+                x-not-executed: 1\r\nretry-after: 60\r\ncontent-length: 0\r\n\r\n";
+    let script = RawScript::new(vec![response(head)]);
+    let upstream = RawUpstream::start(&site.store, "raw-0", "filing", script).await.unwrap();
+    call_until(&site, 0, &upstream, 1).await;
+    for path in ["/book/x", "/status/x"] {
+        let rejected = site.call(0, "p", path).await.unwrap();
+        assert_eq!(rejected.status, 503, "{path}");
+        let retry_after_s: f64 = rejected.header("retry-after").parse().unwrap();
+        assert!(30.0 < retry_after_s, "{path}: {retry_after_s}");
+    }
+    assert_eq!(upstream.n_requests(), 1);
+}
--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -13,7 +13,7 @@
 use crate::{
     admission::AdmittedRequest,
     client_response::Rejection,
-    node::Node,
+    node::{Node, available},
     platform::{KvCopy, Platform},
     upstream_attempt::{self, AssignmentGuard, AttemptOutcome, AttemptParams, UpstreamResponse},
 };
@@ -136,7 +136,10 @@
         let assigned = {
             let mut state = self.node.state.borrow_mut();
             let state = &mut *state;
-            let target = state.catalog.iter().filter(|it| it.entry.id == entry.id);
+            let pauses = &state.pauses;
+            let target = state.catalog.iter().filter(|it| {
+                it.entry.id == entry.id && pauses.remaining_ms(&it.entry, now_ms).is_none()
+            });
             state.load_table.assign(None, target, &[], now_ms, &mut state.rng)?
         };
         let assignment = AssignmentGuard::new(&self.node, assigned);
@@ -286,12 +289,13 @@
             state.retry_budget(&self.admitted.service, settings).record_first_attempt();
         }
         let prompt = self.admitted.head.prompt.as_ref();
-        let ready = state.catalog.ready(&self.admitted.service);
+        let service = &self.admitted.service;
+        let candidates = available(&state.catalog, &state.pauses, service, now_ms);
         let mut assigned =
-            state.load_table.assign(prompt, ready, &self.excluded, now_ms, &mut state.rng);
+            state.load_table.assign(prompt, candidates, &self.excluded, now_ms, &mut state.rng);
         if assigned.is_none() && self.admitted.route.repeat.may_repeat() {
-            let ready = state.catalog.ready(&self.admitted.service);
-            assigned = state.load_table.assign(prompt, ready, &[], now_ms, &mut state.rng);
+            let candidates = available(&state.catalog, &state.pauses, service, now_ms);
+            assigned = state.load_table.assign(prompt, candidates, &[], now_ms, &mut state.rng);
         }
         let assigned = assigned?;
         let entry = state.catalog.get(&assigned.upstream)?.entry.clone();
@@ -350,7 +354,8 @@
     }
 
     /// Returns the time after which a client whose request did not run may retry. This is the shortest expected time to
-    /// the first token over the ready upstreams, plus a random addition so that clients do not return all at once.
+    /// the first token over the ready upstreams, plus a random addition so that clients do not return all at once. If all
+    /// ready upstreams have asked this node for a pause, the time until the first pause ends is added.
     fn retry_after_ms(&self, admitted: &AdmittedRequest) -> u64 {
         let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
@@ -362,7 +367,10 @@
         let delay_min_ms =
             if delay_min_ms.is_finite() { delay_min_ms as u64 } else { RETRY_AFTER_MIN_MS };
         let delay_min_ms = delay_min_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-        state.rng.random_range(delay_min_ms..=2 * delay_min_ms)
+        let ready = state.catalog.ready(&admitted.service);
+        let remaining = ready.map(|it| state.pauses.remaining_ms(&it.entry, now_ms).unwrap_or(0));
+        let pause_ms = remaining.min().unwrap_or(0);
+        pause_ms + state.rng.random_range(delay_min_ms..=2 * delay_min_ms)
     }
 
     /// Counts a request that has started to run in the usage of its team.
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -12,8 +12,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use lentilhitch_policy::{
-    catalog::{self, Catalog, Change},
+    catalog::{self, Catalog, Change, Upstream},
     gossip::{self, Gossip, message::NodeAddress},
+    pauses::Pauses,
     placement::{self, LoadTable},
     retry::{self, RetryBudget},
     shared_rate::{self, SharedRate},
@@ -87,6 +88,8 @@
     pub(crate) catalog: Catalog,
     /// Load of each upstream, as known to this node.
     pub(crate) load_table: LoadTable,
+    /// Pauses that upstreams have asked this node for.
+    pub(crate) pauses: Pauses,
     /// Rate limits of the teams that have one.
     pub(crate) rates: FxHashMap<TeamName, SharedRate>,
     /// Names of the teams that have a rate, by hash of the name.
@@ -203,6 +206,7 @@
                 },
                 settings.zone.clone(),
             ),
+            pauses: Pauses::default(),
             rates: FxHashMap::default(),
             team_names: FxHashMap::default(),
             retry_budgets: FxHashMap::default(),
@@ -355,6 +359,16 @@
 /// Number of times that a piece of evidence is sent to the peers, since datagrams get lost.
 const EVIDENCE_SENDS: u8 = 4;
 
+/// Returns the upstreams of a service that may get requests from this node now.
+pub(crate) fn available<'a>(
+    catalog: &'a Catalog,
+    pauses: &'a Pauses,
+    service: &'a ServiceName,
+    now_ms: u64,
+) -> impl Iterator<Item = &'a Upstream> {
+    catalog.ready(service).filter(move |it| pauses.remaining_ms(&it.entry, now_ms).is_none())
+}
+
 impl State {
     /// Records that an incarnation of an upstream ended without notice. The requests whose connections to it broke
     /// become suspects.
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -111,8 +111,15 @@
     pub load: Option<ReportedLoad>,
     /// Whether the upstream states that it is leaving.
     pub is_leaving: bool,
+    /// Pause that an upstream asks for which has turned a request away, in milliseconds.
+    pub pause_ms: Option<Result<u64, InvalidPause>>,
 }
 
+/// A pause that cannot be decoded.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is no number of seconds")]
+pub struct InvalidPause(pub String);
+
 /// Encoding of requests and responses in HTTP headers and bodies.
 pub trait HttpCodec {
     /// Decodes the head of a client's request.
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::{
     attempts::Attempts,
     client_response::{ResponseBody, StreamAborted},
+    node::available,
     platform::{KvCopy, Platform},
     run_transfer::{self, TransferOutcome},
     upstream_attempt::{UpstreamResponse, keep_alive_ms, record_broken_connection_and_probe},
@@ -370,9 +371,13 @@
             return None;
         }
         let now_ms = node.now_ms();
-        let ready = state.catalog.ready(&from.service);
+        if state.pauses.remaining_ms(from, now_ms).is_some() {
+            return None;
+        }
+        let candidates = available(&state.catalog, &state.pauses, &from.service, now_ms);
         let excluded = std::slice::from_ref(&from.id);
-        let assignment = state.load_table.assign(None, ready, excluded, now_ms, &mut state.rng)?;
+        let assignment =
+            state.load_table.assign(None, candidates, excluded, now_ms, &mut state.rng)?;
         let entry = state.catalog.get(&assignment.upstream).map(|it| it.entry.clone());
         state.load_table.release(assignment, AttemptResult::Canceled, now_ms);
         entry
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use lentilhitch_policy::{
+    pauses::PAUSE_MAX_MS,
     placement::{Assignment, AttemptResult},
     stream_end::EndMarker,
     traffic::{Repeat, UpstreamEntry},
@@ -292,6 +293,25 @@
         if head.is_leaving {
             self.on_stated_leaving(entry);
         }
+        match &head.pause_ms {
+            Some(Ok(pause_ms)) => self.on_pause(entry, *pause_ms),
+            Some(Err(err)) => {
+                log::warn!(upstream = entry.id.as_str(), error:% = err; "ignoring pause that an upstream asks for");
+            }
+            None => {}
+        }
+    }
+
+    fn on_pause(&self, entry: &UpstreamEntry, pause_ms: u64) {
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let was_paused = state.pauses.remaining_ms(entry, now_ms).is_some();
+        state.pauses.record(entry, pause_ms, now_ms, &mut state.rng);
+        if !was_paused {
+            let is_capped = PAUSE_MAX_MS < pause_ms;
+            log::info!(upstream = entry.id.as_str(), pause_ms, is_capped; "upstream asks for a pause");
+        }
     }
 }
 
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod limits;
 pub mod membership;
 pub mod notice;
+pub mod pauses;
 pub mod placement;
 pub mod quarantine;
 pub mod retry;
