--- /dev/null
+++ b/crates/lentilhitch/tests/edge_store_eras.rs
@@ -0,0 +1,92 @@
+//! The store returns from a copy that is some seconds old: what nodes know to have happened since is not undone.
+
+use std::collections::BTreeMap;
+
+use lentilhitch_standin::{
+    harness::until,
+    users_platform::{Behavior, Site, SiteOptions, Upstream},
+};
+use serde_json::{Value, json};
+
+/// Number of calls after which an upstream among two would have been chosen almost certainly.
+const N_CALLS: usize = 30;
+
+async fn until_logged(site: &Site, text: &str) {
+    for node in &site.nodes {
+        until(text, || async { node.process.log_text().contains(text) }).await.unwrap();
+    }
+}
+
+async fn restore(site: &Site) {
+    site.store.restore();
+    until_logged(site, "the store has returned from a copy").await;
+}
+
+/// Guards against a configuration, an upstream's departure or a new upstream that the copy undoes.
+#[tokio::test]
+async fn what_happened_since_the_copy_is_not_undone() {
+    let options = SiteOptions { n_nodes: 2, n_applications: 2, ..SiteOptions::default() };
+    let mut site = Site::start(options).await.unwrap();
+    site.store.take_copy();
+    let removed_route = |config: &mut Value| {
+        let routes = config["routes"].as_array_mut().unwrap();
+        routes.retain(|it| it["name"] != "open");
+    };
+    let version = site.put_config(removed_route);
+    until_logged(&site, &format!("\"version\":\"{version}\"")).await;
+    site.store.delete("keyed.servers", "app-0");
+    until_logged(&site, "upstream removed").await;
+    let added =
+        Upstream::start_with_entry(&site.store, "app-9", "filing", Behavior::Serve { work_ms: 1 })
+            .await
+            .unwrap();
+    until_logged(&site, "app-9").await;
+
+    restore(&site).await;
+    // The upstreams that live write their entries again.
+    site.applications[1].write_entry(&site.store, &json!({ "seq": 8 }));
+    added.write_entry(&site.store, &json!({ "seq": 8 }));
+    for (node, name) in [(0, "first"), (1, "second")] {
+        for idx in 0..N_CALLS {
+            let id = format!("{name}-{idx}");
+            assert_eq!(site.call(node, &id, "/status/x").await.unwrap().status, 200, "{id}");
+        }
+        let of_dropped_route = site.call(node, "o", "/open/x").await.unwrap();
+        assert_eq!(of_dropped_route.status, 404, "{name}: {of_dropped_route:?}");
+    }
+    assert!(site.applications[0].executed().is_empty(), "an upstream that was removed");
+    assert!(!added.executed().is_empty(), "an upstream that has started since the copy");
+}
+
+/// Guards against fencing tokens that fall and usage windows that are reported twice with different counts.
+#[tokio::test]
+async fn duties_continue_after_restores() {
+    let site = Site::start(SiteOptions { n_nodes: 2, ..SiteOptions::default() }).await.unwrap();
+    let reported = || site.store.duty_calls("usage");
+    until("usage is reported", || async { 2 < reported().len() }).await.unwrap();
+    site.store.take_copy();
+    for round in 0..2 {
+        for idx in 0..10 {
+            let id = format!("d{round}-{idx}");
+            assert_eq!(site.call(idx % 2, &id, "/book/x").await.unwrap().status, 200);
+        }
+        let n_before = reported().len();
+        until("windows since the copy are reported", || async { n_before + 2 < reported().len() })
+            .await
+            .unwrap();
+        let n_before = reported().len();
+        restore(&site).await;
+        until("usage is reported again", || async { n_before + 2 < reported().len() })
+            .await
+            .unwrap();
+    }
+    let calls = reported();
+    let tokens: Vec<u64> = calls.iter().map(|it| it.1).collect();
+    assert!(tokens.is_sorted(), "{tokens:?}");
+    let mut counts: BTreeMap<u64, Value> = BTreeMap::new();
+    for (holder, token, report) in calls {
+        let window = report["windowId"].as_u64().unwrap();
+        let first = counts.entry(window).or_insert_with(|| report["counts"].clone());
+        assert_eq!(*first, report["counts"], "window {window} by {holder} under {token}");
+    }
+}
--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -16,7 +16,7 @@
     gossip::message::NodeAddress,
     traffic::UpstreamEntry,
 };
-use lentilhitch_types::LogOffset;
+use lentilhitch_types::LogPosition;
 
 use crate::{
     gossip::UpstreamUpdate,
@@ -143,7 +143,7 @@
 enum FetchResult {
     Records {
         records: Vec<Record>,
-        next: LogOffset,
+        next: LogPosition,
         /// Whether `records` has the newest record of every key, instead of only the records since the last call.
         is_complete: bool,
     },
@@ -159,10 +159,10 @@
 ) -> Result<FetchResult, CallError> {
     match call {
         NextCall::List => {
-            let Listing { records, next } = node.platform.list(topic).await?;
+            let Listing { records, next } = node.list(topic).await?;
             Ok(FetchResult::Records { records, next, is_complete: true })
         }
-        NextCall::Read(from) => Ok(match node.platform.read(topic, from, wait_ms).await? {
+        NextCall::Read(from) => Ok(match node.read(topic, from, wait_ms).await? {
             ReadResult::Records { records, next } => {
                 FetchResult::Records { records, next, is_complete: false }
             }
@@ -207,8 +207,10 @@
 }
 
 /// Periodically writes this node's record and reads those of the other nodes.
+/// After the store has returned from a copy, which may lack this node's record, writes it again soon.
 pub(crate) async fn follow_nodes<P: Platform>(node: Rc<Node<P>>) {
     let mut topic_status = TopicStatus::new("nodes");
+    let mut restored = node.store_restored.subscribe();
     loop {
         let res = node.refresh_nodes().await;
         topic_status.on_result(&node, &res);
@@ -216,10 +218,19 @@
         let interval_ms =
             if res.is_ok() { node.nodes_poll_interval_ms() } else { NODES_POLL_INTERVAL_MS / 5 };
         let jittered_ms = node.state.borrow_mut().rng.random_range(interval_ms / 2..=interval_ms);
-        sleep(Duration::from_millis(jittered_ms)).await;
+        tokio::select! {
+            () = sleep(Duration::from_millis(jittered_ms)) => {}
+            _ = restored.changed() => {
+                let delay_ms = node.state.borrow_mut().rng.random_range(0..=RESTORE_SPREAD_MS);
+                sleep(Duration::from_millis(delay_ms)).await;
+            }
+        }
     }
 }
 
+/// Time over which the nodes write their records again after the store has returned from a copy.
+const RESTORE_SPREAD_MS: u64 = 3_000;
+
 impl<P> Node<P> {
     /// Waits for the delay that the cursor determines from the result of a call.
     async fn wait_after(&self, cursor: &mut Cursor, result: CallResult) {
@@ -283,17 +294,17 @@
         for record in records {
             if let Some(change) = self.apply_upstream_record(record, now_ms) {
                 self.apply_changes(std::slice::from_ref(&change));
-                self.queue_update(record.offset, &change);
+                self.queue_update(record.position, &change);
             }
         }
     }
 
     /// Queues a changed entry to be sent to the peers immediately.
-    fn queue_update(&self, offset: LogOffset, change: &Change) {
+    fn queue_update(&self, position: LogPosition, change: &Change) {
         let id = change.upstream().clone();
         let mut state = self.state.borrow_mut();
         let entry = state.catalog.get(&id).map(|it| &it.entry);
-        let update = UpstreamUpdate::of_change(id, offset, entry);
+        let update = UpstreamUpdate::of_change(id, position, entry);
         state.upstream_updates.push((update, UPDATE_SENDS));
         self.updates_due.notify_one();
     }
@@ -307,8 +318,8 @@
         };
         if let Some(change) = change {
             self.apply_changes(std::slice::from_ref(&change));
-            // Receivers take a statement that an incarnation is leaving at any offset.
-            self.queue_update(LogOffset::default(), &change);
+            // Receivers accept a statement that an incarnation is leaving at any position.
+            self.queue_update(LogPosition::default(), &change);
         }
     }
 
@@ -317,10 +328,10 @@
         let mut state = self.state.borrow_mut();
         if record.value.is_none() {
             let id = record.key.parse().ok()?;
-            return state.catalog.remove(&id, record.offset, now_ms);
+            return state.catalog.remove(&id, record.position, now_ms);
         }
         match P::decode_upstream(record) {
-            Ok(entry) => state.catalog.insert(entry, record.offset, now_ms),
+            Ok(entry) => state.catalog.insert(entry, record.position, now_ms),
             Err(err) => {
                 log::debug!("failed to decode the entry of upstream {}: {err}", record.key);
                 None
@@ -329,7 +340,7 @@
     }
 
     /// Applies the complete list of upstreams. An upstream whose record cannot be decoded keeps its current entry.
-    fn apply_upstream_list(&self, records: &[Record], end: LogOffset) {
+    fn apply_upstream_list(&self, records: &[Record], end: LogPosition) {
         let now_ms = self.now_ms();
         let outage_ms = self.settings.upstream_heartbeat_ms;
         let mut state = self.state.borrow_mut();
@@ -337,13 +348,13 @@
         for record in records {
             match P::decode_upstream(record) {
                 Ok(it) => {
-                    entries.push((it, record.offset));
+                    entries.push((it, record.position));
                 }
                 Err(err) => {
                     log::debug!("failed to decode the entry of upstream {}: {err}", record.key);
                     let id = record.key.parse().ok();
                     let known = id.and_then(|it| state.catalog.get(&it));
-                    entries.extend(known.map(|it| (it.entry.clone(), record.offset)));
+                    entries.extend(known.map(|it| (it.entry.clone(), record.position)));
                 }
             }
         }
@@ -373,8 +384,8 @@
         let key = self.instance().to_string();
         let record = Record { key, value: Some(Bytes::from(value)), ..Record::default() };
         // `None`: appended wherever the topic ends, since other nodes write to it too.
-        self.platform.append(Topic::Nodes, record, None).await?;
-        let listing = self.platform.list(Topic::Nodes).await?;
+        self.append(Topic::Nodes, record, None).await?;
+        let listing = self.list(Topic::Nodes).await?;
         let now_ms = self.now_ms();
         for record in listing.records {
             self.apply_node_record(&record, now_ms);
--- a/crates/lentilhitch_gateway/src/duties.rs
+++ b/crates/lentilhitch_gateway/src/duties.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 use lentilhitch_policy::duty::{self, DutyLeaseView, DutyRecord, DutyStep, Next};
-use lentilhitch_types::LogOffset;
+use lentilhitch_types::LogPosition;
 
 use crate::{
     node::{Node, NodePhase},
@@ -37,7 +37,10 @@
 
 /// Creates the view of the duty lease for this node.
 pub(crate) fn shared_duty<P>(node: &Node<P>) -> SharedDuty {
-    let settings = duty::Settings::for_lease(node.settings.bounds.lease_ms);
+    let settings = duty::Settings {
+        is_first_start: node.settings.is_first_start,
+        ..duty::Settings::for_lease(node.settings.bounds.lease_ms)
+    };
     let duty =
         DutyLeaseView::new(settings, node.instance().clone(), node.incarnation, node.now_ms());
     Rc::new(RefCell::new(duty))
@@ -87,18 +90,17 @@
     }
 }
 
-/// Reads the duty topic from an offset on, without waiting for new records, and updates the node's view of the lease
+/// Reads the duty topic from a position on, without waiting for new records, and updates the node's view of the lease
 /// (`duty`) with the end of the topic and the newest record of the read, which determines the state of the lease. If
-/// the record at the offset is no longer retained, the read is repeated from the first offset whose record is still
-/// retained.
+/// the record at the position is not retained, the read is repeated from the first position whose record is retained.
 async fn read_lease<P: Platform>(
     node: &Rc<Node<P>>,
     duty: &SharedDuty,
-    from: LogOffset,
+    from: LogPosition,
 ) -> Result<(), CallError> {
     let mut from = from;
     loop {
-        match node.platform.read(Topic::Duty, from, 0).await? {
+        match node.read(Topic::Duty, from, 0).await? {
             ReadResult::Expired { first } => from = first,
             ReadResult::Records { records, next } => {
                 let last = records.last().and_then(decode::<DutyRecord>);
@@ -114,13 +116,17 @@
     node: &Rc<Node<P>>,
     duty: &SharedDuty,
     step: DutyStep,
-    at: LogOffset,
+    at: LogPosition,
 ) {
     let record = encode(&duty.borrow().record(step));
     let sent_ms = node.now_ms();
-    match node.platform.append(Topic::Duty, record, Some(at)).await {
-        Ok(AppendResult::Appended(offset)) => duty.borrow_mut().on_append(step, offset, sent_ms),
-        Ok(AppendResult::Conflict) => duty.borrow_mut().on_append_failed(true, node.now_ms()),
+    match node.append(Topic::Duty, record, Some(at)).await {
+        Ok(AppendResult::Appended(position)) => {
+            duty.borrow_mut().on_append(step, position, sent_ms);
+        }
+        Ok(AppendResult::Conflict { .. }) => {
+            duty.borrow_mut().on_append_failed(true, node.now_ms());
+        }
         Err(err) => {
             log::info!(error:% = err; "failed to write the duty lease");
             duty.borrow_mut().on_append_failed(false, node.now_ms());
@@ -137,7 +143,7 @@
         duty.resign(node.now_ms());
         (encode(&duty.record(DutyStep::Release)), duty.end())
     };
-    if let Err(err) = node.platform.append(Topic::Duty, record, Some(at)).await {
+    if let Err(err) = node.append(Topic::Duty, record, Some(at)).await {
         log::info!(error:% = err; "failed to release the duty lease; it will expire");
     }
 }
--- a/crates/lentilhitch_gateway/src/duties/scaling.rs
+++ b/crates/lentilhitch_gateway/src/duties/scaling.rs
@@ -9,7 +9,7 @@
     fleet::{self, Demand, Order, OrderResult, Plan, ReplicaKind, ReplicaPool},
     traffic::Scaling,
 };
-use lentilhitch_types::{LogOffset, ServiceName, Zone};
+use lentilhitch_types::{LogPosition, ServiceName, Zone};
 
 use crate::{
     duties::{SharedDuty, result_label},
@@ -57,7 +57,7 @@
 async fn order_replicas<P: Platform>(
     node: &Rc<Node<P>>,
     duty: &SharedDuty,
-    fencing_token: LogOffset,
+    fencing_token: LogPosition,
     order: &Order,
     demand: Demand,
     need: u32,
--- a/crates/lentilhitch_gateway/src/duties/usage.rs
+++ b/crates/lentilhitch_gateway/src/duties/usage.rs
@@ -4,8 +4,8 @@
 
 use tokio::time::sleep;
 
-use lentilhitch_policy::usage::{self, Decision, NodeCounts, UsageLedger};
-use lentilhitch_types::LogOffset;
+use lentilhitch_policy::usage::{self, Decision, NodeCounts, UsageLedger, WindowNumber};
+use lentilhitch_types::LogPosition;
 
 use crate::{
     duties::{SharedDuty, decode, encode, result_label},
@@ -65,7 +65,7 @@
 ) -> Result<(), CallError> {
     for chunk in counts.chunks(RECORD_NODES_MAX) {
         // `None`: appended wherever the topic ends, since other nodes write to it too.
-        node.platform.append(Topic::Usage, encode(&chunk), None).await?;
+        node.append(Topic::Usage, encode(&chunk), None).await?;
     }
     Ok(())
 }
@@ -74,7 +74,8 @@
 /// megabyte.
 const RECORD_NODES_MAX: usize = 100;
 
-/// Reports usage while this node holds the duty lease.
+/// Reports usage while this node holds the duty lease. Once the store has returned from a copy, writes the decisions again
+/// that this node has made or read, so that the next holder reports the same counts.
 pub(crate) async fn report_usage<P: Platform>(node: Rc<Node<P>>, duty: SharedDuty) {
     let bounds = node.settings.bounds;
     let settings = usage::Settings {
@@ -83,50 +84,74 @@
         wait_max_ms: bounds.usage_report_deadline_ms / 2,
         ..usage::Settings::default()
     };
+    // Kept over the terms, since the decisions in the store may be lost.
+    let mut ledger = UsageLedger::new(settings);
     let mut term: Option<UsageTerm> = None;
+    let mut restored = node.store_restored.subscribe();
+    let mut is_restore_pending = false;
     loop {
         sleep(USAGE_CHECK_INTERVAL).await;
+        is_restore_pending |= restored.has_changed().unwrap_or(false);
+        restored.mark_unchanged();
+        if is_restore_pending {
+            match write_lost_decisions(&node, &mut ledger).await {
+                Ok(()) => is_restore_pending = false,
+                Err(err) => {
+                    log::info!(error:% = err; "failed to write lost decisions; will be retried");
+                }
+            }
+        }
         if !duty.borrow().is_held(node.now_ms()) {
             term = None;
             continue;
         }
-        let current = term.get_or_insert_with(|| UsageTerm::new(settings));
-        if let Err(err) = current.step(&node, &duty).await {
+        let current = term.get_or_insert_default();
+        if let Err(err) = current.step(&node, &duty, &mut ledger).await {
             log::info!(error:% = err; "failed to report usage; will be retried");
         }
     }
 }
 
+/// Writes the known decisions again that the store has lost.
+async fn write_lost_decisions<P: Platform>(
+    node: &Rc<Node<P>>,
+    ledger: &mut UsageLedger,
+) -> Result<(), CallError> {
+    ledger.tick(node.synced_ms());
+    if ledger.decisions().next().is_none() {
+        return Ok(());
+    }
+    let records = read_all(node, Topic::Decisions, &mut LogPosition::default()).await?;
+    let present: Vec<Decision> = records.iter().filter_map(decode).collect();
+    let is_present = |window: WindowNumber| present.iter().any(|it| it.window == window);
+    let lost: Vec<_> = ledger.decisions().filter(|it| !is_present(it.window)).collect();
+    for decision in lost {
+        log::info!(window = decision.window; "writing lost decision again");
+        node.append(Topic::Decisions, encode(&decision), None).await?;
+    }
+    Ok(())
+}
+
 /// What this node has read of the usage counts and decisions since it acquired the duty lease.
+#[derive(Default)]
 struct UsageTerm {
-    ledger: UsageLedger,
-    /// Offset in the usage topic from which to read next.
-    next_counts_offset: LogOffset,
-    /// Offset in the decisions topic from which to read next.
-    next_decisions_offset: LogOffset,
+    /// Position in the usage topic from which to read next.
+    next_counts: LogPosition,
+    /// Position in the decisions topic from which to read next.
+    next_decisions: LogPosition,
     has_read_decisions: bool,
     /// When the received counts were last written.
     last_checkpoint_ms: u64,
 }
 
 impl UsageTerm {
-    fn new(settings: usage::Settings) -> Self {
-        let ledger = UsageLedger::new(settings);
-        Self {
-            ledger,
-            next_counts_offset: LogOffset(0),
-            next_decisions_offset: LogOffset(0),
-            has_read_decisions: false,
-            last_checkpoint_ms: 0,
-        }
-    }
-
     /// Collects the counts of all nodes, writes them to the store when that is due, and fixes and reports the final
     /// counts of the usage windows that are due.
     async fn step<P: Platform>(
         &mut self,
         node: &Rc<Node<P>>,
         duty: &SharedDuty,
+        ledger: &mut UsageLedger,
     ) -> Result<(), CallError> {
         // The synchronized time determines the usage windows. Intervals at this node are measured with `now_ms`, its
         // monotonic clock.
@@ -137,33 +162,33 @@
             (std::mem::take(&mut state.peer_counts), local)
         };
         for counts in received.into_iter().chain([local]) {
-            self.ledger.insert_counts(counts);
+            ledger.insert_counts(counts);
         }
-        self.ledger.tick(synced_ms);
+        ledger.tick(synced_ms);
         let (now_ms, n_nodes) = (node.now_ms(), node.n_nodes());
         if self.last_checkpoint_ms + CHECKPOINT_INTERVAL_MS <= now_ms {
             self.last_checkpoint_ms = now_ms;
-            write_counts(node, self.ledger.undecided_counts()).await?;
+            write_counts(node, ledger.undecided_counts()).await?;
         }
-        if !self.ledger.has_pending_window(synced_ms) {
+        if !ledger.has_pending_window(synced_ms) {
             return Ok(());
         }
-        for record in read_all(node, Topic::Usage, &mut self.next_counts_offset).await? {
+        for record in read_all(node, Topic::Usage, &mut self.next_counts).await? {
             let counts: Option<Vec<NodeCounts>> = decode(&record);
             for it in counts.into_iter().flatten() {
-                self.ledger.insert_counts(it);
+                ledger.insert_counts(it);
             }
         }
         if !std::mem::replace(&mut self.has_read_decisions, true) {
-            self.read_decisions(node).await?;
+            self.read_decisions(node, ledger).await?;
         }
-        while let Some(decision) = self.ledger.next_decision(n_nodes, node.synced_ms()) {
+        while let Some(decision) = ledger.next_decision(n_nodes, node.synced_ms()) {
             if duty.borrow_mut().permit(node.now_ms()).is_none() {
                 return Ok(());
             }
-            self.write_decision(node, decision).await?;
+            self.write_decision(node, ledger, decision).await?;
         }
-        while let Some(decision) = self.ledger.next_report(node.synced_ms()) {
+        while let Some(decision) = ledger.next_report(node.synced_ms()) {
             let Some(token) = duty.borrow_mut().permit(node.now_ms()) else { return Ok(()) };
             let lease = DutyLease { holder: node.instance(), fencing_token: token };
             let Decision { window, counts } = &decision;
@@ -171,7 +196,7 @@
             node.metrics.record_duty_call("usage", result_label(&res));
             log::info!(window, fence:% = token, result:? = res; "usage reported");
             match res? {
-                DutyResult::Done | DutyResult::Unavailable => self.ledger.mark_reported(*window),
+                DutyResult::Done | DutyResult::Unavailable => ledger.mark_reported(*window),
                 DutyResult::Fenced => {
                     duty.borrow_mut().resign(node.now_ms());
                     return Ok(());
@@ -182,10 +207,14 @@
     }
 
     /// Reads the decisions (final counts of usage windows) that were written since the last read.
-    async fn read_decisions<P: Platform>(&mut self, node: &Rc<Node<P>>) -> Result<(), CallError> {
-        for record in read_all(node, Topic::Decisions, &mut self.next_decisions_offset).await? {
+    async fn read_decisions<P: Platform>(
+        &mut self,
+        node: &Rc<Node<P>>,
+        ledger: &mut UsageLedger,
+    ) -> Result<(), CallError> {
+        for record in read_all(node, Topic::Decisions, &mut self.next_decisions).await? {
             if let Some(decision) = decode(&record) {
-                self.ledger.insert_decision(decision);
+                ledger.insert_decision(decision);
             }
         }
         Ok(())
@@ -196,16 +225,17 @@
     async fn write_decision<P: Platform>(
         &mut self,
         node: &Rc<Node<P>>,
+        ledger: &mut UsageLedger,
         decision: Decision,
     ) -> Result<(), CallError> {
-        let at = Some(self.next_decisions_offset);
-        match node.platform.append(Topic::Decisions, encode(&decision), at).await? {
-            AppendResult::Appended(offset) => {
-                self.next_decisions_offset = offset.next();
-                self.ledger.insert_decision(decision);
+        let at = Some(self.next_decisions);
+        match node.append(Topic::Decisions, encode(&decision), at).await? {
+            AppendResult::Appended(position) => {
+                self.next_decisions = position.next();
+                ledger.insert_decision(decision);
                 Ok(())
             }
-            AppendResult::Conflict => self.read_decisions(node).await,
+            AppendResult::Conflict { .. } => self.read_decisions(node, ledger).await,
         }
     }
 }
@@ -214,11 +244,11 @@
 async fn read_all<P: Platform>(
     node: &Rc<Node<P>>,
     topic: Topic,
-    next: &mut LogOffset,
+    next: &mut LogPosition,
 ) -> Result<Vec<Record>, CallError> {
     let mut all = Vec::new();
     loop {
-        match node.platform.read(topic, *next, 0).await? {
+        match node.read(topic, *next, 0).await? {
             ReadResult::Expired { first } if *next < first => *next = first,
             ReadResult::Expired { .. } => return Ok(all),
             ReadResult::Records { records, next: end } => {
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -32,7 +32,7 @@
     traffic::{EntryState, UpstreamEntry},
     usage::NodeCounts,
 };
-use lentilhitch_types::{Fingerprint, LogOffset, UpstreamName};
+use lentilhitch_types::{Fingerprint, LogPosition, UpstreamName};
 
 use crate::{
     clock::wall_ms,
@@ -77,7 +77,7 @@
     #[serde(rename = "i")]
     pub(crate) id: UpstreamName,
     #[serde(rename = "o")]
-    pub(crate) offset: LogOffset,
+    pub(crate) position: LogPosition,
     #[serde(rename = "c")]
     pub(crate) change: EntryChange,
 }
@@ -100,9 +100,9 @@
     Removed,
 }
 
-impl From<(&UpstreamEntry, LogOffset)> for UpstreamUpdate {
-    fn from((entry, offset): (&UpstreamEntry, LogOffset)) -> Self {
-        Self { id: entry.id.clone(), offset, change: EntryChange::Entry(Box::new(entry.clone())) }
+impl From<(&UpstreamEntry, LogPosition)> for UpstreamUpdate {
+    fn from((entry, position): (&UpstreamEntry, LogPosition)) -> Self {
+        Self { id: entry.id.clone(), position, change: EntryChange::Entry(Box::new(entry.clone())) }
     }
 }
 
@@ -110,7 +110,7 @@
     /// Returns the update that the store reader sends for an upstream, whose entry is `None` if it was removed.
     pub(crate) fn of_change(
         id: UpstreamName,
-        offset: LogOffset,
+        position: LogPosition,
         entry: Option<&UpstreamEntry>,
     ) -> Self {
         let change = match entry {
@@ -121,7 +121,7 @@
             },
             Some(entry) => EntryChange::Entry(Box::new(entry.clone())),
         };
-        Self { id, offset, change }
+        Self { id, position, change }
     }
 }
 
@@ -367,6 +367,11 @@
 
     fn apply_update(&self, update: Update) {
         let now_ms = self.now_ms();
+        if let Update::Cluster { summary, .. } = &update
+            && let Some(duty) = summary.duty
+        {
+            self.learn_store_era(duty.topic_end.era());
+        }
         let mut state = self.state.borrow_mut();
         match update {
             Update::Cluster { summary, fresh_zones } => {
@@ -383,14 +388,18 @@
     /// Applies upstream entries that another node sent.
     pub(crate) fn apply_updates(&self, updates: Vec<UpstreamUpdate>) {
         let now_ms = self.now_ms();
+        if let Some(era) = updates.iter().map(|it| it.position.era()).max() {
+            // The sender has learned first that the store has returned from a copy.
+            self.learn_store_era(era);
+        }
         let changes: Vec<_> = {
             let mut state = self.state.borrow_mut();
             let changes = updates.into_iter().filter_map(|it| match it.change {
-                EntryChange::Entry(entry) => state.catalog.insert(*entry, it.offset, now_ms),
+                EntryChange::Entry(entry) => state.catalog.insert(*entry, it.position, now_ms),
                 EntryChange::Leaving { started_ms, leaves_in_ms } => {
                     state.catalog.set_leaving(&it.id, started_ms, leaves_in_ms, now_ms)
                 }
-                EntryChange::Removed => state.catalog.remove(&it.id, it.offset, now_ms),
+                EntryChange::Removed => state.catalog.remove(&it.id, it.position, now_ms),
             });
             changes.collect()
         };
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod run;
 mod run_transfer;
 mod settings;
+mod store;
 mod upstream_attempt;
 
 pub use run::run;
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -18,13 +18,14 @@
     placement::{self, LoadTable},
     retry::{self, RetryBudget},
     shared_rate::{self, SharedRate},
+    store_era::EraTracker,
     suspects::{Suspects, UpstreamIncarnation},
     synced_clock::SyncedClock,
     traffic::{Config, RouteTable, Team, UpstreamEntry},
     usage::{NodeCounts, UsageCounter},
 };
 use lentilhitch_types::{
-    Fingerprint, InstanceName, LogOffset, ServiceName, TeamName, UpstreamName,
+    Fingerprint, InstanceName, LogPosition, ServiceName, StoreEra, TeamName, UpstreamName,
 };
 
 use crate::{
@@ -67,6 +68,8 @@
     pub(crate) updates_due: Notify,
     /// Notified when the peers should immediately receive the cost of the requests that this node has admitted.
     pub(crate) rates_due: Notify,
+    /// Era of the store, notified whenever the store has returned from a copy.
+    pub(crate) store_restored: watch::Sender<StoreEra>,
     /// Notified whenever an upstream starts to leave or is removed.
     pub(crate) upstreams_leaving: watch::Sender<()>,
 }
@@ -84,6 +87,8 @@
     pub(crate) local_list_read_ms: u64,
     /// Highest version of a configuration that a node of the zone has announced.
     pub(crate) announced_config_version: u64,
+    /// Era of the store, as known to this node.
+    pub(crate) store_era: EraTracker,
     /// This node's copy of the list of upstreams.
     pub(crate) catalog: Catalog,
     /// Load of each upstream, as known to this node.
@@ -126,10 +131,10 @@
     pub(crate) rng: SmallRng,
     /// Number of bytes of request and response bodies that are being read.
     pub(crate) buffered_bytes: usize,
-    /// End offset of the duty topic after this node's last claim or renewal, while this node holds the duty lease.
-    pub(crate) local_duty_topic_end: Option<LogOffset>,
-    /// End offset of the duty topic as last received from the holder of the duty lease, and when it was received.
-    pub(crate) received_duty_topic_end: Option<(LogOffset, u64)>,
+    /// End of the duty topic after this node's last claim or renewal, while this node holds the duty lease.
+    pub(crate) local_duty_topic_end: Option<LogPosition>,
+    /// End of the duty topic as last received from the holder of the duty lease, and when it was received.
+    pub(crate) received_duty_topic_end: Option<(LogPosition, u64)>,
     /// Usage counts received from peers. They are processed while this node holds the duty lease.
     pub(crate) peer_counts: Vec<NodeCounts>,
 }
@@ -198,6 +203,7 @@
             local_config_read_ms: 0,
             local_list_read_ms: 0,
             announced_config_version: 0,
+            store_era: EraTracker::default(),
             catalog: Catalog::new(catalog::Settings::default()),
             load_table: LoadTable::new(
                 placement::Settings {
@@ -231,6 +237,7 @@
         let metrics = Metrics::new()?;
         let (phase, _) = watch::channel(NodePhase::Serving);
         let (upstreams_leaving, _) = watch::channel(());
+        let (store_restored, _) = watch::channel(StoreEra::default());
         let outbox = Outbox::new(settings.link_bytes_per_s);
         Ok(Self {
             settings,
@@ -245,6 +252,7 @@
             phase,
             updates_due: Notify::new(),
             rates_due: Notify::new(),
+            store_restored,
             upstreams_leaving,
         })
     }
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -18,7 +18,7 @@
     traffic::{Config, UpstreamEntry},
     usage::{Counts, WindowNumber},
 };
-use lentilhitch_types::{InstanceName, LogOffset, TeamName, UpstreamName};
+use lentilhitch_types::{InstanceName, LogPosition, StoreEra, TeamName, UpstreamName};
 
 /// All interfaces of a platform.
 pub trait Platform: HttpCodec + Store + Cloud + 'static {}
@@ -170,8 +170,8 @@
 pub struct Record {
     /// Key of the record, in topics that keep the newest record of each key. Empty in other topics.
     pub key: String,
-    /// Offset at which the record was written. Ignored by appends.
-    pub offset: LogOffset,
+    /// Position at which the record was written. Ignored by appends.
+    pub position: LogPosition,
     /// Absent if the key was removed.
     pub value: Option<Bytes>,
 }
@@ -181,11 +181,12 @@
 pub enum ReadResult {
     Records {
         records: Vec<Record>,
-        next: LogOffset,
+        next: LogPosition,
     },
-    /// The record at the requested offset is no longer retained. `first` is the first offset whose record is retained.
+    /// The record at the requested position is not retained, or does not exist in the era of the store. `first` is the
+    /// first position whose record is retained.
     Expired {
-        first: LogOffset,
+        first: LogPosition,
     },
 }
 
@@ -193,16 +194,38 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
     pub records: Vec<Record>,
-    /// Offset from which to read subsequent records.
-    pub next: LogOffset,
+    /// Position from which to read subsequent records.
+    pub next: LogPosition,
 }
 
 /// Result of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendResult {
-    Appended(LogOffset),
-    /// The end of the topic is not at the expected offset, and nothing was written.
-    Conflict,
+    Appended(LogPosition),
+    /// The end of the topic is not at the expected position, and nothing was written.
+    Conflict {
+        era: StoreEra,
+    },
+}
+
+impl ReadResult {
+    /// Returns the era of the store that answered.
+    pub fn era(&self) -> StoreEra {
+        match self {
+            Self::Records { next, .. } => next.era(),
+            Self::Expired { first } => first.era(),
+        }
+    }
+}
+
+impl AppendResult {
+    /// Returns the era of the store that answered.
+    pub fn era(self) -> StoreEra {
+        match self {
+            Self::Appended(position) => position.era(),
+            Self::Conflict { era } => era,
+        }
+    }
 }
 
 /// Error of a call to the platform.
@@ -221,21 +244,23 @@
     /// Returns the newest record of each key of a topic.
     fn list(&self, topic: Topic) -> impl Future<Output = Result<Listing, CallError>>;
 
-    /// Reads records from an offset on. If there are none yet, waits for one up to `wait_ms`.
+    /// Reads records from a position on. The store knows the offset of the position only, so it may answer from a later
+    /// era, in which the offset is of another record. If there are none yet, waits for one up to `wait_ms`.
     fn read(
         &self,
         topic: Topic,
-        from: LogOffset,
+        from: LogPosition,
         wait_ms: u64,
     ) -> impl Future<Output = Result<ReadResult, CallError>>;
 
     /// Appends a record. If `at` is `None`, the record is appended wherever the topic ends. Otherwise it is appended
-    /// only if the topic ends at the offset `at`, and the result is a conflict if not.
+    /// only if the topic ends at the offset of `at`, and the result is a conflict if not. The store may append it in a
+    /// later era than that of `at`.
     fn append(
         &self,
         topic: Topic,
         record: Record,
-        at: Option<LogOffset>,
+        at: Option<LogPosition>,
     ) -> impl Future<Output = Result<AppendResult, CallError>>;
 
     /// Decodes a configuration.
@@ -260,7 +285,7 @@
 pub struct DutyLease<'a> {
     pub holder: &'a InstanceName,
     /// Offset of the holder's claim in the duty topic.
-    pub fencing_token: LogOffset,
+    pub fencing_token: LogPosition,
 }
 
 /// Calls to the platform's cloud API. Only the node that holds the duty lease may make them.
--- a/crates/lentilhitch_gateway/src/settings.rs
+++ b/crates/lentilhitch_gateway/src/settings.rs
@@ -23,6 +23,8 @@
     /// Exchange addresses of some nodes, used while the store is unreachable and no peer is reachable. They may be out
     /// of date.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the deployment starts for the first time.
+    pub is_first_start: bool,
     /// Whether this node sends its usage counts to the holder of the duty lease, and reports usage while it holds the
     /// lease itself.
     pub has_usage_duty: bool,
--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -7,13 +7,16 @@
 //! period ends, and longer if it writes its entry again. A leaving upstream stays leaving until its incarnation ends,
 //! also if it is removed and listed again. An upstream may state that it leaves in its responses before its entry does.
 //!
-//! Every entry carries the offset at which it was written. A node receives entries from the list or from other nodes,
-//! in any order. The entry with the highest offset wins.
+//! Every entry carries the position at which it was written. A node receives entries from the list or from other nodes,
+//! in any order. The entry with the highest position wins. When the store returns from a copy, its list is that of the
+//! copy: upstreams that have started since are missing until they write again, and upstreams that were removed since are
+//! listed. An incarnation that was removed is used again only if its entry was written after the first list of the new
+//! era.
 
 use rustc_hash::{FxHashMap, FxHashSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use lentilhitch_types::{LogOffset, ServiceName, UpstreamName};
+use lentilhitch_types::{LogPosition, ServiceName, UpstreamName};
 
 use crate::traffic::{EntryState, UpstreamEntry};
 
@@ -93,14 +96,21 @@
     failing_since_ms: Option<u64>,
     /// End of the grace period after the last outage.
     grace_until_ms: u64,
-    /// Offset of the newest known entry of each upstream, including removed upstreams.
-    versions: FxHashMap<UpstreamName, LogOffset>,
+    /// Position of the newest known entry of each upstream, including removed upstreams.
+    versions: FxHashMap<UpstreamName, LogPosition>,
     /// Start of the last incarnation of each upstream that is known to leave, including removed upstreams. The list may
     /// still contain it, or contain it again, as ready.
     leaving: FxHashMap<UpstreamName, u64>,
+    /// Start of the last incarnation of each upstream that was removed.
+    removed: FxHashMap<UpstreamName, u64>,
+    /// End of the first list that was read in the current era of the store, if the era has risen since the start. Earlier
+    /// entries may be those of the copy, unchanged since.
+    copy_end: LogPosition,
+    /// Whether the store has returned from a copy and no list has been read since.
+    is_restored: bool,
 }
 
-/// Number of stored versions, and of leaving incarnations, at which those of removed upstreams are discarded.
+/// Number of stored versions, and of leaving or removed incarnations, at which those of removed upstreams are discarded.
 const REMOVED_MAX: usize = 65_536;
 
 impl Catalog {
@@ -114,10 +124,10 @@
         self.upstreams.values()
     }
 
-    /// Returns the entry of every upstream in use, and the offset at which it was written.
-    pub fn entries(&self) -> impl Iterator<Item = (&UpstreamEntry, LogOffset)> {
-        let offset = |id| self.versions.get(id).copied().unwrap_or_default();
-        self.upstreams.values().map(move |it| (&it.entry, offset(&it.entry.id)))
+    /// Returns the entry of every upstream in use, and the position at which it was written.
+    pub fn entries(&self) -> impl Iterator<Item = (&UpstreamEntry, LogPosition)> {
+        let position = |id| self.versions.get(id).copied().unwrap_or_default();
+        self.upstreams.values().map(move |it| (&it.entry, position(&it.entry.id)))
     }
 
     /// Returns an upstream, if it is in use.
@@ -167,14 +177,21 @@
         self.last_read_ms = Some(now_ms);
     }
 
-    /// Inserts or updates an upstream from an entry that was written at `offset`.
+    /// Handles the return of the store from a copy. Upstreams that the copy lacks write their entries again. So that they
+    /// are not dropped meanwhile, the grace period starts.
+    pub fn on_store_restored(&mut self, now_ms: u64) {
+        self.grace_until_ms = now_ms + self.settings.expiry_grace_ms;
+        self.is_restored = true;
+    }
+
+    /// Inserts or updates an upstream from an entry that was written at `position`.
     pub fn insert(
         &mut self,
         mut entry: UpstreamEntry,
-        offset: LogOffset,
+        position: LogPosition,
         now_ms: u64,
     ) -> Option<Change> {
-        if !self.accept_version(&entry.id, offset) {
+        if !self.accept_version(&entry.id, position) {
             return None;
         }
         if entry.state == EntryState::Draining {
@@ -183,6 +200,10 @@
             entry.state = EntryState::Draining;
         }
         let ends_at_ms = entry.leaves_in_ms.map(|it| now_ms + it);
+        let is_removed = self.removed.get(&entry.id) == Some(&entry.started_ms);
+        if is_removed && position < self.copy_end && !self.upstreams.contains_key(&entry.id) {
+            return None;
+        }
         let Some(current) = self.upstreams.get_mut(&entry.id) else {
             let id = entry.id.clone();
             self.upstreams.insert(id.clone(), Upstream { entry, expires_at_ms: None, ends_at_ms });
@@ -230,22 +251,18 @@
     }
 
     fn remember_leaving(&mut self, id: &UpstreamName, started_ms: u64) {
-        if started_ms == 0 {
-            // The start is unknown, so a later incarnation could not be told from this one.
-            return;
-        }
-        if REMOVED_MAX <= self.leaving.len() {
-            let Self { leaving, upstreams, .. } = self;
-            leaving.retain(|id, _| upstreams.contains_key(id));
-        }
-        let last_started_ms = self.leaving.entry(id.clone()).or_default();
-        *last_started_ms = started_ms.max(*last_started_ms);
+        remember(&mut self.leaving, &self.upstreams, id, started_ms);
     }
 
-    /// Handles the removal of an upstream's entry from the list at `offset`. Drops the upstream. During the grace
+    /// Handles the removal of an upstream's entry from the list at `position`. Drops the upstream. During the grace
     /// period after an outage, an upstream that is not leaving is dropped only at the end of the period.
-    pub fn remove(&mut self, id: &UpstreamName, offset: LogOffset, now_ms: u64) -> Option<Change> {
-        if !self.accept_version(id, offset) {
+    pub fn remove(
+        &mut self,
+        id: &UpstreamName,
+        position: LogPosition,
+        now_ms: u64,
+    ) -> Option<Change> {
+        if !self.accept_version(id, position) {
             return None;
         }
         let current = self.upstreams.get_mut(id)?;
@@ -253,17 +270,27 @@
             current.expires_at_ms = Some(self.grace_until_ms);
             return None;
         }
-        self.upstreams.remove(id).map(Change::removed)
+        self.drop_upstream(id)
+    }
+
+    fn drop_upstream(&mut self, id: &UpstreamName) -> Option<Change> {
+        let upstream = self.upstreams.remove(id)?;
+        let UpstreamEntry { id, started_ms, .. } = &upstream.entry;
+        remember(&mut self.removed, &self.upstreams, id, *started_ms);
+        Some(Change::removed(upstream))
     }
 
-    /// Applies the complete list as of the offset `end`. Upstreams that are not in the list are handled like upstreams
+    /// Applies the complete list as of the position `end`. Upstreams that are not in the list are handled like upstreams
     /// whose entries were removed at `end`.
     pub fn replace(
         &mut self,
-        entries: Vec<(UpstreamEntry, LogOffset)>,
-        end: LogOffset,
+        entries: Vec<(UpstreamEntry, LogPosition)>,
+        end: LogPosition,
         now_ms: u64,
     ) -> Vec<Change> {
+        if std::mem::take(&mut self.is_restored) {
+            self.copy_end = end;
+        }
         if self.versions.values().any(|it| end < *it) {
             // The topic of the list was created again, so its offsets have started over.
             self.versions.clear();
@@ -273,20 +300,20 @@
             self.upstreams.keys().filter(|it| !listed_ids.contains(*it)).cloned().collect();
         let entries = entries.into_iter();
         let mut changes: Vec<_> =
-            entries.filter_map(|(it, offset)| self.insert(it, offset, now_ms)).collect();
+            entries.filter_map(|(it, position)| self.insert(it, position, now_ms)).collect();
         changes.extend(removed_ids.iter().filter_map(|it| self.remove(it, end, now_ms)));
         changes
     }
 
-    /// Records the offset of an entry and returns whether the entry is at least as new as the newest known one.
-    fn accept_version(&mut self, id: &UpstreamName, offset: LogOffset) -> bool {
+    /// Records the position of an entry and returns whether the entry is at least as new as the newest known one.
+    fn accept_version(&mut self, id: &UpstreamName, position: LogPosition) -> bool {
         if REMOVED_MAX <= self.versions.len() {
             let Self { versions, upstreams, .. } = self;
             versions.retain(|id, _| upstreams.contains_key(id));
         }
         let version = self.versions.entry(id.clone()).or_default();
-        let is_current = *version <= offset;
-        *version = offset.max(*version);
+        let is_current = *version <= position;
+        *version = position.max(*version);
         is_current
     }
 
@@ -295,6 +322,24 @@
         let is_expired = |it: &Upstream| it.expires_at_ms.is_some_and(|it| it <= now_ms);
         let expired_ids: Vec<_> =
             self.upstreams.iter().filter(|it| is_expired(it.1)).map(|it| it.0.clone()).collect();
-        expired_ids.iter().filter_map(|it| self.upstreams.remove(it)).map(Change::removed).collect()
+        expired_ids.iter().filter_map(|it| self.drop_upstream(it)).collect()
+    }
+}
+
+/// Records the last incarnation of an upstream. Discards those of upstreams that are not in use if there are too many.
+fn remember(
+    incarnations: &mut FxHashMap<UpstreamName, u64>,
+    upstreams: &FxHashMap<UpstreamName, Upstream>,
+    id: &UpstreamName,
+    started_ms: u64,
+) {
+    if started_ms == 0 {
+        // The start is unknown, so a later incarnation could not be told from this one.
+        return;
+    }
+    if REMOVED_MAX <= incarnations.len() {
+        incarnations.retain(|id, _| upstreams.contains_key(id));
     }
+    let last_started_ms = incarnations.entry(id.clone()).or_default();
+    *last_started_ms = started_ms.max(*last_started_ms);
 }
--- a/crates/lentilhitch_policy/src/cursor.rs
+++ b/crates/lentilhitch_policy/src/cursor.rs
@@ -7,21 +7,21 @@
 
 use rand::{Rng, RngExt};
 
-use lentilhitch_types::LogOffset;
+use lentilhitch_types::LogPosition;
 
 /// Call to the store to make next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextCall {
     List,
-    Read(LogOffset),
+    Read(LogPosition),
 }
 
 /// Result of a call to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallResult {
-    /// The call succeeded. The next read starts at this offset.
-    UpTo(LogOffset),
-    /// The records after the position have expired.
+    /// The call succeeded. The next read starts at this position.
+    UpTo(LogPosition),
+    /// The records after the position have expired, or the store has returned from a copy that may lack them.
     Expired,
     Failed,
 }
@@ -50,7 +50,7 @@
 pub struct Cursor {
     settings: Settings,
     /// Offset to read from; `None` if the topic must be listed.
-    next: Option<LogOffset>,
+    next: Option<LogPosition>,
     n_failures: u32,
 }
 
--- a/crates/lentilhitch_policy/src/duty.rs
+++ b/crates/lentilhitch_policy/src/duty.rs
@@ -1,18 +1,23 @@
 //! Lease on the duties that only one node may carry out at a time: usage reports and replica orders.
 //!
 //! The lease is kept in one topic of the store. Each append is conditional on the end of the topic: the store rejects
-//! it if the topic no longer ends at the offset that the node expects. Of two concurrent claims, one therefore fails.
-//! The offset of the claim is the fencing token. The holder renews the lease and counts the validity from before the
+//! it if the topic no longer ends at the position that the node expects. Of two concurrent claims, one therefore fails.
+//! The position of the claim is the fencing token. The holder renews the lease and counts the validity from before the
 //! claim or renewal was sent.
 //!
 //! Another node claims the lease only after a release, or after it has itself observed that the end of the topic did
 //! not change for the validity and a margin (`ttl_ms + margin_ms`). A former holder waits for the same time after it
 //! last acted under the lease or gave the lease up, before it claims the lease again. It waits even after a release, so
 //! that the lease does not go back and forth between two nodes within one lease duration.
+//!
+//! When the store returns from a copy, claims and renewals are lost while their holder still acts, and the copy may be
+//! empty or end with an old release. In a later era, every node therefore waits for the same time after it first learned of the era, and
+//! so does a process that has just started to follow the topic, unless the deployment starts for the first time. Positions of a later era are higher, and so are the
+//! fencing tokens.
 
 use serde::{Deserialize, Serialize};
 
-use lentilhitch_types::{InstanceName, LogOffset};
+use lentilhitch_types::{InstanceName, LogPosition};
 
 /// One record of the duty topic.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,11 +49,19 @@
     pub renew_after_ms: u64,
     /// Interval at which the other nodes read the topic.
     pub poll_interval_ms: u64,
+    /// Whether the deployment starts for the first time, so that no node has held the lease before.
+    pub is_first_start: bool,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { ttl_ms: 3_000, margin_ms: 500, renew_after_ms: 1_000, poll_interval_ms: 1_500 }
+        Self {
+            ttl_ms: 3_000,
+            margin_ms: 500,
+            renew_after_ms: 1_000,
+            poll_interval_ms: 1_500,
+            is_first_start: false,
+        }
     }
 }
 
@@ -60,6 +73,7 @@
             margin_ms: ttl_ms / 6,
             renew_after_ms: ttl_ms / 3,
             poll_interval_ms: ttl_ms / 3,
+            ..Self::default()
         }
     }
 }
@@ -67,10 +81,10 @@
 /// Next call or wait of a node that holds or wants the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
-    /// Read the topic from this offset.
-    Read { from: LogOffset },
+    /// Read the topic from this position.
+    Read { from: LogPosition },
     /// Append a claim or renewal, on condition that the topic still ends at `topic_end`.
-    Append { step: DutyStep, topic_end: LogOffset },
+    Append { step: DutyStep, topic_end: LogPosition },
     /// Do nothing before this time.
     Wait { until_ms: u64 },
 }
@@ -82,16 +96,21 @@
     /// Name and incarnation of this node.
     local_id: (InstanceName, u64),
     /// Last known end of the topic.
-    end: LogOffset,
+    end: LogPosition,
     /// Last record of the topic, if it is known.
     last_record: Option<DutyRecord>,
+    /// When this node first read the topic, or first learned of the current era of the store. A release that it finds
+    /// there, or an empty topic, may be that of a copy, older than a claim that was lost.
+    era_seen_ms: Option<u64>,
+    /// Whether the store has returned from a copy since this node first read the topic.
+    was_restored: bool,
     /// When this node first saw the topic end at `end`, or sent the append that produced this end.
     end_first_seen_ms: u64,
     /// When this node last read the topic or received a new end from the holder. `None` if the topic must be read
     /// before this node may claim the lease.
     end_confirmed_ms: Option<u64>,
-    /// Offset of this node's claim, while this node believes that it holds the lease.
-    fencing_token: Option<LogOffset>,
+    /// Position of this node's claim, while this node believes that it holds the lease.
+    fencing_token: Option<LogPosition>,
     /// End of the validity that follows from this node's last successful claim or renewal.
     valid_until_ms: u64,
     /// Start of the interval after which the next renewal is due: when the last successful claim or renewal was sent,
@@ -109,8 +128,10 @@
         Self {
             settings,
             local_id: (holder, incarnation),
-            end: LogOffset(0),
+            end: LogPosition::default(),
             last_record: None,
+            era_seen_ms: None,
+            was_restored: false,
             end_first_seen_ms: now_ms,
             end_confirmed_ms: None,
             fencing_token: None,
@@ -154,7 +175,8 @@
 
     /// Handles a read, which returned the end of the topic, and its last record if there are records from the last
     /// known end on.
-    pub fn on_read(&mut self, end: LogOffset, last_record: Option<DutyRecord>, now_ms: u64) {
+    pub fn on_read(&mut self, end: LogPosition, last_record: Option<DutyRecord>, now_ms: u64) {
+        self.start_era(end, now_ms);
         self.end_confirmed_ms = Some(now_ms);
         if end == self.end && self.is_end_from_holder {
             return;
@@ -184,7 +206,10 @@
 
     /// Handles a message from the holder that the topic ended at `end` after the holder's last append. The message
     /// postpones the next read of the topic, but a claim still requires a read.
-    pub fn on_holder_update(&mut self, end: LogOffset, received_ms: u64) {
+    pub fn on_holder_update(&mut self, end: LogPosition, received_ms: u64) {
+        if self.end.era() < end.era() {
+            self.start_era(end, received_ms);
+        }
         if self.end < end && self.fencing_token.is_none() {
             self.end = end;
             self.end_first_seen_ms = received_ms;
@@ -194,16 +219,35 @@
         }
     }
 
-    /// Handles an append of this node that was sent at `sent_ms` and succeeded at `offset`.
-    pub fn on_append(&mut self, step: DutyStep, offset: LogOffset, sent_ms: u64) {
-        self.end = offset.next();
+    /// Starts to follow the topic, or follows it in a later era of the store. A claim of an earlier era is lost, so this
+    /// node gives up the lease.
+    fn start_era(&mut self, end: LogPosition, now_ms: u64) {
+        let is_first = self.era_seen_ms.is_none();
+        self.era_seen_ms.get_or_insert(now_ms);
+        if end.era() <= self.end.era() {
+            return;
+        }
+        self.was_restored |= !is_first;
+        if self.fencing_token.is_some() {
+            self.resign(now_ms);
+        }
+        self.era_seen_ms = Some(now_ms);
+        self.end = LogPosition::new(end.era(), 0);
+        self.last_record = None;
+        self.end_first_seen_ms = now_ms;
+        self.is_end_from_holder = false;
+    }
+
+    /// Handles an append of this node that was sent at `sent_ms` and succeeded at `position`.
+    pub fn on_append(&mut self, step: DutyStep, position: LogPosition, sent_ms: u64) {
+        self.end = position.next();
         self.is_end_from_holder = false;
         self.last_record = Some(self.record(step));
         self.end_first_seen_ms = sent_ms;
         self.renewal_interval_start_ms = sent_ms;
         self.valid_until_ms = sent_ms + self.settings.ttl_ms;
         if step == DutyStep::Claim {
-            self.fencing_token = Some(offset);
+            self.fencing_token = Some(position);
         }
     }
 
@@ -229,7 +273,7 @@
 
     /// Returns the fencing token if an action under the lease may start now, and records the time of that action. The
     /// remaining validity of the lease must exceed the margin.
-    pub fn permit(&mut self, now_ms: u64) -> Option<LogOffset> {
+    pub fn permit(&mut self, now_ms: u64) -> Option<LogPosition> {
         let fencing_token = self
             .fencing_token
             .filter(|_| now_ms + self.settings.margin_ms < self.valid_until_ms)?;
@@ -243,7 +287,7 @@
     }
 
     /// Returns the last known end of the topic.
-    pub fn end(&self) -> LogOffset {
+    pub fn end(&self) -> LogPosition {
         self.end
     }
 
@@ -252,7 +296,13 @@
         let is_released = !self.is_end_from_holder
             && self.last_record.as_ref().is_none_or(|it| it.step == DutyStep::Release);
         let lease_ms = self.settings.ttl_ms + self.settings.margin_ms;
-        let lease_expires_ms = if is_released { 0 } else { self.end_first_seen_ms + lease_ms };
+        let is_unused =
+            self.settings.is_first_start && self.end.offset() == 0 && !self.was_restored;
+        let lease_expires_ms = match (is_unused, is_released) {
+            (true, _) => 0,
+            (false, true) => self.era_seen_ms.unwrap_or(0) + lease_ms,
+            (false, false) => self.end_first_seen_ms + lease_ms,
+        };
         let cooldown_ends_ms = self.last_active_ms.map_or(0, |it| it + lease_ms);
         lease_expires_ms.max(cooldown_ends_ms)
     }
--- a/crates/lentilhitch_policy/src/gossip/message.rs
+++ b/crates/lentilhitch_policy/src/gossip/message.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use lentilhitch_types::{Fingerprint, LogOffset};
+use lentilhitch_types::{Fingerprint, LogPosition};
 
 use crate::placement::InProgress;
 
@@ -106,7 +106,7 @@
     /// End offset of the duty topic after the node's last claim or renewal. Present only if the node holds the duty
     /// lease.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
-    pub duty_topic_end: Option<LogOffset>,
+    pub duty_topic_end: Option<LogPosition>,
 }
 
 /// Sign of life of a delegate, or referral to the primary delegate of the zone.
@@ -165,7 +165,7 @@
     #[serde(rename = "g")]
     pub gossip: SocketAddr,
     #[serde(rename = "e")]
-    pub topic_end: LogOffset,
+    pub topic_end: LogPosition,
     #[serde(rename = "o")]
     pub age_ms: u64,
 }
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod retry;
 pub mod routing;
 pub mod shared_rate;
+pub mod store_era;
 pub mod stream_end;
 pub mod suspects;
 pub mod synced_clock;
--- a/crates/lentilhitch_policy/src/usage.rs
+++ b/crates/lentilhitch_policy/src/usage.rs
@@ -154,6 +154,13 @@
         self.decided.entry(decision.window).or_insert(decision.counts);
     }
 
+    /// Returns the known decisions.
+    pub fn decisions(&self) -> impl Iterator<Item = Decision> {
+        self.decided
+            .iter()
+            .map(|(window, counts)| Decision { window: *window, counts: counts.clone() })
+    }
+
     /// Returns the next window to decide, with its counts. `n_nodes` is the number of nodes that are known to run.
     pub fn next_decision(&self, n_nodes: usize, synced_ms: u64) -> Option<Decision> {
         let Settings { window_ms, settle_ms, wait_max_ms, report_age_max_ms } = self.settings;
--- a/crates/lentilhitch_policy/tests/catalog.rs
+++ b/crates/lentilhitch_policy/tests/catalog.rs
@@ -8,7 +8,7 @@
     catalog::{Catalog, Change, Settings},
     traffic::{EntryState, UpstreamEntry},
 };
-use lentilhitch_types::LogOffset;
+use lentilhitch_types::{LogPosition, StoreEra};
 
 const READ_INTERVAL_MS: u64 = 400;
 const OUTAGE_MS: u64 = 1_200;
@@ -33,6 +33,8 @@
     /// The incarnation states in a response that it is leaving.
     StatedLeaving(&'static str, u64),
     Removed(&'static str),
+    /// The store returns from a copy, and the first list of the new era contains these ready upstreams.
+    Restored(&'static [(&'static str, u64)]),
     /// A read of the list after the usual interval.
     Read,
     /// A read of the list after reads have failed for this time in milliseconds.
@@ -122,6 +124,70 @@
     ]
 }
 
+/// Lists of a store that has returned from a copy.
+fn restore_cases() -> Vec<Case> {
+    use Step::{Draining, Read, Ready, Removed, Restored, StatedLeaving, Tick};
+    vec![
+        Case {
+            name: "removed since the copy, which lists it as ready",
+            steps: vec![Ready("u", 1), Read, Removed("u"), Restored(&[("u", 1)])],
+            ready: vec![],
+        },
+        Case {
+            name: "removed since the copy and written again by the upstream",
+            steps: vec![Ready("u", 1), Read, Removed("u"), Restored(&[("u", 1)]), Ready("u", 1)],
+            ready: vec!["u"],
+        },
+        Case {
+            name: "removed since the copy, which lists another incarnation",
+            steps: vec![Ready("u", 1), Read, Removed("u"), Restored(&[("u", 2)])],
+            ready: vec!["u"],
+        },
+        Case {
+            name: "leaving since the copy, which lists it as ready",
+            steps: vec![Ready("u", 1), Draining("u", 1), Restored(&[("u", 1)]), Ready("u", 1)],
+            ready: vec![],
+        },
+        Case {
+            name: "stated to be leaving since the copy, and removed",
+            steps: vec![
+                Ready("u", 1),
+                StatedLeaving("u", 1),
+                Removed("u"),
+                Restored(&[("u", 1)]),
+                Ready("u", 1),
+            ],
+            ready: vec![],
+        },
+        Case {
+            name: "started since the copy, which lacks it",
+            steps: vec![Ready("u", 1), Restored(&[]), Tick(1_000)],
+            ready: vec!["u"],
+        },
+        Case {
+            name: "started since the copy and written again",
+            steps: vec![Ready("u", 1), Restored(&[]), Tick(1_000), Ready("u", 1), Tick(2_000)],
+            ready: vec!["u"],
+        },
+        Case {
+            name: "started since the copy and not written again",
+            steps: vec![Ready("u", 1), Restored(&[]), Tick(1_800)],
+            ready: vec![],
+        },
+        Case {
+            name: "two restores in a row",
+            steps: vec![
+                Ready("u", 1),
+                Read,
+                Removed("u"),
+                Restored(&[("u", 1)]),
+                Restored(&[("u", 1)]),
+            ],
+            ready: vec![],
+        },
+    ]
+}
+
 /// Upstreams that state that they are leaving, or whose entries do, and that the list then contains as ready.
 fn leaving_cases() -> Vec<Case> {
     use Step::{Draining, Ready, Removed, StatedLeaving};
@@ -168,34 +234,43 @@
 fn only_ready_upstreams_get_requests() {
     use Step::{
         Confirmed, Draining, Failed, Read, ReadAfterDelay, ReadAfterOutage, Ready, Removed,
-        StatedLeaving, Tick,
+        Restored, StatedLeaving, Tick,
     };
-    for case in cases().into_iter().chain(leaving_cases()) {
+    for case in cases().into_iter().chain(leaving_cases()).chain(restore_cases()) {
         let mut catalog = Catalog::new(Settings::default());
         let mut now_ms = 10_000;
-        let mut offset = LogOffset(0);
+        let mut position = LogPosition::from(0);
         for step in case.steps {
-            offset = offset.next();
+            position = position.next();
             match step {
                 Ready(id, started_ms) => {
                     catalog.insert(
                         upstream_entry(id, started_ms, EntryState::Ready),
-                        offset,
+                        position,
                         now_ms,
                     );
                 }
                 Draining(id, started_ms) => {
                     catalog.insert(
                         upstream_entry(id, started_ms, EntryState::Draining),
-                        offset,
+                        position,
                         now_ms,
                     );
                 }
                 StatedLeaving(id, started_ms) => {
                     catalog.set_leaving(&id.parse().unwrap(), started_ms, None, now_ms);
                 }
+                Restored(upstreams) => {
+                    position = LogPosition::new(StoreEra(position.era().0 + 1), 3);
+                    catalog.on_store_restored(now_ms);
+                    let list = upstreams.iter().map(|(id, started_ms)| {
+                        let entry = upstream_entry(id, *started_ms, EntryState::Ready);
+                        (entry, LogPosition::new(position.era(), 1))
+                    });
+                    catalog.replace(list.collect(), position, now_ms);
+                }
                 Removed(id) => {
-                    catalog.remove(&id.parse().unwrap(), offset, now_ms);
+                    catalog.remove(&id.parse().unwrap(), position, now_ms);
                 }
                 Read => {
                     now_ms += READ_INTERVAL_MS;
@@ -227,23 +302,24 @@
 #[test]
 fn a_list_removes_upstreams_that_are_not_in_it() {
     let mut catalog = Catalog::new(Settings::default());
-    catalog.insert(upstream_entry("kept", 1, EntryState::Ready), LogOffset(1), 0);
-    catalog.insert(upstream_entry("ended", 1, EntryState::Ready), LogOffset(2), 0);
+    catalog.insert(upstream_entry("kept", 1, EntryState::Ready), LogPosition::from(1), 0);
+    catalog.insert(upstream_entry("ended", 1, EntryState::Ready), LogPosition::from(2), 0);
     catalog.on_read_succeeded(100, OUTAGE_MS);
-    let list = vec![(upstream_entry("kept", 1, EntryState::Ready), LogOffset(5))];
-    let changes = catalog.replace(list, LogOffset(6), 100);
+    let list = vec![(upstream_entry("kept", 1, EntryState::Ready), LogPosition::from(5))];
+    let changes = catalog.replace(list, LogPosition::from(6), 100);
     let id = "ended".parse().unwrap();
     assert_eq!(changes, [Change::Removed { id, started_ms: 1, was_leaving: false }]);
-    let late = catalog.insert(upstream_entry("ended", 1, EntryState::Ready), LogOffset(3), 200);
+    let late =
+        catalog.insert(upstream_entry("ended", 1, EntryState::Ready), LogPosition::from(3), 200);
     assert_eq!(late, None, "an entry older than the list is ignored");
 }
 
 #[test]
 fn a_topic_that_was_created_again_is_followed() {
     let mut catalog = Catalog::new(Settings::default());
-    catalog.insert(upstream_entry("u", 1, EntryState::Ready), LogOffset(900), 0);
-    let list = vec![(upstream_entry("u", 2, EntryState::Ready), LogOffset(1))];
-    let changes = catalog.replace(list, LogOffset(2), 100);
+    catalog.insert(upstream_entry("u", 1, EntryState::Ready), LogPosition::from(900), 0);
+    let list = vec![(upstream_entry("u", 2, EntryState::Ready), LogPosition::from(1))];
+    let changes = catalog.replace(list, LogPosition::from(2), 100);
     assert_eq!(changes, [Change::Restarted("u".parse().unwrap(), 1)]);
 }
 
@@ -266,7 +342,7 @@
             .map(|(offset, (upstream, started_ms))| {
                 // Incarnations of one upstream start in the order in which they are written.
                 let entry = started_ms.map_or(Entry::Removed, |it| Entry::Ready(offset as u64 * 10 + it));
-                (LogOffset(offset as u64 + 1), format!("u{upstream}"), entry)
+                (LogPosition::from(offset as u64 + 1), format!("u{upstream}"), entry)
             })
             .collect();
         let mut naive: BTreeMap<String, Entry> = BTreeMap::new();
--- a/crates/lentilhitch_policy/tests/cursor.rs
+++ b/crates/lentilhitch_policy/tests/cursor.rs
@@ -5,7 +5,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use lentilhitch_policy::cursor::{CallResult, Cursor, Lag, NextCall, Settings};
-use lentilhitch_types::LogOffset;
+use lentilhitch_types::LogPosition;
 
 struct Case {
     name: &'static str,
@@ -17,7 +17,7 @@
 #[test]
 fn each_call_result_determines_the_next_call() {
     use CallResult::{Expired, Failed, UpTo};
-    let (at_5, at_9) = (LogOffset(5), LogOffset(9));
+    let (at_5, at_9) = (LogPosition::from(5), LogPosition::from(9));
     let cases = [
         Case {
             name: "listed",
--- a/crates/lentilhitch_policy/tests/duty.rs
+++ b/crates/lentilhitch_policy/tests/duty.rs
@@ -6,16 +6,20 @@
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
 
 use lentilhitch_policy::duty::{DutyLeaseView, DutyRecord, DutyStep, Next, Settings};
-use lentilhitch_types::LogOffset;
+use lentilhitch_types::{LogPosition, StoreEra};
 
 const LEASE_MS: u64 = 3_000;
 const N_NODES: usize = 4;
+/// Maximum age of the copy from which the store returns.
+const COPY_AGE_MAX_MS: u64 = 8_000;
+const RESTORES_PER_TICK: f64 = 0.001;
+const RELEASES_PER_TICK: f64 = 0.002;
 
 /// Append that has not taken effect yet.
 struct Pending {
     node: usize,
     record: DutyRecord,
-    at: LogOffset,
+    at: LogPosition,
     sent_ms: u64,
     effective_ms: u64,
     response_ms: Option<u64>,
@@ -34,13 +38,14 @@
 struct Action {
     node: usize,
     incarnation: u64,
-    fencing_token: LogOffset,
+    fencing_token: LogPosition,
     at_ms: u64,
 }
 
 fn node(idx: usize, incarnation: u64, now_ms: u64) -> Node {
+    let is_first_start = incarnation < N_NODES as u64;
     let duty = DutyLeaseView::new(
-        Settings::for_lease(LEASE_MS),
+        Settings { is_first_start, ..Settings::for_lease(LEASE_MS) },
         format!("n{idx}").parse().unwrap(),
         incarnation,
         now_ms,
@@ -48,13 +53,21 @@
     Node { duty, busy_until_ms: 0, frozen_until_ms: 0, disconnected_until_ms: 0, incarnation }
 }
 
-fn simulate(seed: u64, duration_ms: u64) -> Vec<Action> {
+fn simulate(seed: u64, duration_ms: u64, restores_per_tick: f64) -> Vec<Action> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut log: Vec<DutyRecord> = Vec::new();
+    // Each record with the time of its append.
+    let mut log: Vec<(DutyRecord, u64)> = Vec::new();
+    let mut era = StoreEra(1);
     let mut pending: Vec<Pending> = Vec::new();
     let mut nodes: Vec<_> = (0..N_NODES).map(|it| node(it, it as u64, 1_000)).collect();
     let mut actions = Vec::new();
     for now_ms in (1_000..1_000 + duration_ms).step_by(20) {
+        if rng.random_bool(restores_per_tick) {
+            // The store returns from a copy that is up to some seconds old.
+            let copied_ms = now_ms - rng.random_range(0..COPY_AGE_MAX_MS).min(now_ms);
+            log.retain(|it| it.1 < copied_ms);
+            era = StoreEra(era.0 + 1);
+        }
         pending.sort_by_key(|it| it.effective_ms);
         let mut still_pending = Vec::new();
         for it in pending.drain(..) {
@@ -62,16 +75,17 @@
                 still_pending.push(it);
                 continue;
             }
-            let is_written = it.at.0 == log.len() as u64;
+            // The store knows the offset only.
+            let is_written = it.at.offset() == log.len() as u64;
             if is_written {
-                log.push(it.record.clone());
+                log.push((it.record.clone(), now_ms));
             }
             let Some(_) = it.response_ms else { continue };
             let node = &mut nodes[it.node];
             if node.incarnation != it.record.incarnation {
                 continue;
             }
-            if is_written {
+            if is_written && it.at.era() == era {
                 node.duty.on_append(it.record.step, it.at, it.sent_ms);
             } else {
                 node.duty.on_append_failed(true, now_ms);
@@ -82,6 +96,15 @@
             nodes.iter().map(|it| it.duty.is_held(now_ms).then(|| it.duty.end())).collect();
         for (idx, node) in nodes.iter_mut().enumerate() {
             inject_faults(node, idx, now_ms, &mut rng);
+            if node.duty.is_held(now_ms) && rng.random_bool(RELEASES_PER_TICK) {
+                // The holder stops as planned and starts again.
+                let is_at_end = node.duty.end() == LogPosition::new(era, log.len() as u64);
+                if is_at_end {
+                    log.push((node.duty.record(DutyStep::Release), now_ms));
+                }
+                let incarnation = node.incarnation + 100;
+                *node = self::node(idx, incarnation, now_ms);
+            }
             if now_ms < node.frozen_until_ms || now_ms < node.busy_until_ms {
                 continue;
             }
@@ -105,8 +128,9 @@
                 Next::Wait { .. } => {}
                 Next::Read { .. } if is_disconnected => node.busy_until_ms = now_ms + 300,
                 Next::Read { from } => {
-                    let new = log.get(from.0 as usize..).and_then(<[_]>::last).cloned();
-                    node.duty.on_read(LogOffset(log.len() as u64), new, now_ms);
+                    let from = if from.era() == era { from.offset() as usize } else { 0 };
+                    let new = log.get(from..).and_then(<[_]>::last).map(|it| it.0.clone());
+                    node.duty.on_read(LogPosition::new(era, log.len() as u64), new, now_ms);
                 }
                 Next::Append { step, topic_end } => {
                     let record = node.duty.record(step);
@@ -150,11 +174,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
 
     #[test]
     fn holders_neither_overlap_nor_alternate(seed in any::<u64>()) {
-        let actions = simulate(seed, 60_000);
+        for restores_per_tick in [0.0, RESTORES_PER_TICK] {
+        let actions = simulate(seed, 60_000, restores_per_tick);
         prop_assert!(!actions.is_empty(), "no node ever held the lease");
         for pair in actions.windows(2) {
             let [a, b] = pair else { unreachable!() };
@@ -171,12 +196,13 @@
                 prop_assert!(!is_alternating, "two nodes alternate within one lease: {first:?} .. {action:?}");
             }
         }
+        }
     }
 }
 
 #[test]
 fn the_lease_is_held_most_of_the_time() {
-    let actions = simulate(7, 120_000);
+    let actions = simulate(7, 120_000, 0.0);
     let mut seconds: Vec<_> = actions.iter().map(|it| it.at_ms / 1_000).collect();
     seconds.dedup();
     assert!(60 <= seconds.len(), "actions in {} of 120 seconds", seconds.len());
@@ -186,13 +212,21 @@
 fn a_released_lease_can_be_claimed_at_once() {
     let settings = Settings::for_lease(LEASE_MS);
     let mut first = DutyLeaseView::new(settings, "a".parse().unwrap(), 1, 0);
-    first.on_append(DutyStep::Claim, LogOffset(0), 1_000);
+    first.on_append(DutyStep::Claim, LogPosition::from(0), 1_000);
     let release = first.record(DutyStep::Release);
     first.resign(1_500);
     let mut second = DutyLeaseView::new(settings, "b".parse().unwrap(), 2, 0);
-    second.on_read(LogOffset(2), Some(release), 1_600);
-    assert_eq!(second.next(1_600), Next::Append { step: DutyStep::Claim, topic_end: LogOffset(2) });
-    first.on_read(LogOffset(2), Some(second.record(DutyStep::Release)), 1_700);
+    second.on_read(LogPosition::from(1), Some(first.record(DutyStep::Claim)), 1_100);
+    second.on_read(LogPosition::from(2), Some(release.clone()), 5_000);
+    let claim = Next::Append { step: DutyStep::Claim, topic_end: LogPosition::from(2) };
+    assert_eq!(second.next(5_000), claim);
+    let mut started_now = DutyLeaseView::new(settings, "c".parse().unwrap(), 3, 4_900);
+    started_now.on_read(LogPosition::from(2), Some(release), 5_000);
+    assert!(
+        matches!(started_now.next(5_000), Next::Wait { .. }),
+        "a release that a new process finds may be that of a copy"
+    );
+    first.on_read(LogPosition::from(2), Some(second.record(DutyStep::Release)), 1_700);
     assert!(
         matches!(first.next(1_700), Next::Wait { .. }),
         "a former holder waits for a full lease"
--- a/crates/lentilhitch_policy/tests/placement.rs
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -17,7 +17,7 @@
     },
     traffic::{EntryState, UpstreamEntry},
 };
-use lentilhitch_types::{LogOffset, UpstreamName};
+use lentilhitch_types::{LogPosition, UpstreamName};
 
 fn upstreams(n: usize) -> Vec<Upstream> {
     let mut catalog = Catalog::new(CatalogSettings::default());
@@ -33,7 +33,7 @@
             is_spot: false,
             leaves_in_ms: None,
         };
-        catalog.insert(entry, LogOffset(idx as u64 + 1), 0);
+        catalog.insert(entry, LogPosition::from(idx as u64 + 1), 0);
     }
     catalog.iter().cloned().collect()
 }
--- a/crates/lentilhitch_standin/src/users_platform/log_store.rs
+++ b/crates/lentilhitch_standin/src/users_platform/log_store.rs
@@ -24,7 +24,7 @@
     LostResponses,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     records: Vec<Bytes>,
     /// Offset of the first record that can be read. Earlier records count as deleted.
@@ -36,6 +36,10 @@
 #[derive(Default)]
 struct State {
     topics: BTreeMap<String, Topic>,
+    /// Number of times that the store has returned from the copy.
+    era: u32,
+    /// Copy of the topics.
+    copy: BTreeMap<String, Topic>,
     fault: StoreFault,
     n_calls: u64,
     /// Accepted calls: holder, fencing token, duty and body.
@@ -62,7 +66,12 @@
         let shared = (state.clone(), written.clone());
         let (address, _) = serve_http(move |request| {
             let (state, written) = shared.clone();
-            async move { handle_request(&state, &written, request).await }
+            async move {
+                let mut response = handle_request(&state, &written, request).await?;
+                let era = state.lock().era;
+                response.headers_mut().insert("store-era", era.into());
+                Some(response)
+            }
         })
         .await?;
         let shared = state.clone();
@@ -108,6 +117,21 @@
         }
     }
 
+    /// Takes a copy of all topics, from which the store can return.
+    pub fn take_copy(&self) {
+        let mut state = self.state.lock();
+        state.copy = state.topics.clone();
+    }
+
+    /// Returns from the copy: what was written since is lost. The duties API keeps what it has seen.
+    pub fn restore(&self) {
+        let mut state = self.state.lock();
+        state.topics = state.copy.clone();
+        state.era += 1;
+        drop(state);
+        self.written.notify_waiters();
+    }
+
     /// Sets the fault that later calls meet.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state.lock().fault = fault;
@@ -206,7 +230,7 @@
         {
             let mut state = state.lock();
             let topic = state.topics.entry(name.to_owned()).or_default();
-            if from < topic.first {
+            if from < topic.first || topic.records.len() < from {
                 return status(410, &json!({ "first": topic.first }));
             }
             if from < topic.records.len() || wait_ms == 0 || wait_limit.is_elapsed() {
--- a/crates/lentilhitch_types/src/lib.rs
+++ b/crates/lentilhitch_types/src/lib.rs
@@ -8,6 +8,7 @@
 mod id;
 mod name;
 mod outcome;
+mod position;
 mod rate;
 mod size;
 
@@ -15,5 +16,6 @@
 pub use id::{AttemptId, Fingerprint, Incarnation, LogOffset, RequestId};
 pub use name::{InstanceName, NameError, ServiceName, TeamName, UpstreamName, Zone};
 pub use outcome::{Outcome, Problem};
+pub use position::{InvalidPosition, LogPosition, StoreEra};
 pub use rate::{PricePerHour, RequestRate, TokenRate};
 pub use size::{ByteSize, TokenCount};
