Configuration: announcements do not wait behind updates, and delegates tell nodes whose reports show an older one

The reader had just sent the entries of some hundred new replicas: its announcements, three in a row, waited behind them in the outbox. Version 32 took 4.1 s at nodes of the same zone. So an announcement that is late or lost is made up for by summaries only, which take several intervals when the primary is restarted.

--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -28,6 +28,7 @@
         Outgoing, Output, Update,
         message::{LocalState, Message, StoreCopy, Summary, ZoneRates, ZoneState},
     },
+    send_queue::Urgency,
     shared_rate::PeerReport,
     traffic::{EntryState, UpstreamEntry},
     usage::NodeCounts,
@@ -62,7 +63,8 @@
     /// Usage counts of the sender, for the holder of the duty lease.
     #[serde(rename = "c")]
     Counts(NodeCounts),
-    /// Version of a configuration that the sender has read from the store, sent to the other nodes of its zone.
+    /// Version of a configuration, sent to nodes of the zone by the node that has read it from the store, and by a
+    /// delegate to a node that has an older one.
     #[serde(rename = "v")]
     ConfigVersion(u64),
     /// Changed upstream entries that the sender has read from the store, and upstreams that have told the sender that they
@@ -225,7 +227,7 @@
             (state.usage_counter.counts(self.instance(), self.incarnation, synced_ms), holder)
         };
         let Some(holder) = holder else { return false };
-        self.send_to(&Datagram::Counts(counts), &[holder]);
+        self.send_to(&Datagram::Counts(counts), &[holder], Urgency::Normal);
         true
     }
 
@@ -251,6 +253,7 @@
     /// in other zones receive updates from the store reader of their own zone. An update stays in the queue until it
     /// has been sent several times, because datagrams get lost.
     fn send_updates(&self) {
+        self.send_config_announcement();
         loop {
             let (updates, addresses) = {
                 let mut state = self.state.borrow_mut();
@@ -258,7 +261,7 @@
             };
             let is_last = updates.len() < UPDATES_PER_MESSAGE_MAX;
             if !updates.is_empty() {
-                self.send_to(&Datagram::UpstreamUpdates(updates), &addresses);
+                self.send_to(&Datagram::UpstreamUpdates(updates), &addresses, Urgency::Normal);
             }
             if is_last {
                 return;
@@ -269,16 +272,25 @@
     /// Announces a new configuration to the other nodes of the zone. The announcement is sent several times, because
     /// datagrams get lost, and summaries alone may arrive too late.
     pub(crate) fn announce_config(&self, version: u64) {
-        let addresses = self.state.borrow().gossip.zone_addresses();
-        for _ in 0..CONFIG_ANNOUNCEMENTS {
-            self.send_to(&Datagram::ConfigVersion(version), &addresses);
-        }
+        self.state.borrow_mut().config_announcement = Some((version, CONFIG_ANNOUNCEMENTS));
+        self.updates_due.notify_one();
+    }
+
+    /// Sends the announcement of a configuration that is due.
+    fn send_config_announcement(&self) {
+        let (version, addresses) = {
+            let mut state = self.state.borrow_mut();
+            let Some((version, n_left)) = state.config_announcement.take() else { return };
+            state.config_announcement = (1 < n_left).then(|| (version, n_left - 1));
+            (version, state.gossip.zone_addresses())
+        };
+        self.send_to(&Datagram::ConfigVersion(version), &addresses, Urgency::Urgent);
     }
 
-    fn send_to(&self, datagram: &Datagram, addresses: &[SocketAddr]) {
+    fn send_to(&self, datagram: &Datagram, addresses: &[SocketAddr], urgency: Urgency) {
         let Some(bytes) = encode(datagram) else { return };
         for address in addresses {
-            self.outbox.push(&bytes, *address);
+            self.outbox.push(&bytes, *address, urgency);
         }
     }
 
@@ -287,6 +299,10 @@
         for it in output.updates {
             self.apply_update(it);
         }
+        for it in output.announcements {
+            let announcement = Datagram::ConfigVersion(it.config_version);
+            self.send_to(&announcement, &[it.to], Urgency::Urgent);
+        }
         let mut summary_bytes_max = 0;
         let mut encoded: Option<(Message, Rc<[u8]>)> = None;
         for Outgoing { to, message } in output.outgoing {
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -87,6 +87,9 @@
     pub(crate) local_list_read_ms: u64,
     /// Highest version of a configuration that a node of the zone has announced.
     pub(crate) announced_config_version: u64,
+    /// Version of the configuration that this node announces to its zone, and the number of times that it is still to be
+    /// sent.
+    pub(crate) config_announcement: Option<(u64, u8)>,
     /// Era of the store, as known to this node.
     pub(crate) store_era: EraTracker,
     /// This node's copy of the list of upstreams.
@@ -203,6 +206,7 @@
             local_config_read_ms: 0,
             local_list_read_ms: 0,
             announced_config_version: 0,
+            config_announcement: None,
             store_era: EraTracker::default(),
             catalog: Catalog::new(catalog::Settings::default()),
             load_table: LoadTable::new(
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -10,6 +10,9 @@
 //!
 //! The interval between messages grows with the number of nodes of the zone and with the size of the summaries, so that
 //! the traffic of a node stays within a budget. Urgent reports of admitted cost are passed on without waiting for it.
+//!
+//! A node that reads a new configuration announces it to its zone. A delegate announces it again to each node whose report
+//! shows an older one, so that a lost announcement is made up for within an interval, also while the primary changes.
 
 pub mod message;
 mod nodes;
@@ -113,6 +116,14 @@
 pub struct Output {
     pub outgoing: Vec<Outgoing>,
     pub updates: Vec<Update>,
+    pub announcements: Vec<Announcement>,
+}
+
+/// Announcement of a configuration to a node that has an older one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    pub to: SocketAddr,
+    pub config_version: u64,
 }
 
 /// Task of a node in the exchange.
@@ -649,7 +660,19 @@
             }
             return;
         }
+        let config_version = report.state.config.version;
         self.on_report(report, now_ms);
+        let newest = self.newest_config_version(now_ms);
+        if config_version < newest {
+            let to = from.gossip;
+            output.announcements.push(Announcement { to, config_version: newest });
+        }
+    }
+
+    /// Returns the version of the newest configuration that a node of the zone has reported or another zone has.
+    fn newest_config_version(&self, now_ms: u64) -> u64 {
+        let other_zones = self.zones.values().map(|it| it.state.config.version);
+        self.reports.config(now_ms).version.max(other_zones.max().unwrap_or(0))
     }
 
     fn on_report(&mut self, report: NodeReport, now_ms: u64) {
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
+pub mod send_queue;
 pub mod shared_rate;
 pub mod store_era;
 pub mod stream_end;
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -47,6 +47,7 @@
     next_rates_ms: u64,
     frozen_until_ms: u64,
     is_dead: bool,
+    config_version: u64,
     bytes_sent: usize,
     bytes_received: usize,
 }
@@ -142,6 +143,7 @@
             next_rates_ms: 0,
             frozen_until_ms: 0,
             is_dead: false,
+            config_version: 1,
             bytes_sent: 0,
             bytes_received: 0,
         }
@@ -262,11 +264,25 @@
             self.arrivals.push(Reverse((arrival_ms, self.n_sent, to, idx)));
             self.messages.insert(self.n_sent, it.message);
         }
+        for it in output.announcements {
+            let SocketAddr::V4(to) = it.to else { continue };
+            let to = (to.ip().to_bits() - 0x7F00_0001) as usize;
+            self.announce(to, it.config_version);
+        }
         if 0 < summary_bytes {
             self.nodes[idx].gossip.on_summary_sent(summary_bytes as u64);
         }
     }
 
+    /// Announces a configuration to a node, which then reads it, unless the announcement is lost.
+    fn announce(&mut self, to: usize, config_version: u64) {
+        let is_lost = self.rng.random_bool(self.loss);
+        let node = &mut self.nodes[to];
+        if !is_lost && !node.is_dead && node.frozen_until_ms <= self.now_ms {
+            node.config_version = config_version.max(node.config_version);
+        }
+    }
+
     fn apply(&mut self, idx: usize, update: Update) {
         let now_ms = self.now_ms;
         let node = &mut self.nodes[idx];
@@ -274,6 +290,8 @@
             Update::Cluster { summary, fresh_zones } => {
                 node.others = summary.loads.iter().copied().collect();
                 node.received_evidence.extend(&summary.evidence);
+                let newest = summary.zones.iter().map(|it| it.config.version).max();
+                node.config_version = newest.unwrap_or(0).max(node.config_version);
                 for zone in summary.zones.iter().filter(|it| fresh_zones.contains(&it.zone)) {
                     let (zone_id, source) = (zone.zone, zone.source);
                     let admitted = zone.admitted.clone();
@@ -330,7 +348,7 @@
     fn state(&mut self, now_ms: u64) -> LocalState {
         LocalState {
             wall_ms: now_ms,
-            config: StoreCopy { version: 1, age_ms: 0 },
+            config: StoreCopy { version: self.config_version, age_ms: 0 },
             upstreams: StoreCopy { version: 1, age_ms: 100 },
             loads: self.loads.clone(),
             admitted: vec![(TEAM, self.rate.report())],
@@ -487,6 +505,59 @@
     }
 }
 
+/// Guards against nodes that serve by an older configuration because they lost its announcement while the primary
+/// delegates of the zones were stopped and started again.
+#[test]
+fn new_configuration_reaches_all_nodes_while_primaries_are_restarted() {
+    /// Bound of the users for a configuration to be in force at 295 nodes, without the read of the store.
+    const BOUND_MS: u64 = 4_000;
+    const STORE_READ_MS: u64 = 1_000;
+    const NEW_VERSION: u64 = 2;
+    for size in [(74, 4), (295, 6), (340, 31)] {
+        for seed in 0..4 {
+            let mut simulation = Simulation::start(size, 20 + seed);
+            simulation.run_for(SETTLED_MS);
+            // Half of the announcements are lost with the packets of an overloaded link, and so are summaries.
+            simulation.loss = 0.5;
+            for zone in 1..=size.1 as u32 {
+                let mut in_zone: Vec<_> =
+                    (0..size.0).filter(|it| simulation.nodes[*it].address.zone == zone).collect();
+                in_zone.sort_by_key(|it| simulation.nodes[*it].address.node);
+                let reader = in_zone[in_zone.len() - 1];
+                simulation.nodes[reader].config_version = NEW_VERSION;
+                for to in &in_zone {
+                    simulation.announce(*to, NEW_VERSION);
+                }
+            }
+            simulation.loss = 0.05;
+            let end_ms = simulation.now_ms + BOUND_MS - STORE_READ_MS;
+            let mut restart_ms = simulation.now_ms;
+            let is_known = loop {
+                if simulation.now_ms == restart_ms {
+                    // A process that starts reads the configuration itself.
+                    for zone in 1..=size.1 as u32 {
+                        let Some(primary) = simulation.primaries_of(zone).first().copied() else {
+                            continue;
+                        };
+                        simulation.restart(primary);
+                        simulation.nodes[primary].config_version = NEW_VERSION;
+                    }
+                    restart_ms += 700;
+                }
+                simulation.step();
+                if simulation.nodes.iter().all(|it| it.config_version == NEW_VERSION) {
+                    break true;
+                }
+                if end_ms <= simulation.now_ms {
+                    break false;
+                }
+            };
+            let n_old = simulation.nodes.iter().filter(|it| it.config_version < NEW_VERSION);
+            assert!(is_known, "{size:?}, seed {seed}: {} nodes", n_old.count());
+        }
+    }
+}
+
 #[test]
 fn traffic_of_a_node_does_not_grow_with_the_nodes() {
     /// Bytes per second that a node may use for control at the target size.
