The store reader of a zone is the last node in the order of the hashes, its delegates the first

The primary delegate and the store reader of a zone were the same node, the first in the order, so the node that sends summaries to the whole zone also sent all updates of upstreams and the announcements, on the link and the tenth of a core of one machine. Change: the last node that has read the list recently is the reader. Nodes of both builds in one deployment only read more often meanwhile. Evidence: the tasks are apart by construction; the simulation and the process tests pass.

--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -4,7 +4,7 @@
 //! decided by [`lentilhitch_policy::gossip`]. This module encodes, sends and receives its messages and applies what they
 //! say to the state of the node.
 //!
-//! The store reader of a zone is the first node of the zone, in the order of the name hashes, that has recently read
+//! The store reader of a zone is the last node of the zone, in the order of the name hashes, that has recently read
 //! the list of upstreams from the store. It sends each changed upstream entry to the other nodes of its zone
 //! immediately, as an update. Each update is sent several times, because datagrams get lost. The primary delegate's
 //! summaries contain a digest of the reader's list of upstreams, and the time since the reader read the list from the
@@ -181,7 +181,7 @@
         reachable.any(|it| route_table.config.version < it.state.config.version)
     }
 
-    /// Returns whether this node is the store reader of its zone: no node of the zone with a smaller name hash has
+    /// Returns whether this node is the store reader of its zone: no node of the zone with a larger name hash has
     /// recently read the list of upstreams from the store.
     pub(crate) fn is_store_reader(&self) -> bool {
         !self.state.borrow().gossip.has_reader(self.now_ms())
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -368,9 +368,10 @@
         self.zones.values()
     }
 
-    /// Returns whether another node reads the store for this node: one that precedes it in the order of the hashes.
+    /// Returns whether another node reads the store for this node: one that follows it in the order of the hashes. The
+    /// delegates are the first nodes in this order, so a machine does not get both tasks in a zone of several nodes.
     pub fn has_reader(&self, now_ms: u64) -> bool {
-        self.has_summary(now_ms) && self.reader.is_some_and(|it| it < self.local.node)
+        self.has_summary(now_ms) && self.reader.is_some_and(|it| self.local.node < it)
     }
 
     fn has_summary(&self, now_ms: u64) -> bool {
--- a/crates/lentilhitch_policy/src/gossip/zone.rs
+++ b/crates/lentilhitch_policy/src/gossip/zone.rs
@@ -100,13 +100,13 @@
         newest.unwrap_or(StoreCopy { version: 0, age_ms: u64::MAX })
     }
 
-    /// Returns the first node in the order that read the list of upstreams within the maximum age.
+    /// Returns the last node in the order that read the list of upstreams within the maximum age.
     pub(super) fn reader(&self, age_max_ms: u64, now_ms: u64) -> Option<u64> {
         let reads = self
             .reports
             .iter()
             .filter(|(_, it)| it.age_of(it.report.state.upstreams, now_ms).age_ms <= age_max_ms);
-        reads.map(|it| *it.0).min()
+        reads.map(|it| *it.0).max()
     }
 
     /// Returns up to `n_max` wall-clock times, those in the middle if there are more.
