Soak: upstreams that leave or ask for pauses, and a store that returns from a copy; earlier incarnations stay gone

Cause: the soak knew none of the new statements. Reading it with them in mind showed a hole: a copy may list an incarnation that started before the one that was removed, and the catalog compared the removed one only. Change: three kinds of faults; an incarnation up to the removed one is not used from the copy. Evidence: the case 'removed since the copy, which lists an earlier incarnation' of only_ready_upstreams_get_requests.

--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -200,7 +200,8 @@
             entry.state = EntryState::Draining;
         }
         let ends_at_ms = entry.leaves_in_ms.map(|it| now_ms + it);
-        let is_removed = self.removed.get(&entry.id) == Some(&entry.started_ms);
+        let is_removed =
+            self.removed.get(&entry.id).is_some_and(|removed| entry.started_ms <= *removed);
         if is_removed && position < self.copy_end && !self.upstreams.contains_key(&entry.id) {
             return None;
         }
--- a/crates/lentilhitch_policy/tests/catalog.rs
+++ b/crates/lentilhitch_policy/tests/catalog.rs
@@ -174,6 +174,11 @@
             steps: vec![Ready("u", 1), Restored(&[]), Tick(1_800)],
             ready: vec![],
         },
+        Case {
+            name: "removed since the copy, which lists an earlier incarnation",
+            steps: vec![Ready("u", 2), Read, Removed("u"), Restored(&[("u", 1)])],
+            ready: vec![],
+        },
         Case {
             name: "two restores in a row",
             steps: vec![
--- a/crates/lentilhitch_standin/src/soak.rs
+++ b/crates/lentilhitch_standin/src/soak.rs
@@ -120,6 +120,7 @@
     }
     for it in &site.engines {
         it.set(Behavior::Stream { n_events: N_EVENTS, interval_ms: 5, break_after: None });
+        it.state_leaving(false);
     }
 }
 
@@ -148,10 +149,11 @@
 /// Injects faults at random intervals until `end`, and then writes all engines' entries as ready.
 async fn inject_faults(site: &mut Site, settings: Settings, end: Instant) -> anyhow::Result<()> {
     let mut rng = SmallRng::seed_from_u64(settings.seed);
+    site.store.take_copy();
     while Instant::now() < end {
         let node = rng.random_range(0..settings.n_nodes);
         let upstream = rng.random_range(0..site.engines.len());
-        match rng.random_range(0..9) {
+        match rng.random_range(0..11) {
             0 => {
                 site.nodes[node].process.kill();
                 site.restart(node)?;
@@ -181,6 +183,7 @@
                     Behavior::Serve { work_ms: 5 },
                     Behavior::Drop,
                     Behavior::Full,
+                    Behavior::Pause,
                     Behavior::Fail,
                     Behavior::OtherId,
                 ];
@@ -191,7 +194,7 @@
                     Some(rng.random_range(0..N_EVENTS)).filter(|_| rng.random_bool(0.7));
                 let interval_ms = rng.random_range(1..20);
                 let stream = Behavior::Stream { n_events: N_EVENTS, interval_ms, break_after };
-                let behaviors = [stream, Behavior::Full, Behavior::Drop];
+                let behaviors = [stream, Behavior::Full, Behavior::Pause, Behavior::Drop];
                 site.engines[upstream].set(behaviors[rng.random_range(0..behaviors.len())]);
             }
             6 => {
@@ -204,6 +207,16 @@
                 site.put_config(|_| {});
                 site.store.truncate_history("keyed.op");
             }
+            8 => site.engines[upstream].state_leaving(true),
+            9 if rng.random_bool(0.5) => site.store.take_copy(),
+            9 => {
+                site.store.restore();
+                // Operators and upstreams write again what the copy lacks.
+                site.put_config(|_| {});
+                for it in &site.applications {
+                    it.write_entry(&site.store, &json!({}));
+                }
+            }
             _ => reset(site),
         }
         let interval_ms = rng.random_range(0..FAULT_INTERVAL_MAX_MS);
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -27,6 +27,8 @@
     Drop,
     /// Does not execute the request, and states so in the response.
     Full,
+    /// Does not execute the request, states so, and asks the node to send nothing for a while.
+    Pause,
     /// Executes the request and responds with status 500.
     Fail,
     /// Executes the request and responds with the ID of another request.
@@ -58,6 +60,8 @@
 
 struct State {
     behavior: Behavior,
+    /// Whether responses state that the upstream is leaving.
+    is_leaving: bool,
     executed: Vec<ExecutedRequest>,
     /// Number of streams whose connection closed before their end.
     n_aborted_streams: u64,
@@ -84,6 +88,7 @@
     ) -> std::io::Result<Self> {
         let state = State {
             behavior,
+            is_leaving: false,
             executed: Vec::new(),
             n_aborted_streams: 0,
             kv_transfers: Vec::new(),
@@ -134,6 +139,11 @@
         self.state.lock().behavior = behavior;
     }
 
+    /// Sets whether later responses state that the upstream is leaving.
+    pub fn state_leaving(&self, is_leaving: bool) {
+        self.state.lock().is_leaving = is_leaving;
+    }
+
     /// Returns the requests that the upstream has executed so far.
     pub fn executed(&self) -> Vec<ExecutedRequest> {
         self.state.lock().executed.clone()
@@ -177,10 +187,14 @@
         return Some(with_status(421, full("")));
     }
     let behavior = state.lock().behavior;
-    if behavior == Behavior::Full {
+    let is_leaving = state.lock().is_leaving;
+    if matches!(behavior, Behavior::Full | Behavior::Pause) {
         let mut response = with_status(503, full(""));
         response.headers_mut().insert("x-not-executed", "1".parse().ok()?);
-        return Some(response);
+        if behavior == Behavior::Pause {
+            response.headers_mut().insert("retry-after", PAUSE_S.parse().ok()?);
+        }
+        return Some(with_statement(response, is_leaving));
     }
     let id = header("x-attempt-id").unwrap_or_default().to_owned();
     let index = {
@@ -207,14 +221,25 @@
         }
         Behavior::Fail => with_status(500, full("no")),
         Behavior::OtherId => return stamped(Response::new(full("another's")), "another", own_id),
-        Behavior::Drop | Behavior::Full => return None,
+        Behavior::Drop | Behavior::Full | Behavior::Pause => return None,
         Behavior::Hang => std::future::pending().await,
         Behavior::Crash => {
             crash.notify_one();
             return None;
         }
     };
-    stamped(response, &id, own_id)
+    Some(with_statement(stamped(response, &id, own_id)?, is_leaving))
+}
+
+/// Pause that an upstream asks for, in seconds.
+const PAUSE_S: &str = "0.4";
+
+/// Adds the statement that the upstream is leaving, if it is.
+fn with_statement(mut response: Response<StandInBody>, is_leaving: bool) -> Response<StandInBody> {
+    if is_leaving {
+        response.headers_mut().insert("server-leaving", 1.into());
+    }
+    response
 }
 
 fn on_kv_transfer(state: &Mutex<State>, body: &[u8]) -> Response<StandInBody> {
--- a/crates/lentilhitch_standin/tests/soak.rs
+++ b/crates/lentilhitch_standin/tests/soak.rs
@@ -5,7 +5,8 @@
 use lentilhitch_standin::soak::{Settings, run};
 
 /// Seeds, each with the reason for which it is here.
-const SEEDS: [(u64, &str); 3] = [(1, "a first seed"), (2, "a second seed"), (3, "a third seed")];
+const SEEDS: [(u64, &str); 4] =
+    [(1, "a first seed"), (2, "a second seed"), (3, "a third seed"), (4, "a fourth seed")];
 
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_faults() {
