--- a/crates/lentilhitch/tests/edge_store_eras.rs
+++ b/crates/lentilhitch/tests/edge_store_eras.rs
@@ -22,6 +22,19 @@
     until_logged(site, "the store has returned from a copy").await;
 }
 
+/// Restores the store twice while all nodes are frozen.
+async fn restore_while_frozen(site: &mut Site) {
+    for node in &mut site.nodes {
+        node.process.freeze();
+    }
+    site.store.restore();
+    site.store.restore();
+    for node in &mut site.nodes {
+        node.process.thaw();
+    }
+    until_logged(site, "\"era\":\"3\"").await;
+}
+
 /// Guards against a configuration, an upstream's departure or a new upstream that the copy undoes.
 #[tokio::test]
 async fn what_happened_since_the_copy_is_not_undone() {
@@ -61,8 +74,9 @@
 /// Guards against fencing tokens that fall and usage windows that are reported twice with different counts.
 #[tokio::test]
 async fn duties_continue_after_restores() {
-    let site = Site::start(SiteOptions { n_nodes: 2, ..SiteOptions::default() }).await.unwrap();
-    let reported = || site.store.duty_calls("usage");
+    let mut site = Site::start(SiteOptions { n_nodes: 2, ..SiteOptions::default() }).await.unwrap();
+    let store = site.store.clone();
+    let reported = || store.duty_calls("usage");
     until("usage is reported", || async { 2 < reported().len() }).await.unwrap();
     site.store.take_copy();
     for round in 0..2 {
@@ -75,7 +89,11 @@
             .await
             .unwrap();
         let n_before = reported().len();
-        restore(&site).await;
+        if round == 0 {
+            restore(&site).await;
+        } else {
+            restore_while_frozen(&mut site).await;
+        }
         until("usage is reported again", || async { n_before + 2 < reported().len() })
             .await
             .unwrap();
