--- a/crates/lentilhitch_gateway/src/client_io.rs
+++ b/crates/lentilhitch_gateway/src/client_io.rs
@@ -28,7 +28,8 @@
     Busy,
 }
 
-/// Tracks the phase of a connection and holds the timeouts of the phases.
+/// Tracks the phase of a connection, holds the timeouts of the phases, and decides whether the connection is reset at its
+/// end.
 #[derive(Debug)]
 pub(crate) struct PhaseTracker {
     phase: Cell<Phase>,
--- a/crates/lentilhitch_gateway/src/run_transfer.rs
+++ b/crates/lentilhitch_gateway/src/run_transfer.rs
@@ -61,7 +61,7 @@
     }
 }
 
-/// Sends the request for a transfer. Returns an error if it gets no complete response.
+/// Sends the request for a transfer. Without a complete response, returns whether the run may have been stopped.
 async fn request_transfer<P: Platform>(
     node: &Node<P>,
     request: Request<Bytes>,
--- a/crates/lentilhitch_types/src/id.rs
+++ b/crates/lentilhitch_types/src/id.rs
@@ -93,8 +93,7 @@
 }
 
 counter_type!(
-    /// Position in a stream of the platform's log or in a topic of its store. Also used as the version of a record and
-    /// as a fencing token.
+    /// Position in a stream of the platform's log. Also used as the version of a record and as a fencing token.
     LogOffset
 );
 counter_type!(
--- a/crates/lentilhitch_types/src/position.rs
+++ b/crates/lentilhitch_types/src/position.rs
@@ -34,7 +34,7 @@
 )]
 pub struct LogPosition(u64);
 
-/// Number of bits of an offset. 40 bits are a thousand records a second for 35 years.
+/// Number of bits of an offset.
 const OFFSET_BITS: u32 = 40;
 const OFFSET_MAX: u64 = (1 << OFFSET_BITS) - 1;
 
