--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -675,3 +675,51 @@
         }
     }
 }
+
+/// Guards against a team that gets more than its rate when its demand jumps just after a third of the nodes were each cut
+/// off from all others.
+#[test]
+fn shared_rate_holds_when_demand_jumps_while_single_nodes_are_cut_off() {
+    const WINDOW_MS: u64 = 8_000;
+    const JUMP_MS: u64 = 3_000;
+    const CUT_MS: u64 = JUMP_MS - 500;
+    const DURATION_MS: u64 = 15_000;
+    const DEMAND_BEFORE: f64 = 0.5;
+    const DEMAND_AFTER: f64 = 3.0;
+    /// Fraction by which operators allow the rate to be exceeded, and the fixed allowance.
+    const EXCESS_FRACTION: f64 = 0.1;
+    const EXCESS_FIXED: f64 = 140_000.0;
+    const COST: f64 = 12_000.0;
+    let window_s = WINDOW_MS as f64 / 1_000.0;
+    let allowed = (RATE.per_s * window_s + RATE.burst) * (1.0 + EXCESS_FRACTION) + EXCESS_FIXED;
+    for size in [(74, 4), (295, 6), (340, 31)] {
+        let mut simulation = Simulation::start(size, 30);
+        simulation.run_for(SETTLED_MS);
+        let start_ms = simulation.now_ms;
+        let mut admitted_ms: Vec<u64> = Vec::new();
+        let mut pending = 0.0;
+        while simulation.now_ms < start_ms + DURATION_MS {
+            let elapsed_ms = simulation.now_ms - start_ms;
+            if elapsed_ms == CUT_MS {
+                simulation.is_cut = |a, b, _| a % 3 == 0 || b % 3 == 0;
+            }
+            simulation.step();
+            let demand = if elapsed_ms < JUMP_MS { DEMAND_BEFORE } else { DEMAND_AFTER };
+            pending += demand * RATE.per_s * STEP_MS as f64 / 1_000.0;
+            while COST <= pending {
+                pending -= COST;
+                let idx = simulation.rng.random_range(0..size.0);
+                if simulation.try_admit(idx, COST) {
+                    admitted_ms.push(simulation.now_ms);
+                }
+            }
+        }
+        let starts = (start_ms..start_ms + DURATION_MS - WINDOW_MS).step_by(100);
+        let n_from = |from: u64| {
+            admitted_ms.iter().filter(|it| (from..from + WINDOW_MS).contains(*it)).count()
+        };
+        let worst = starts.map(n_from).max().unwrap_or_default() as f64 * COST;
+        println!("{size:?}: worst {:.3} of allowed", worst / allowed);
+        assert!(worst <= allowed, "{size:?}: {worst} admitted, {allowed} allowed");
+    }
+}
