--- /dev/null
+++ b/crates/lentilhitch/tests/edge_suspects.rs
@@ -0,0 +1,74 @@
+//! Requests that crash upstreams: when one segment of their prompts is the cause, requests with that segment are no longer
+//! sent to upstreams, and all others are.
+
+use lentilhitch_standin::{
+    harness::until,
+    users_platform::{Behavior, ClientResponse, Site, SiteOptions},
+};
+
+const N_NODES: usize = 3;
+const N_ENGINES: usize = 9;
+/// Crashes after which no more requests with the segment may reach upstreams, once the nodes had time to learn of them.
+const N_CRASHES: usize = 5;
+/// Prompt segment that crashes the engines, and one that all requests share.
+const CRASHING_SEGMENT: &str = "c0ffee";
+const SHARED_SEGMENT: &str = "5c";
+
+/// Sends a request of a conversation whose prompt begins with the shared segment.
+async fn ask(site: &Site, node: usize, id: &str, segments: &str) -> ClientResponse {
+    let prefix = format!("{SHARED_SEGMENT}:800,{segments}:50");
+    let request = site.request(node, id, "/ask/x").body(format!("question {id}"));
+    let request = request.header("x-token-usage", "900,80").header("x-prompt-prefix", prefix);
+    site.send(request).await.unwrap()
+}
+
+fn n_executed(site: &Site) -> usize {
+    site.engines.iter().map(|it| it.executed().len()).sum()
+}
+
+fn n_quarantined(site: &Site, node: usize) -> usize {
+    site.nodes[node].process.log_text().matches("prompt segment quarantined").count()
+}
+
+async fn until_quarantined(site: &Site, node: usize) {
+    let is_quarantined = || async { n_quarantined(site, node) == 1 };
+    until("the node has quarantined the segment", is_quarantined).await.unwrap();
+}
+
+/// Guards against requests that share a prompt segment and crash one upstream after the other, each request anew.
+#[tokio::test]
+async fn prompt_segment_that_crashes_upstreams_is_quarantined_at_all_nodes() {
+    let options = SiteOptions { n_nodes: N_NODES, n_engines: N_ENGINES, ..SiteOptions::default() };
+    let mut site = Site::start(options).await.unwrap();
+    for it in &site.engines {
+        it.set(Behavior::Stream { n_events: 5, interval_ms: 20, break_after: None });
+        it.crash_on_segment(CRASHING_SEGMENT);
+    }
+    let crashing = |idx: usize| format!("{CRASHING_SEGMENT}:40,a{idx:x}");
+    for idx in 0..N_CRASHES {
+        let sound = ask(&site, idx % N_NODES, &format!("sound-{idx}"), &format!("b{idx}")).await;
+        assert!(sound.is_complete && sound.status == 200, "request {idx}: {sound:?}");
+        let response = ask(&site, idx % N_NODES, &format!("crash-{idx}"), &crashing(idx)).await;
+        assert!(!response.is_complete || response.status != 200, "request {idx}: {response:?}");
+    }
+    for node in 0..N_NODES {
+        until_quarantined(&site, node).await;
+    }
+    // A node that starts later learns of the segment from the others.
+    site.nodes[0].process.kill();
+    site.restart(0).unwrap();
+    site.until_ready().await.unwrap();
+    until_quarantined(&site, 0).await;
+
+    let n_before = n_executed(&site);
+    for idx in 0..2 * N_NODES {
+        let response =
+            ask(&site, idx % N_NODES, &format!("late-{idx}"), &crashing(100 + idx)).await;
+        assert_eq!(response.status, 500, "request {idx}: {response:?}");
+    }
+    assert_eq!(n_executed(&site), n_before, "a quarantined request reached an upstream");
+    for idx in 0..2 * N_NODES {
+        let sound = ask(&site, idx % N_NODES, &format!("after-{idx}"), &format!("d{idx}")).await;
+        assert!(sound.is_complete && sound.status == 200, "request {idx}: {sound:?}");
+    }
+}
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -60,6 +60,9 @@
 
 struct State {
     behavior: Behavior,
+    /// Prompt segment, as the first field of its entry in the request's header, on which the upstream crashes as soon as
+    /// it has sent the first event of a response.
+    crashing_segment: Option<String>,
     /// Whether responses state that the upstream is leaving.
     is_leaving: bool,
     executed: Vec<ExecutedRequest>,
@@ -88,6 +91,7 @@
     ) -> std::io::Result<Self> {
         let state = State {
             behavior,
+            crashing_segment: None,
             is_leaving: false,
             executed: Vec::new(),
             n_aborted_streams: 0,
@@ -139,6 +143,11 @@
         self.state.lock().behavior = behavior;
     }
 
+    /// Sets the prompt segment whose requests crash the upstream after the first event of their responses.
+    pub fn crash_on_segment(&self, segment: &str) {
+        self.state.lock().crashing_segment = Some(segment.to_owned());
+    }
+
     /// Sets whether later responses state that the upstream is leaving.
     pub fn state_leaving(&self, is_leaving: bool) {
         self.state.lock().is_leaving = is_leaving;
@@ -174,7 +183,7 @@
 async fn handle_request(
     state: &Arc<Mutex<State>>,
     own_id: &str,
-    crash: &Notify,
+    crash: &Arc<Notify>,
     request: Request<Incoming>,
 ) -> Option<Response<StandInBody>> {
     let (parts, body) = request.into_parts();
@@ -209,6 +218,10 @@
         });
         state.executed.len() - 1
     };
+    let crashing_segment = state.lock().crashing_segment.clone();
+    let segments = header("x-prompt-prefix").unwrap_or_default().split(',');
+    let mut segments = segments.filter_map(|it| it.split(':').next());
+    let is_crashing = crashing_segment.is_some_and(|it| segments.any(|segment| segment == it));
     let after = header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or_default();
     let response = match behavior {
         Behavior::Serve { work_ms } => {
@@ -216,6 +229,14 @@
             state.lock().executed[index].is_response_complete = true;
             Response::new(full(format!("answer of {own_id}")))
         }
+        Behavior::Stream { n_events, interval_ms, .. } if is_crashing => {
+            let crash = crash.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(interval_ms + interval_ms / 2)).await;
+                crash.notify_one();
+            });
+            Response::new(events(state.clone(), index, (after, n_events), interval_ms, None))
+        }
         Behavior::Stream { n_events, interval_ms, break_after } => {
             Response::new(events(state.clone(), index, (after, n_events), interval_ms, break_after))
         }
