Requests that share a prompt segment which crashes upstreams are no longer sent to any

Cause: crashes were counted by a fingerprint of the whole request. No node logged a stopped request, although each crash was noticed within 0.2 s. Evidence was also told only four times, so a node that starts later knew nothing of it.

Fix: crashes are counted for each segment that other requests may share. A segment with crashes at three moments and no answer since is quarantined after a third of the contact time, in which nodes that see an answer object. Crashes that a quarantined segment explains do not count against others. Quarantines are repeated, so nodes that start or were cut off learn of them. Each attempt checks the quarantine, not only the admission.

Why it works: a segment on which each answer crashes is never answered, while a sound one is, at some node; and a sound one that is never answered in that time is outranked by the one that was present at all crashes.

--- a/crates/lentilhitch/tests/edge_suspects.rs
+++ b/crates/lentilhitch/tests/edge_suspects.rs
@@ -30,8 +30,9 @@
     site.nodes[node].process.log_text().matches("prompt segment quarantined").count()
 }
 
-async fn until_quarantined(site: &Site, node: usize) {
-    let is_quarantined = || async { n_quarantined(site, node) == 1 };
+/// Waits until the log of the node, which all its processes append to, states the quarantine `n` times.
+async fn until_quarantined(site: &Site, node: usize, n: usize) {
+    let is_quarantined = || async { n_quarantined(site, node) == n };
     until("the node has quarantined the segment", is_quarantined).await.unwrap();
 }
 
@@ -52,13 +53,18 @@
         assert!(!response.is_complete || response.status != 200, "request {idx}: {response:?}");
     }
     for node in 0..N_NODES {
-        until_quarantined(&site, node).await;
+        until_quarantined(&site, node, 1).await;
+    }
+    for it in &site.engines {
+        if it.executed().iter().any(|it| it.header("x-prompt-prefix").contains(CRASHING_SEGMENT)) {
+            site.store.delete("keyed.servers", &it.id);
+        }
     }
     // A node that starts later learns of the segment from the others.
     site.nodes[0].process.kill();
     site.restart(0).unwrap();
     site.until_ready().await.unwrap();
-    until_quarantined(&site, 0).await;
+    until_quarantined(&site, 0, 2).await;
 
     let n_before = n_executed(&site);
     for idx in 0..2 * N_NODES {
--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -10,7 +10,9 @@
 use tokio::time::timeout;
 
 use lentilhitch_policy::{
+    placement::Prompt,
     shared_rate::ClusterView,
+    suspects::Suspect,
     traffic::{Route, RouteTable, Team},
 };
 use lentilhitch_types::{Fingerprint, ServiceName, TeamName};
@@ -40,9 +42,9 @@
     pub(crate) arrived_ms: u64,
     /// Time at which the timeout of the client or of the route expires, whichever is earlier.
     pub(crate) deadline_at_ms: u64,
-    /// Hash of the path with the query, the team's name and the body. Identifies the request, also when the client
-    /// sends it again, in the evidence of crashes and for the quarantine.
-    pub(crate) fingerprint: Fingerprint,
+    /// Identifies the request and the segments of its prompt in the evidence of crashes and for the quarantine. The
+    /// request is identified by the path with the query, the team's name and the body.
+    pub(crate) suspect: Suspect,
     /// Cost that was charged to the team's rate limit.
     pub(crate) cost: f64,
 }
@@ -93,8 +95,12 @@
     })?;
     let path = parts.uri.path_and_query().map_or("", |it| it.as_str());
     let team_name = team.map_or("", |it| it.name.as_str());
-    let fingerprint = Fingerprint::of(&[path.as_bytes(), team_name.as_bytes(), &body]);
-    if node.state.borrow().suspects.is_quarantined(fingerprint) {
+    let segments = head.prompt.iter().flat_map(Prompt::shared_segments).map(|it| it.id);
+    let suspect = Suspect {
+        request: Fingerprint::of(&[path.as_bytes(), team_name.as_bytes(), &body]),
+        segments: segments.collect(),
+    };
+    if node.state.borrow().suspects.is_stopped(&suspect) {
         return Err(Rejection::Quarantined);
     }
     let cost = node.charge(team, &head)?;
@@ -109,7 +115,7 @@
         priority,
         arrived_ms,
         deadline_at_ms,
-        fingerprint,
+        suspect,
         cost,
     })
 }
--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -103,6 +103,9 @@
                 // Too little time is left before the deadline.
                 return Err(self.rejection("the time is over"));
             }
+            if self.node.state.borrow().suspects.is_stopped(&self.admitted.suspect) {
+                return Err(self.quarantine_rejection());
+            }
             if !self.sent_to.is_empty() && !self.withdraw_retry_budget(now_ms) {
                 // The retry budget does not allow another attempt.
                 return Err(self.rejection("no second try may be made now"));
@@ -136,6 +139,9 @@
         let assigned = {
             let mut state = self.node.state.borrow_mut();
             let state = &mut *state;
+            if state.suspects.is_stopped(&self.admitted.suspect) {
+                return None;
+            }
             let pauses = &state.pauses;
             let target = state.catalog.iter().filter(|it| {
                 it.entry.id == entry.id && pauses.remaining_ms(&it.entry, now_ms).is_none()
@@ -269,6 +275,15 @@
         }
     }
 
+    /// Returns the rejection of a request that was quarantined after its admission.
+    fn quarantine_rejection(&self) -> Rejection {
+        if self.may_have_run {
+            self.rejection("the request crashed the upstreams that ran it")
+        } else {
+            Rejection::Quarantined
+        }
+    }
+
     /// Withdraws a retry from the budget of the service. Returns whether the retry is allowed.
     fn withdraw_retry_budget(&self, now_ms: u64) -> bool {
         let settings = self.node.budget_settings();
--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -76,7 +76,7 @@
             response
         }
         Err(rejection) => {
-            if matches!(rejection, Rejection::Unavailable { .. }) {
+            if matches!(rejection, Rejection::Unavailable { .. } | Rejection::Quarantined) {
                 node.refund(&admitted);
             }
             reject(node, &admitted.head.id, &admitted.route.name, rejection, admitted.arrived_ms)
@@ -97,9 +97,8 @@
             Err(rejection) => return upstream_failure.ok_or(rejection),
         };
         attempts.count_usage_once();
-        let body_timeout_ms = admitted.remaining_ms(node.now_ms());
         let upstream = response.entry.id.clone();
-        match response.read_to_end(&node, body_timeout_ms).await {
+        match response.read_to_end(&node, &admitted).await {
             Ok((parts, body)) => {
                 let is_failure = parts.status.is_server_error();
                 attempts.log_response(&upstream, parts.status.as_u16());
@@ -151,12 +150,11 @@
         if response.parts.status.is_success() && is_event_stream(&response.parts.headers) {
             return Ok(relay::stream_response(attempts, *response));
         }
-        let body_timeout_ms = admitted.remaining_ms(node.now_ms());
         let is_server_error = response.parts.status.is_server_error();
         if response.parts.status.is_success() {
             attempts.count_usage_once();
         }
-        match response.read_to_end(&node, body_timeout_ms).await {
+        match response.read_to_end(&node, &admitted).await {
             Ok((parts, body)) => {
                 let response = complete_response::<P>(&admitted, &parts, body);
                 if !is_server_error || !attempts.may_retry() {
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -33,7 +33,7 @@
     traffic::{EntryState, UpstreamEntry},
     usage::NodeCounts,
 };
-use lentilhitch_types::{Fingerprint, LogPosition, UpstreamName};
+use lentilhitch_types::{LogPosition, UpstreamName};
 
 use crate::{
     clock::wall_ms,
@@ -48,8 +48,6 @@
 const DELAY_ALLOWANCE_MS: u64 = 300;
 /// Maximum size of a datagram that is read.
 const DATAGRAM_BYTES_MAX: usize = 64 * 1024;
-/// Maximum number of pieces of evidence of crashes in one report.
-const EVIDENCE_PER_MESSAGE_MAX: usize = 32;
 /// Number of times that a new configuration is announced.
 const CONFIG_ANNOUNCEMENTS: u8 = 3;
 /// Number of summaries in a row with another list of upstreams after which a node reads the list itself.
@@ -151,6 +149,10 @@
             }
             () = &mut updates_timer => {
                 node.send_updates();
+                if node.has_evidence_to_send() {
+                    node.send_state(socket).await;
+                    tick_timer = Box::pin(sleep(Duration::from_millis(node.next_tick_ms())));
+                }
                 updates_timer = Box::pin(sleep(Duration::from_millis(UPDATE_INTERVAL_MS)));
             }
             () = &mut tick_timer => {
@@ -165,7 +167,16 @@
     fn next_tick_ms(&self) -> u64 {
         let now_ms = self.now_ms();
         let state = self.state.borrow();
-        state.gossip.next_tick_ms(!state.evidence.is_empty(), now_ms)
+        state.gossip.next_tick_ms(state.has_urgent_evidence(), now_ms)
+    }
+
+    /// Updates the evidence on prompt segments. Returns whether there is evidence of crashes that should not wait for the
+    /// next report.
+    fn has_evidence_to_send(&self) -> bool {
+        let now_ms = self.now_ms();
+        let mut state = self.state.borrow_mut();
+        state.update_segments(now_ms);
+        state.has_urgent_evidence()
     }
 
     /// Returns whether a newer configuration than that of this node was announced or is in force in a reachable zone, or
@@ -346,7 +357,8 @@
             loads: state.load_table.report(),
             admitted: admitted.map(|(team, it)| (short_hash(team.as_str()), it.report())).collect(),
             demand: demand.collect(),
-            evidence: state.take_evidence_to_send(),
+            evidence: state.evidence.take_due(),
+            segment_reports: state.segment_reports.take_due(),
             duty_topic_end: state.local_duty_topic_end,
         }
     }
@@ -477,6 +489,9 @@
                 self.log_if_quarantined(*request);
             }
         }
+        for it in summary.segment_reports {
+            self.suspects.segments.on_report(it, now_ms);
+        }
         if let Some(duty) = summary.duty {
             let as_of_ms = now_ms.saturating_sub(duty.age_ms);
             self.received_duty_topic_end = Some((duty.topic_end, as_of_ms));
@@ -521,6 +536,10 @@
         }
     }
 
+    fn has_urgent_evidence(&self) -> bool {
+        self.evidence.is_urgent() || self.segment_reports.is_urgent()
+    }
+
     /// Returns whether the store reader of the zone has had another list of upstreams for several summaries.
     pub(crate) fn is_list_doubtful(&self) -> bool {
         LIST_MISMATCHES_MAX <= self.n_list_mismatches
@@ -538,17 +557,4 @@
         self.upstream_updates.retain(|it| 0 < it.1);
         due
     }
-
-    /// Returns the evidence of crashes for the next report. Decrements the number of times that each piece is
-    /// still to be sent, and removes a piece from the queue after its last time.
-    fn take_evidence_to_send(&mut self) -> Vec<(Fingerprint, u64)> {
-        let due = self.evidence.iter_mut().take(EVIDENCE_PER_MESSAGE_MAX);
-        let due = due.map(|it| {
-            it.2 -= 1;
-            (it.0, it.1)
-        });
-        let due = due.collect();
-        self.evidence.retain(|it| 0 < it.2);
-        due
-    }
 }
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -13,13 +13,16 @@
 
 use lentilhitch_policy::{
     catalog::{self, Catalog, Change, Upstream},
-    gossip::{self, Gossip, message::NodeAddress},
+    gossip::{self, Gossip, message::NodeAddress, relay::Relay},
     pauses::Pauses,
     placement::{self, LoadTable},
     retry::{self, RetryBudget},
     shared_rate::{self, SharedRate},
     store_era::EraTracker,
-    suspects::{Suspects, UpstreamIncarnation},
+    suspects::{
+        Suspects, UpstreamIncarnation,
+        segments::{self, SegmentReport},
+    },
     synced_clock::SyncedClock,
     traffic::{Config, RouteTable, Team, UpstreamEntry},
     usage::{NodeCounts, UsageCounter},
@@ -29,6 +32,7 @@
 };
 
 use crate::{
+    admission::AdmittedRequest,
     clock::{Clock, wall_ms},
     gossip::UpstreamUpdate,
     metrics::Metrics,
@@ -114,9 +118,11 @@
     pub(crate) suspects: Suspects,
     /// For each upstream, when this node last probed whether it still accepts connections after a connection broke.
     pub(crate) last_probe_ms: FxHashMap<UpstreamName, u64>,
-    /// Evidence of crashes to send to the peers: a request that was present at a crash of an upstream, the id of the
-    /// crash, and the number of times that this piece of evidence is still to be sent.
-    pub(crate) evidence: Vec<(Fingerprint, u64, u8)>,
+    /// Evidence of crashes to send to the peers: a request that was present at a crash of an upstream, and the id of the
+    /// crash.
+    pub(crate) evidence: Relay<(Fingerprint, u64)>,
+    /// Reports on prompt segments to send to the peers.
+    pub(crate) segment_reports: Relay<SegmentReport>,
     /// Changed upstream entries to send to the peers, with the number of times that each is still to be sent.
     pub(crate) upstream_updates: Vec<(UpstreamUpdate, u8)>,
     /// The exchange of state with the other nodes.
@@ -183,6 +189,9 @@
     name_hash(name) as u32
 }
 
+/// Part of the time after which nodes know of an event that other nodes have to object to a quarantine: the evidence and
+/// the objection take one part each.
+const OBJECTION_CONTACT_DIVISOR: u64 = 3;
 /// Time for which a node counts as running after its last message or its last new record in the store. In large
 /// deployments, three intervals between reads of the list of nodes apply instead if they are longer.
 const NODE_RETENTION_MS: u64 = 25_000;
@@ -223,9 +232,14 @@
             demand: FxHashMap::default(),
             usage_counter: UsageCounter::new(settings.bounds.usage_window_ms),
             synced_clock: SyncedClock::default(),
-            suspects: Suspects::default(),
+            suspects: Suspects::new(segments::Settings {
+                objection_ms: settings.bounds.contact_ms / OBJECTION_CONTACT_DIVISOR,
+                reminder_interval_ms: settings.bounds.contact_ms / OBJECTION_CONTACT_DIVISOR,
+                ..segments::Settings::default()
+            }),
             last_probe_ms: FxHashMap::default(),
-            evidence: Vec::new(),
+            evidence: Relay::default(),
+            segment_reports: Relay::default(),
             upstream_updates: Vec::new(),
             local_duty_topic_end: None,
             received_duty_topic_end: None,
@@ -350,6 +364,12 @@
         self.state.borrow_mut().record_crash(&(entry.id.clone(), entry.started_ms), now_ms);
     }
 
+    /// Records that a request was answered completely, so that the segments of its prompt do not crash upstreams.
+    pub(crate) fn record_answer(&self, admitted: &AdmittedRequest) {
+        let now_ms = self.now_ms();
+        self.state.borrow_mut().suspects.segments.record_answer(&admitted.suspect.segments, now_ms);
+    }
+
     /// Drops nodes whose last message and last new record in the store are both too old. Drops none if the list of nodes
     /// could not be read, in which case `is_store_reachable` is false.
     pub(crate) fn drop_expired_nodes(&self, is_store_reachable: bool) {
@@ -368,9 +388,6 @@
     }
 }
 
-/// Number of times that a piece of evidence is sent to the peers, since datagrams get lost.
-const EVIDENCE_SENDS: u8 = 4;
-
 /// Returns the upstreams of a service that may get requests from this node now.
 pub(crate) fn available<'a>(
     catalog: &'a Catalog,
@@ -384,18 +401,28 @@
 impl State {
     /// Records that an incarnation of an upstream ended without notice. The requests whose connections to it broke
     /// become suspects.
-    fn record_crash(&mut self, incarnation: &UpstreamIncarnation, now_ms: u64) {
+    pub(crate) fn record_crash(&mut self, incarnation: &UpstreamIncarnation, now_ms: u64) {
         let present = self.suspects.record_crash(incarnation, now_ms);
         if present.is_empty() {
             return;
         }
-        log::warn!(upstream = incarnation.0.as_str(), n_suspects = present.len(); "upstream crashed");
-        for (request, crash) in present {
-            self.evidence.push((request, crash, EVIDENCE_SENDS));
+        let suspects = present.iter().map(|it| it.0.to_string()).collect::<Vec<_>>().join(",");
+        log::warn!(upstream = incarnation.0.as_str(), n_suspects = present.len(), suspects; "upstream crashed");
+        self.evidence.extend(&present, now_ms);
+        for (request, _) in present {
             self.log_if_quarantined(request);
         }
     }
 
+    /// Starts the quarantines of prompt segments that are due, and queues the reports on segments for the peers.
+    pub(crate) fn update_segments(&mut self, now_ms: u64) {
+        let segments = &mut self.suspects.segments;
+        for (segment, n_crashes) in segments.decide(now_ms) {
+            log::warn!(segment:% = segment, n_crashes; "prompt segment quarantined");
+        }
+        self.segment_reports.extend(&segments.take_reports(now_ms), now_ms);
+    }
+
     /// Logs if a request is quarantined, which means that it is no longer sent to any upstream.
     pub(crate) fn log_if_quarantined(&self, request: Fingerprint) {
         if self.suspects.is_quarantined(request) {
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -176,11 +176,14 @@
         let node = &self.attempts.node;
         match outcome {
             RelayOutcome::Complete => {
+                if marker == EndMarker::Explicit {
+                    node.record_answer(&self.attempts.admitted);
+                }
                 node.pool.put(&entry.id, connection, keep_alive_ms(&parts), node.clock);
             }
             RelayOutcome::Broken(BreakCause::ConnectionLost, _) => {
-                let fingerprint = self.attempts.admitted.fingerprint;
-                record_broken_connection_and_probe(node, fingerprint, &entry);
+                let suspect = &self.attempts.admitted.suspect;
+                record_broken_connection_and_probe(node, suspect, &entry);
             }
             _ => {}
         }
--- a/crates/lentilhitch_gateway/src/settings.rs
+++ b/crates/lentilhitch_gateway/src/settings.rs
@@ -54,6 +54,8 @@
     /// Number of retries that are allowed in a period of time in addition to `retry_ratio`, over all nodes. Half of it,
     /// divided by the number of nodes, is the maximum of a node's retry budget, which is at least 1.
     pub retry_slack: f64,
+    /// Time in milliseconds after which nodes that reach each other and the store know of an event.
+    pub contact_ms: u64,
     /// Length of a usage window in milliseconds.
     pub usage_window_ms: u64,
     /// Time in milliseconds, from the end of a usage window, by which the window must be reported.
@@ -67,6 +69,7 @@
             lease_ms: 3_000,
             retry_ratio: 0.2,
             retry_slack: 50.0,
+            contact_ms: 3_000,
             usage_window_ms: 5_000,
             usage_report_deadline_ms: 10_000,
         }
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -13,11 +13,10 @@
     pauses::PAUSE_MAX_MS,
     placement::{Assignment, AttemptResult},
     stream_end::EndMarker,
+    suspects::Suspect,
     traffic::{Repeat, UpstreamEntry},
 };
 
-use lentilhitch_types::Fingerprint;
-
 use crate::{
     admission::AdmittedRequest,
     body_memory::{BodyMemoryGuard, MemoryExhausted},
@@ -151,7 +150,7 @@
             Ok(SendResult::Broken(err)) => {
                 log::info!(request = admitted.head.id.as_str(), upstream = entry.id.as_str(), error:% = err; "connection to upstream broke");
                 assignment.set_result(AttemptResult::Failed);
-                record_broken_connection_and_probe(node, admitted.fingerprint, entry);
+                record_broken_connection_and_probe(node, &admitted.suspect, entry);
                 AttemptOutcome::Unknown("the connection broke")
             }
             Ok(SendResult::Response(response)) => {
@@ -170,12 +169,17 @@
 /// [`PROBE_INTERVAL_MS`] ago.
 pub(crate) fn record_broken_connection_and_probe<P: Platform>(
     node: &Rc<Node<P>>,
-    request: Fingerprint,
+    suspect: &Suspect,
     entry: &UpstreamEntry,
 ) {
     let now_ms = node.now_ms();
     let mut state = node.state.borrow_mut();
-    state.suspects.record_broken_connection((entry.id.clone(), entry.started_ms), request, now_ms);
+    let incarnation = (entry.id.clone(), entry.started_ms);
+    state.suspects.record_broken_connection(incarnation.clone(), suspect.clone(), now_ms);
+    if state.suspects.has_crashed(&incarnation) {
+        state.record_crash(&incarnation, now_ms);
+        return;
+    }
     let last_probe_ms = state.last_probe_ms.entry(entry.id.clone()).or_default();
     if now_ms < *last_probe_ms + PROBE_INTERVAL_MS {
         return;
@@ -335,8 +339,10 @@
     pub(crate) async fn read_to_end(
         mut self,
         node: &Rc<Node<P>>,
-        body_timeout_ms: u64,
+        admitted: &AdmittedRequest,
     ) -> Result<(response::Parts, Bytes), &'static str> {
+        let marker = self.end_marker();
+        let body_timeout_ms = admitted.remaining_ms(node.now_ms());
         self.assignment.set_result(AttemptResult::Failed);
         let body = read_body(node, self.body);
         let body = match timeout(Duration::from_millis(body_timeout_ms), body).await {
@@ -344,6 +350,9 @@
             Ok(res) => res?,
         };
         let is_failure = self.parts.status.is_server_error();
+        if !is_failure && marker == EndMarker::Explicit {
+            node.record_answer(admitted);
+        }
         self.assignment.set_result(if is_failure {
             AttemptResult::Failed
         } else {
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -16,6 +16,7 @@
 
 pub mod message;
 mod nodes;
+pub mod relay;
 mod zone;
 
 use std::net::SocketAddr;
@@ -25,12 +26,13 @@
 
 use lentilhitch_types::Fingerprint;
 
-use crate::placement::InProgress;
+use crate::{placement::InProgress, suspects::segments::SegmentReport};
 use message::{
     Admitted, DutyHolder, Evidence, LocalState, Message, NodeAddress, NodeRates, NodeReport, Pulse,
     Summary, ZoneRates, ZoneState, ZoneSummary,
 };
 use nodes::Nodes;
+use relay::Relay;
 use zone::{ZoneReports, add_demand, add_loads};
 
 /// Intervals and limits of the exchange.
@@ -86,12 +88,6 @@
 const CLOCKS_MAX: usize = 24;
 /// Number of live nodes that a summary names.
 const LIVE_NODES_MAX: usize = 4;
-/// Number of times that a piece of evidence is passed on, since messages get lost.
-const EVIDENCE_SENDS: u8 = 4;
-/// Maximum number of pieces of evidence in one message.
-const EVIDENCE_PER_MESSAGE_MAX: usize = 32;
-/// Maximum number of pieces of evidence that are remembered as passed on.
-const EVIDENCE_SEEN_MAX: usize = 8_192;
 /// Time without a state of a zone after which the number of its nodes is taken from the list of nodes again.
 const ZONE_RETENTION_MS: u64 = 60_000;
 
@@ -156,34 +152,26 @@
     }
 }
 
-/// Evidence to pass on, with the number of times that it is still to be sent.
+/// Evidence of crashes to pass on.
 #[derive(Clone, Debug, Default)]
-struct EvidenceRelay {
-    queue: Vec<(Fingerprint, u64, u8)>,
-    seen: FxHashSet<(Fingerprint, u64)>,
+struct CrashNews {
+    requests: Relay<(Fingerprint, u64)>,
+    segments: Relay<SegmentReport>,
 }
 
-impl EvidenceRelay {
-    fn insert(&mut self, evidence: &Evidence) {
-        if EVIDENCE_SEEN_MAX <= self.seen.len() {
-            self.seen.clear();
-        }
-        for it in evidence {
-            if self.seen.insert(*it) {
-                self.queue.push((it.0, it.1, EVIDENCE_SENDS));
-            }
-        }
+impl CrashNews {
+    fn extend(&mut self, evidence: &Evidence, segment_reports: &[SegmentReport], now_ms: u64) {
+        self.requests.extend(evidence, now_ms);
+        self.segments.extend(segment_reports, now_ms);
     }
 
-    fn take_due(&mut self) -> Evidence {
-        let due = self.queue.iter_mut().take(EVIDENCE_PER_MESSAGE_MAX);
-        let due = due.map(|it| {
-            it.2 -= 1;
-            (it.0, it.1)
-        });
-        let due = due.collect();
-        self.queue.retain(|it| 0 < it.2);
-        due
+    fn is_urgent(&self) -> bool {
+        self.requests.is_urgent() || self.segments.is_urgent()
+    }
+
+    fn discard_due(&mut self) {
+        self.requests.take_due();
+        self.segments.take_due();
     }
 }
 
@@ -201,6 +189,8 @@
     slot: usize,
     /// Evidence in the summaries of the current interval.
     evidence: Evidence,
+    /// Reports on prompt segments in the summaries of the current interval.
+    segment_reports: Vec<SegmentReport>,
     /// Since when this node is a delegate and collects reports, if it is one.
     delegate_since_ms: Option<u64>,
     role: Role,
@@ -215,8 +205,8 @@
     zones: FxHashMap<u32, KnownZone>,
     reader: Option<u64>,
     duty: Option<(DutyHolder, u64)>,
-    evidence_to_nodes: EvidenceRelay,
-    evidence_to_zones: EvidenceRelay,
+    to_nodes: CrashNews,
+    to_zones: CrashNews,
     /// Teams of each zone whose totals are to be passed on urgently.
     urgent_teams: FxHashMap<u32, FxHashSet<u32>>,
 }
@@ -239,6 +229,7 @@
             last_tick_ms: 0,
             slot: 0,
             evidence: Evidence::new(),
+            segment_reports: Vec::new(),
             delegate_since_ms: None,
             role: Role::Member,
             primary: None,
@@ -249,8 +240,8 @@
             zones: FxHashMap::default(),
             reader: None,
             duty: None,
-            evidence_to_nodes: EvidenceRelay::default(),
-            evidence_to_zones: EvidenceRelay::default(),
+            to_nodes: CrashNews::default(),
+            to_zones: CrashNews::default(),
             urgent_teams: FxHashMap::default(),
         }
     }
@@ -295,9 +286,7 @@
     /// Returns the time until the next tick.
     pub fn next_tick_ms(&self, has_evidence: bool, now_ms: u64) -> u64 {
         let interval_ms = self.interval_ms(now_ms);
-        let has_evidence = has_evidence
-            || !self.evidence_to_nodes.queue.is_empty()
-            || !self.evidence_to_zones.queue.is_empty();
+        let has_evidence = has_evidence || self.to_nodes.is_urgent() || self.to_zones.is_urgent();
         let interval_ms = if has_evidence {
             interval_ms.min(self.settings.evidence_interval_ms)
         } else {
@@ -446,6 +435,11 @@
         }
         self.on_report(report, now_ms);
         self.update_role(now_ms);
+        if self.role != Role::Primary {
+            // The primary passes them on.
+            self.to_nodes.discard_due();
+            self.to_zones.discard_due();
+        }
         match self.role {
             Role::Member => {}
             Role::Standby => self.send_pulses(output),
@@ -453,7 +447,8 @@
                 self.reports.retain_recent(self.silence_ms(), now_ms);
                 self.announced_interval_ms = self.interval_ms(now_ms);
                 self.send_zone_summaries(output, now_ms);
-                self.evidence = self.evidence_to_nodes.take_due();
+                self.evidence = self.to_nodes.requests.take_due();
+                self.segment_reports = self.to_nodes.segments.take_due();
                 let base = self.summary_base(now_ms);
                 let update = self.apply_summary(self.summary_for(&base, self.local.node), now_ms);
                 output.updates.push(update);
@@ -508,7 +503,8 @@
     /// Sends the state of this zone to the delegates of the other zones. Of a zone without a recent message, the first
     /// nodes and one more in turn are tried.
     fn send_zone_summaries(&mut self, output: &mut Output, now_ms: u64) {
-        let evidence = self.evidence_to_zones.take_due();
+        let evidence = self.to_zones.requests.take_due();
+        let segment_reports = self.to_zones.segments.take_due();
         let in_zone: FxHashMap<_, _> = self.reports.loads();
         let summary = ZoneSummary {
             from: self.local,
@@ -518,6 +514,7 @@
             loads: in_zone.into_iter().collect(),
             demand: self.reports.demand().into_iter().collect(),
             evidence,
+            segment_reports,
             duty: self.reports.duty_holder(now_ms),
         };
         for zone in self.nodes.zones().filter(|it| *it != self.local.zone) {
@@ -624,6 +621,7 @@
             loads: loads.into_iter().collect(),
             demand: demand.into_iter().collect(),
             evidence: self.evidence.clone(),
+            segment_reports: self.segment_reports.clone(),
             duty: base.duty,
         }
     }
@@ -677,8 +675,9 @@
     }
 
     fn on_report(&mut self, report: NodeReport, now_ms: u64) {
-        self.evidence_to_nodes.insert(&report.state.evidence);
-        self.evidence_to_zones.insert(&report.state.evidence);
+        let LocalState { evidence, segment_reports, .. } = &report.state;
+        self.to_nodes.extend(evidence, segment_reports, now_ms);
+        self.to_zones.extend(evidence, segment_reports, now_ms);
         self.reports.insert(report, now_ms);
     }
 
@@ -738,7 +737,7 @@
             }
             return;
         }
-        self.evidence_to_nodes.insert(&summary.evidence);
+        self.to_nodes.extend(&summary.evidence, &summary.segment_reports, now_ms);
         let zone = summary.state.zone;
         let is_outdated = self.remote.get(&zone).is_some_and(|it| {
             let known = &it.summary;
--- a/crates/lentilhitch_policy/src/gossip/message.rs
+++ b/crates/lentilhitch_policy/src/gossip/message.rs
@@ -9,7 +9,7 @@
 
 use lentilhitch_types::{Fingerprint, LogPosition};
 
-use crate::placement::InProgress;
+use crate::{placement::InProgress, suspects::segments::SegmentReport};
 
 /// A message of one node to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -103,6 +103,8 @@
     pub demand: DemandRates,
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub evidence: Evidence,
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub segment_reports: Vec<SegmentReport>,
     /// End offset of the duty topic after the node's last claim or renewal. Present only if the node holds the duty
     /// lease.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
@@ -189,6 +191,8 @@
     pub demand: DemandRates,
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub evidence: Evidence,
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub segment_reports: Vec<SegmentReport>,
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub duty: Option<DutyHolder>,
 }
@@ -214,6 +218,8 @@
     pub demand: DemandRates,
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub evidence: Evidence,
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub segment_reports: Vec<SegmentReport>,
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub duty: Option<DutyHolder>,
 }
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use lentilhitch_types::{UpstreamName, Zone};
+use lentilhitch_types::{SegmentId, UpstreamName, Zone};
 
 use crate::catalog::Upstream;
 
@@ -33,7 +33,7 @@
 /// A segment of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptSegment {
-    pub id: u64,
+    pub id: SegmentId,
     pub tokens: u32,
 }
 
@@ -49,13 +49,16 @@
     /// Returns the key for the hash order of upstreams: the id of the last shared segment, or of the only segment. The
     /// requests of a session have this id in common.
     fn affinity(&self) -> u64 {
-        let shared = self.segments.len().saturating_sub(1);
-        self.segments[..shared].last().or(self.segments.last()).map_or(0, |it| it.id)
+        self.shared_segments().last().or(self.segments.last()).map_or(0, |it| it.id.0)
+    }
+
+    /// Returns the segments that other requests may share: all but the last.
+    pub fn shared_segments(&self) -> &[PromptSegment] {
+        self.segments.split_last().map_or(&[], |it| it.1)
     }
 
     fn shared_tokens(&self) -> u64 {
-        let shared = self.segments.len().saturating_sub(1);
-        self.segments[..shared].iter().map(|it| u64::from(it.tokens)).sum()
+        self.shared_segments().iter().map(|it| u64::from(it.tokens)).sum()
     }
 }
 
@@ -184,7 +187,7 @@
     local: InProgress,
     /// Load from the latest response that reported one, with the time of receipt.
     reported: Option<(ReportedLoad, u64)>,
-    cached_segments: LruCache<u64, (), FxBuildHasher>,
+    cached_segments: LruCache<SegmentId, (), FxBuildHasher>,
     /// Fraction of failed attempts, as a moving average over the attempts.
     failure_rate: f64,
     /// Number of failures to connect since the last served request.
--- a/crates/lentilhitch_policy/src/suspects.rs
+++ b/crates/lentilhitch_policy/src/suspects.rs
@@ -3,13 +3,17 @@
 //!
 //! When a connection breaks during a request, the request is recorded with the incarnation of its upstream. Only once
 //! that incarnation is known to have ended in a crash are the recorded requests counted as present at a crash. A
-//! request that was present at several crashes is quarantined: it is no longer sent to any upstream.
+//! request that was present at several crashes is quarantined: it is no longer sent to any upstream. The same applies to
+//! requests that share a segment of their prompts which was present at several crashes ([`segments`]).
 
-use std::collections::VecDeque;
+pub mod segments;
+
+use std::{collections::VecDeque, rc::Rc};
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use lentilhitch_types::{Fingerprint, UpstreamName};
+use lentilhitch_types::{Fingerprint, SegmentId, UpstreamName};
+use segments::SegmentSuspects;
 
 /// An upstream and one of its incarnations, identified by the time of its start in milliseconds.
 pub type UpstreamIncarnation = (UpstreamName, u64);
@@ -23,24 +27,51 @@
 const BROKEN_REQUEST_RETENTION_MS: u64 = 8_000;
 /// Maximum number of requests whose crashes are kept.
 const SUSPECTS_MAX: usize = 4_096;
+/// Maximum number of crashed incarnations that are remembered.
+const CRASHED_INCARNATIONS_MAX: usize = 256;
+
+/// What identifies a request in the evidence of crashes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// Identifies the request, also when the client sends it again.
+    pub request: Fingerprint,
+    /// Segments of the prompt that other requests may share.
+    pub segments: Rc<[SegmentId]>,
+}
+
+/// A request whose connection to an upstream broke.
+#[derive(Clone, Debug)]
+struct BrokenRequest {
+    incarnation: UpstreamIncarnation,
+    suspect: Suspect,
+    broken_ms: u64,
+}
 
 /// Requests with broken connections, and the crashes at which each request was present.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    broken_requests: VecDeque<(UpstreamIncarnation, Fingerprint, u64)>,
+    /// Evidence on segments of prompts.
+    pub segments: SegmentSuspects,
+    broken_requests: VecDeque<BrokenRequest>,
+    crashed_incarnations: VecDeque<UpstreamIncarnation>,
     crashes_by_request: FxHashMap<Fingerprint, FxHashSet<u64>>,
     insertion_order: VecDeque<Fingerprint>,
 }
 
 impl Suspects {
+    /// Creates an empty record with settings for the segments of prompts.
+    pub fn new(settings: segments::Settings) -> Self {
+        Self { segments: SegmentSuspects::new(settings), ..Self::default() }
+    }
+
     /// Records that a connection broke before the response to the request was complete.
     pub fn record_broken_connection(
         &mut self,
         incarnation: UpstreamIncarnation,
-        request: Fingerprint,
+        suspect: Suspect,
         now_ms: u64,
     ) {
-        self.broken_requests.push_back((incarnation, request, now_ms));
+        self.broken_requests.push_back(BrokenRequest { incarnation, suspect, broken_ms: now_ms });
         if BROKEN_REQUESTS_MAX < self.broken_requests.len() {
             self.broken_requests.pop_front();
         }
@@ -53,18 +84,30 @@
         incarnation: &UpstreamIncarnation,
         now_ms: u64,
     ) -> Vec<(Fingerprint, u64)> {
-        let is_recent_match = |it: &&(UpstreamIncarnation, Fingerprint, u64)| {
-            it.0 == *incarnation && now_ms.saturating_sub(it.2) <= BROKEN_REQUEST_RETENTION_MS
+        if !self.has_crashed(incarnation) {
+            self.crashed_incarnations.push_back(incarnation.clone());
+            if CRASHED_INCARNATIONS_MAX < self.crashed_incarnations.len() {
+                self.crashed_incarnations.pop_front();
+            }
+        }
+        let is_recent_match = |it: &&BrokenRequest| {
+            it.incarnation == *incarnation
+                && now_ms.saturating_sub(it.broken_ms) <= BROKEN_REQUEST_RETENTION_MS
         };
-        let present: Vec<_> =
-            self.broken_requests.iter().filter(is_recent_match).map(|it| it.1).collect();
-        self.broken_requests.retain(|it| it.0 != *incarnation);
+        let present = self.broken_requests.iter().filter(is_recent_match);
+        let present: Vec<_> = present.map(|it| it.suspect.clone()).collect();
+        self.broken_requests.retain(|it| it.incarnation != *incarnation);
         let crash = crash_id(incarnation);
-        let evidence: Vec<_> = present.into_iter().map(|it| (it, crash)).collect();
-        for (request, crash) in &evidence {
-            self.insert_evidence(*request, *crash);
+        for it in &present {
+            self.insert_evidence(it.request, crash);
+            self.segments.record_crash(crash, &it.segments, now_ms);
         }
-        evidence
+        present.into_iter().map(|it| (it.request, crash)).collect()
+    }
+
+    /// Returns whether the incarnation is known to have ended in a crash.
+    pub fn has_crashed(&self, incarnation: &UpstreamIncarnation) -> bool {
+        self.crashed_incarnations.contains(incarnation)
     }
 
     /// Adds evidence found by this node or received from a peer. Returns whether it was new.
@@ -77,13 +120,26 @@
                 self.crashes_by_request.remove(&oldest);
             }
         }
-        self.crashes_by_request.entry(request).or_default().insert(crash)
+        let crashes = self.crashes_by_request.entry(request).or_default();
+        let is_new = crashes.insert(crash);
+        if CRASHES_UNTIL_QUARANTINE <= crashes.len() {
+            for it in crashes.iter() {
+                self.segments.explain_crash(*it);
+            }
+        }
+        is_new
     }
 
     /// Returns whether the request was present at so many crashes that it is no longer sent to any upstream.
     pub fn is_quarantined(&self, request: Fingerprint) -> bool {
         self.crashes_by_request.get(&request).is_some_and(|it| CRASHES_UNTIL_QUARANTINE <= it.len())
     }
+
+    /// Returns whether the request, or a segment of its prompt, is quarantined.
+    pub fn is_stopped(&self, suspect: &Suspect) -> bool {
+        self.is_quarantined(suspect.request)
+            || suspect.segments.iter().any(|it| self.segments.is_quarantined(*it))
+    }
 }
 
 /// Returns the id of a crash, which is the same at every node.
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -10,12 +10,14 @@
     gossip::{
         Gossip, Output, Role, Settings, Update,
         message::{Evidence, Loads, LocalState, Message, NodeAddress, StoreCopy, ZoneRates},
+        relay::Relay,
     },
     placement::InProgress,
     shared_rate::{self, ClusterView, PeerReport, SharedRate},
+    suspects::segments::{SegmentReport, SegmentSuspects},
     traffic::{RateUnit, TeamRate},
 };
-use lentilhitch_types::Fingerprint;
+use lentilhitch_types::{Fingerprint, SegmentId};
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 use rustc_hash::FxHashMap;
 
@@ -25,6 +27,8 @@
 const N_UPSTREAMS: usize = 40;
 const TEAM: u32 = 7;
 const STEP_MS: u64 = 10;
+/// Interval at which a node updates its evidence of crashes.
+const UPDATE_INTERVAL_MS: u64 = 150;
 /// Time at which simulations start, since 0 means never.
 const START_MS: u64 = 1_000_000;
 /// Time after the start at which every size has exchanged its state.
@@ -42,6 +46,8 @@
     /// Evidence to report, and evidence that was received.
     evidence: Evidence,
     received_evidence: Evidence,
+    segments: SegmentSuspects,
+    segment_reports: Relay<SegmentReport>,
     rate: SharedRate,
     rates_due: bool,
     next_rates_ms: u64,
@@ -133,6 +139,8 @@
             others: FxHashMap::default(),
             evidence: Evidence::new(),
             received_evidence: Evidence::new(),
+            segments: SegmentSuspects::default(),
+            segment_reports: Relay::default(),
             rate: SharedRate::new(
                 shared_rate::Settings::default(),
                 self.rate,
@@ -183,6 +191,9 @@
             if !self.is_running(idx) {
                 continue;
             }
+            if self.now_ms.is_multiple_of(UPDATE_INTERVAL_MS) {
+                self.nodes[idx].update_segments(self.now_ms);
+            }
             if self.nodes[idx].next_tick_ms <= self.now_ms {
                 self.tick(idx);
             }
@@ -206,7 +217,8 @@
             state = node.state(now_ms);
         }
         let output = node.gossip.tick(state, now_ms);
-        node.next_tick_ms = now_ms + node.gossip.next_tick_ms(false, now_ms);
+        let has_evidence = node.segment_reports.is_urgent();
+        node.next_tick_ms = now_ms + node.gossip.next_tick_ms(has_evidence, now_ms);
         self.handle(idx, output);
     }
 
@@ -290,6 +302,9 @@
             Update::Cluster { summary, fresh_zones } => {
                 node.others = summary.loads.iter().copied().collect();
                 node.received_evidence.extend(&summary.evidence);
+                for it in &summary.segment_reports {
+                    node.segments.on_report(*it, now_ms);
+                }
                 let newest = summary.zones.iter().map(|it| it.config.version).max();
                 node.config_version = newest.unwrap_or(0).max(node.config_version);
                 for zone in summary.zones.iter().filter(|it| fresh_zones.contains(&it.zone)) {
@@ -353,10 +368,20 @@
             loads: self.loads.clone(),
             admitted: vec![(TEAM, self.rate.report())],
             evidence: std::mem::take(&mut self.evidence),
+            segment_reports: self.segment_reports.take_due(),
             ..LocalState::default()
         }
     }
 
+    /// Updates the evidence on prompt segments. Evidence to send does not wait for the next report.
+    fn update_segments(&mut self, now_ms: u64) {
+        self.segments.decide(now_ms);
+        self.segment_reports.extend(&self.segments.take_reports(now_ms), now_ms);
+        if self.segment_reports.is_urgent() {
+            self.next_tick_ms = now_ms;
+        }
+    }
+
     fn apply_rates(&mut self, rates: &ZoneRates, as_of_ms: u64, now_ms: u64) {
         let is_own = rates.zone == self.address.zone;
         let n_nodes = self.gossip.n_nodes_in(rates.zone, now_ms) - usize::from(is_own);
@@ -507,6 +532,55 @@
 
 /// Guards against nodes that serve by an older configuration because they lost its announcement while the primary
 /// delegates of the zones were stopped and started again.
+/// Guards against nodes that send requests with a quarantined segment because they were out of reach, or did not run, when
+/// it was quarantined.
+#[test]
+fn quarantine_reaches_all_nodes_and_those_that_return_within_the_contact_time() {
+    const CONTACT_MS: u64 = 3_000;
+    const FIRST: SegmentId = SegmentId(7);
+    const SECOND: SegmentId = SegmentId(8);
+    /// Zone that is cut off during the crashes of the second segment, and nodes outside of it.
+    const CUT_ZONE: u32 = 4;
+    const WITNESSES: [usize; 3] = [0, 1, 2];
+    fn is_cut(a: usize, b: usize, it: &Simulation) -> bool {
+        (it.nodes[a].address.zone == CUT_ZONE) != (it.nodes[b].address.zone == CUT_ZONE)
+    }
+    fn crash_upstreams(simulation: &mut Simulation, segment: SegmentId) {
+        for idx in WITNESSES {
+            let now_ms = simulation.now_ms;
+            // The time identifies the crash.
+            simulation.nodes[idx].segments.record_crash(now_ms, &[segment], now_ms);
+            simulation.run_for(400);
+        }
+    }
+    for size in SIZES {
+        let knows = |segment: SegmentId| {
+            move |it: &Simulation| it.nodes.iter().all(|it| it.segments.is_quarantined(segment))
+        };
+        let mut simulation = Simulation::start(size, 12);
+        simulation.run_for(SETTLED_MS);
+        crash_upstreams(&mut simulation, FIRST);
+        let end_ms = simulation.now_ms + CONTACT_MS;
+        assert!(simulation.run_until(end_ms, knows(FIRST)), "{size:?}");
+
+        simulation.restart(3);
+        let end_ms = simulation.now_ms + CONTACT_MS;
+        assert!(simulation.run_until(end_ms, knows(FIRST)), "{size:?}: after a restart");
+
+        simulation.is_cut = is_cut;
+        simulation.run_for(SETTLED_MS);
+        crash_upstreams(&mut simulation, SECOND);
+        simulation.run_for(SETTLED_MS);
+        for node in &simulation.nodes {
+            let is_known = node.segments.is_quarantined(SECOND);
+            assert_eq!(is_known, node.address.zone != CUT_ZONE, "{size:?}: during the cut");
+        }
+        simulation.is_cut = |_, _, _| false;
+        let end_ms = simulation.now_ms + CONTACT_MS;
+        assert!(simulation.run_until(end_ms, knows(SECOND)), "{size:?}: after the cut");
+    }
+}
+
 #[test]
 fn new_configuration_reaches_all_nodes_while_primaries_are_restarted() {
     /// Bound of the users for a configuration to be in force at 295 nodes, without the read of the store.
--- a/crates/lentilhitch_policy/tests/placement.rs
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -17,7 +17,7 @@
     },
     traffic::{EntryState, UpstreamEntry},
 };
-use lentilhitch_types::{LogPosition, UpstreamName};
+use lentilhitch_types::{LogPosition, SegmentId, UpstreamName};
 
 fn upstreams(n: usize) -> Vec<Upstream> {
     let mut catalog = Catalog::new(CatalogSettings::default());
@@ -41,8 +41,8 @@
 fn prompt(shared: u64, shared_tokens: u32, unshared: u64, unshared_tokens: u32) -> Prompt {
     Prompt {
         segments: vec![
-            PromptSegment { id: shared, tokens: shared_tokens },
-            PromptSegment { id: unshared, tokens: unshared_tokens },
+            PromptSegment { id: SegmentId(shared), tokens: shared_tokens },
+            PromptSegment { id: SegmentId(unshared), tokens: unshared_tokens },
         ],
         input_tokens: u64::from(shared_tokens + unshared_tokens),
         output_tokens_max: 200,
--- a/crates/lentilhitch_policy/tests/suspects.rs
+++ b/crates/lentilhitch_policy/tests/suspects.rs
@@ -1,13 +1,18 @@
 //! Requests that were present at several crashes of upstreams are quarantined. Requests that were present at fewer, or
 //! whose responses were lost without a crash, are not.
 
-use lentilhitch_policy::suspects::Suspects;
+use lentilhitch_policy::suspects::{Suspect, Suspects};
 use lentilhitch_types::Fingerprint;
 
 fn incarnation(upstream: &str, started_ms: u64) -> (lentilhitch_types::UpstreamName, u64) {
     (upstream.parse().unwrap(), started_ms)
 }
 
+/// A request without a prompt.
+fn suspect(request: Fingerprint) -> Suspect {
+    Suspect { request, segments: [].into() }
+}
+
 #[test]
 fn presence_at_three_crashes_quarantines_a_request() {
     struct Case {
@@ -49,7 +54,7 @@
         let mut suspects = Suspects::default();
         for (upstream, started_ms, has_crashed) in case.broken_connections {
             let incarnation = incarnation(upstream, started_ms);
-            suspects.record_broken_connection(incarnation.clone(), request, 1_000);
+            suspects.record_broken_connection(incarnation.clone(), suspect(request), 1_000);
             if has_crashed {
                 suspects.record_crash(&incarnation, 1_500);
                 suspects.record_crash(&incarnation, 1_600);
@@ -64,7 +69,7 @@
     let request = Fingerprint(7);
     let (mut local, mut peer) = (Suspects::default(), Suspects::default());
     for upstream in ["a", "b", "c"] {
-        peer.record_broken_connection(incarnation(upstream, 1), request, 1_000);
+        peer.record_broken_connection(incarnation(upstream, 1), suspect(request), 1_000);
         for (request, crash) in peer.record_crash(&incarnation(upstream, 1), 1_100) {
             local.insert_evidence(request, crash);
             local.insert_evidence(request, crash);
@@ -72,7 +77,7 @@
     }
     assert!(local.is_quarantined(request) && peer.is_quarantined(request));
     let unrelated = Fingerprint(8);
-    local.record_broken_connection(incarnation("d", 1), unrelated, 1_000);
+    local.record_broken_connection(incarnation("d", 1), suspect(unrelated), 1_000);
     assert!(
         local.record_crash(&incarnation("d", 1), 60_000).is_empty(),
         "the connection broke too long before the crash"
--- a/crates/lentilhitch_types/src/id.rs
+++ b/crates/lentilhitch_types/src/id.rs
@@ -101,6 +101,25 @@
     Incarnation
 );
 
+/// Segment of a prompt, which several requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SegmentId(pub u64);
+
+impl fmt::Display for SegmentId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for SegmentId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, std::num::ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Hash of a team and the content of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
--- a/crates/lentilhitch_types/src/lib.rs
+++ b/crates/lentilhitch_types/src/lib.rs
@@ -13,7 +13,7 @@
 mod size;
 
 pub use finding::{Finding, Findings, SourcePosition};
-pub use id::{AttemptId, Fingerprint, Incarnation, LogOffset, RequestId};
+pub use id::{AttemptId, Fingerprint, Incarnation, LogOffset, RequestId, SegmentId};
 pub use name::{InstanceName, NameError, ServiceName, TeamName, UpstreamName, Zone};
 pub use outcome::{Outcome, Problem};
 pub use position::{InvalidPosition, LogPosition, StoreEra};
