--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -1,6 +1,10 @@
 //! Stand-in for an upstream: writes its entry to the store, responds as it is set to, and records what it executed.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -8,6 +12,7 @@
 use hyper::{
     HeaderMap, Request, Response,
     body::{Frame, Incoming},
+    header::HeaderValue,
 };
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -47,6 +52,7 @@
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub arrived: Instant,
     /// Whether the upstream sent its complete response.
     pub is_response_complete: bool,
 }
@@ -65,6 +71,8 @@
     crashing_segment: Option<String>,
     /// Whether responses state that the upstream is leaving.
     is_leaving: bool,
+    /// Limit that responses state, in requests per second from all nodes together.
+    limit: Option<&'static str>,
     executed: Vec<ExecutedRequest>,
     /// Number of streams whose connection closed before their end.
     n_aborted_streams: u64,
@@ -93,6 +101,7 @@
             behavior,
             crashing_segment: None,
             is_leaving: false,
+            limit: None,
             executed: Vec::new(),
             n_aborted_streams: 0,
             kv_transfers: Vec::new(),
@@ -153,6 +162,11 @@
         self.state.lock().is_leaving = is_leaving;
     }
 
+    /// Sets the limit that later responses state, in requests per second from all nodes together.
+    pub fn state_limit(&self, limit: Option<&'static str>) {
+        self.state.lock().limit = limit;
+    }
+
     /// Returns the requests that the upstream has executed so far.
     pub fn executed(&self) -> Vec<ExecutedRequest> {
         self.state.lock().executed.clone()
@@ -196,14 +210,14 @@
         return Some(with_status(421, full("")));
     }
     let behavior = state.lock().behavior;
-    let is_leaving = state.lock().is_leaving;
+    let statements = Statements::of(&state.lock());
     if matches!(behavior, Behavior::Full | Behavior::Pause) {
         let mut response = with_status(503, full(""));
         response.headers_mut().insert("x-not-executed", "1".parse().ok()?);
         if behavior == Behavior::Pause {
             response.headers_mut().insert("retry-after", PAUSE_S.parse().ok()?);
         }
-        return Some(with_statement(response, is_leaving));
+        return Some(statements.add_to(response));
     }
     let id = header("x-attempt-id").unwrap_or_default().to_owned();
     let index = {
@@ -214,6 +228,7 @@
             path: parts.uri.to_string(),
             headers: parts.headers.clone(),
             body,
+            arrived: Instant::now(),
             is_response_complete: false,
         });
         state.executed.len() - 1
@@ -249,18 +264,33 @@
             return None;
         }
     };
-    Some(with_statement(stamped(response, &id, own_id)?, is_leaving))
+    Some(statements.add_to(stamped(response, &id, own_id)?))
 }
 
 /// Pause that an upstream asks for, in seconds.
 const PAUSE_S: &str = "0.4";
 
-/// Adds the statement that the upstream is leaving, if it is.
-fn with_statement(mut response: Response<StandInBody>, is_leaving: bool) -> Response<StandInBody> {
-    if is_leaving {
-        response.headers_mut().insert("server-leaving", 1.into());
+/// What the upstream states about itself in a response.
+struct Statements {
+    is_leaving: bool,
+    limit: Option<&'static str>,
+}
+
+impl Statements {
+    fn of(state: &State) -> Self {
+        Self { is_leaving: state.is_leaving, limit: state.limit }
+    }
+
+    fn add_to(&self, mut response: Response<StandInBody>) -> Response<StandInBody> {
+        let headers = response.headers_mut();
+        if self.is_leaving {
+            headers.insert("server-leaving", 1.into());
+        }
+        if let Some(limit) = self.limit {
+            headers.insert("server-limit", HeaderValue::from_static(limit));
+        }
+        response
     }
-    response
 }
 
 fn on_kv_transfer(state: &Mutex<State>, body: &[u8]) -> Response<StandInBody> {
