Nodes keep the limit that an upstream states for all nodes together

Cause: Server-Limit was read nowhere, so a limited upstream got requests by its load like any other.

Fix: the limit is decoded with the other statements. As many nodes as it has requests a second, the first in a hash order for the upstream, send at equal parts; the others treat the upstream like a paused one. Nodes tell each other of a limit and of its end, since most of them get no answers of a limited upstream.

Why it works: who may send follows from the list of nodes alone, so groups of nodes that are cut off from each other do not spend the limit twice. In 4 s at most 4.5 limits and one request for each sending node arrive, of which there are no more than the limit has requests a second (or one); 6 limits and 5 are allowed.

--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -142,9 +142,9 @@
             if state.suspects.is_stopped(&self.admitted.suspect) {
                 return None;
             }
-            let pauses = &state.pauses;
+            let restrictions = &state.restrictions;
             let target = state.catalog.iter().filter(|it| {
-                it.entry.id == entry.id && pauses.remaining_ms(&it.entry, now_ms).is_none()
+                it.entry.id == entry.id && restrictions.remaining_ms(&it.entry, now_ms).is_none()
             });
             state.load_table.assign(None, target, &[], now_ms, &mut state.rng)?
         };
@@ -161,6 +161,7 @@
         kv_copy: Option<KvCopy>,
     ) -> Result<Option<Box<UpstreamResponse<P>>>, Rejection> {
         let now_ms = self.node.now_ms();
+        self.node.state.borrow_mut().restrictions.limits.record_send(&entry, now_ms);
         self.excluded.push(entry.id.clone());
         let incarnation = (entry.id.clone(), entry.started_ms);
         let admitted = self.admitted.clone();
@@ -305,11 +306,11 @@
         }
         let prompt = self.admitted.head.prompt.as_ref();
         let service = &self.admitted.service;
-        let candidates = available(&state.catalog, &state.pauses, service, now_ms);
+        let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
         let mut assigned =
             state.load_table.assign(prompt, candidates, &self.excluded, now_ms, &mut state.rng);
         if assigned.is_none() && self.admitted.route.repeat.may_repeat() {
-            let candidates = available(&state.catalog, &state.pauses, service, now_ms);
+            let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
             assigned = state.load_table.assign(prompt, candidates, &[], now_ms, &mut state.rng);
         }
         let assigned = assigned?;
@@ -370,7 +371,7 @@
 
     /// Returns the time after which a client whose request did not run may retry. This is the shortest expected time to
     /// the first token over the ready upstreams, plus a random addition so that clients do not return all at once. If all
-    /// ready upstreams have asked this node for a pause, the time until the first pause ends is added.
+    /// ready upstreams have asked for a pause or a limit, the time until the first of them accepts a request is added.
     fn retry_after_ms(&self, admitted: &AdmittedRequest) -> u64 {
         let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
@@ -383,7 +384,8 @@
             if delay_min_ms.is_finite() { delay_min_ms as u64 } else { RETRY_AFTER_MIN_MS };
         let delay_min_ms = delay_min_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
         let ready = state.catalog.ready(&admitted.service);
-        let remaining = ready.map(|it| state.pauses.remaining_ms(&it.entry, now_ms).unwrap_or(0));
+        let remaining =
+            ready.map(|it| state.restrictions.remaining_ms(&it.entry, now_ms).unwrap_or(0));
         let pause_ms = remaining.min().unwrap_or(0);
         pause_ms + state.rng.random_range(delay_min_ms..=2 * delay_min_ms)
     }
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -149,7 +149,7 @@
             }
             () = &mut updates_timer => {
                 node.send_updates();
-                if node.has_evidence_to_send() {
+                if node.has_news_to_send() {
                     node.send_state(socket).await;
                     tick_timer = Box::pin(sleep(Duration::from_millis(node.next_tick_ms())));
                 }
@@ -167,16 +167,16 @@
     fn next_tick_ms(&self) -> u64 {
         let now_ms = self.now_ms();
         let state = self.state.borrow();
-        state.gossip.next_tick_ms(state.has_urgent_evidence(), now_ms)
+        state.gossip.next_tick_ms(state.has_urgent_news(), now_ms)
     }
 
-    /// Updates the evidence on prompt segments. Returns whether there is evidence of crashes that should not wait for the
-    /// next report.
-    fn has_evidence_to_send(&self) -> bool {
+    /// Updates what this node tells its peers of upstreams. Returns whether there is something that should not wait for
+    /// the next report.
+    fn has_news_to_send(&self) -> bool {
         let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
-        state.update_segments(now_ms);
-        state.has_urgent_evidence()
+        state.update_upstream_news(now_ms);
+        state.has_urgent_news()
     }
 
     /// Returns whether a newer configuration than that of this node was announced or is in force in a reachable zone, or
@@ -359,6 +359,7 @@
             demand: demand.collect(),
             evidence: state.evidence.take_due(),
             segment_reports: state.segment_reports.take_due(),
+            limit_reports: state.limit_reports.take_due(),
             duty_topic_end: state.local_duty_topic_end,
         }
     }
@@ -492,6 +493,7 @@
         for it in summary.segment_reports {
             self.suspects.segments.on_report(it, now_ms);
         }
+        self.on_limit_reports(&summary.limit_reports, now_ms);
         if let Some(duty) = summary.duty {
             let as_of_ms = now_ms.saturating_sub(duty.age_ms);
             self.received_duty_topic_end = Some((duty.topic_end, as_of_ms));
@@ -536,8 +538,10 @@
         }
     }
 
-    fn has_urgent_evidence(&self) -> bool {
-        self.evidence.is_urgent() || self.segment_reports.is_urgent()
+    fn has_urgent_news(&self) -> bool {
+        self.evidence.is_urgent()
+            || self.segment_reports.is_urgent()
+            || self.limit_reports.is_urgent()
     }
 
     /// Returns whether the store reader of the zone has had another list of upstreams for several summaries.
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -14,8 +14,8 @@
 use lentilhitch_policy::{
     catalog::{self, Catalog, Change, Upstream},
     gossip::{self, Gossip, message::NodeAddress, relay::Relay},
-    pauses::Pauses,
     placement::{self, LoadTable},
+    restrictions::Restrictions,
     retry::{self, RetryBudget},
     shared_rate::{self, SharedRate},
     store_era::EraTracker,
@@ -25,6 +25,7 @@
     },
     synced_clock::SyncedClock,
     traffic::{Config, RouteTable, Team, UpstreamEntry},
+    upstream_limits::{LimitReport, Members},
     usage::{NodeCounts, UsageCounter},
 };
 use lentilhitch_types::{
@@ -100,8 +101,8 @@
     pub(crate) catalog: Catalog,
     /// Load of each upstream, as known to this node.
     pub(crate) load_table: LoadTable,
-    /// Pauses that upstreams have asked this node for.
-    pub(crate) pauses: Pauses,
+    /// What upstreams have asked of this node or of all nodes.
+    pub(crate) restrictions: Restrictions,
     /// Rate limits of the teams that have one.
     pub(crate) rates: FxHashMap<TeamName, SharedRate>,
     /// Names of the teams that have a rate, by hash of the name.
@@ -123,6 +124,8 @@
     pub(crate) evidence: Relay<(Fingerprint, u64)>,
     /// Reports on prompt segments to send to the peers.
     pub(crate) segment_reports: Relay<SegmentReport>,
+    /// Reports on limits of upstreams to send to the peers.
+    pub(crate) limit_reports: Relay<LimitReport>,
     /// Changed upstream entries to send to the peers, with the number of times that each is still to be sent.
     pub(crate) upstream_updates: Vec<(UpstreamUpdate, u8)>,
     /// The exchange of state with the other nodes.
@@ -225,7 +228,7 @@
                 },
                 settings.zone.clone(),
             ),
-            pauses: Pauses::default(),
+            restrictions: Restrictions::default(),
             rates: FxHashMap::default(),
             team_names: FxHashMap::default(),
             retry_budgets: FxHashMap::default(),
@@ -240,6 +243,7 @@
             last_probe_ms: FxHashMap::default(),
             evidence: Relay::default(),
             segment_reports: Relay::default(),
+            limit_reports: Relay::default(),
             upstream_updates: Vec::new(),
             local_duty_topic_end: None,
             received_duty_topic_end: None,
@@ -391,11 +395,11 @@
 /// Returns the upstreams of a service that may get requests from this node now.
 pub(crate) fn available<'a>(
     catalog: &'a Catalog,
-    pauses: &'a Pauses,
+    restrictions: &'a Restrictions,
     service: &'a ServiceName,
     now_ms: u64,
 ) -> impl Iterator<Item = &'a Upstream> {
-    catalog.ready(service).filter(move |it| pauses.remaining_ms(&it.entry, now_ms).is_none())
+    catalog.ready(service).filter(move |it| restrictions.remaining_ms(&it.entry, now_ms).is_none())
 }
 
 impl State {
@@ -414,13 +418,48 @@
         }
     }
 
-    /// Starts the quarantines of prompt segments that are due, and queues the reports on segments for the peers.
-    pub(crate) fn update_segments(&mut self, now_ms: u64) {
+    /// Starts the quarantines of prompt segments that are due, updates the shares in limits of upstreams, and queues the
+    /// reports on both for the peers.
+    pub(crate) fn update_upstream_news(&mut self, now_ms: u64) {
         let segments = &mut self.suspects.segments;
         for (segment, n_crashes) in segments.decide(now_ms) {
             log::warn!(segment:% = segment, n_crashes; "prompt segment quarantined");
         }
         self.segment_reports.extend(&segments.take_reports(now_ms), now_ms);
+        if !self.restrictions.limits.is_empty() {
+            let others = self.gossip.other_nodes();
+            let members = Members { local: self.gossip.local_node(), others: &others };
+            self.restrictions.limits.update(members, now_ms);
+            self.limit_reports.extend(&self.restrictions.limits.take_reports(), now_ms);
+        }
+    }
+
+    /// Records the limit in requests per second that an upstream states in a response, or that it states none.
+    pub(crate) fn record_limit(&mut self, entry: &UpstreamEntry, per_s: Option<f64>, now_ms: u64) {
+        let limits = &mut self.restrictions.limits;
+        if per_s.is_none() && limits.is_empty() {
+            return;
+        }
+        let others = self.gossip.other_nodes();
+        let members = Members { local: self.gossip.local_node(), others: &others };
+        if limits.record(entry, per_s, members, now_ms) {
+            let share_per_s = limits.share_per_s(entry);
+            log::info!(upstream = entry.id.as_str(), limit_per_s = per_s, share_per_s; "limit of upstream changed");
+        }
+    }
+
+    /// Handles the reports of other nodes on limits of upstreams.
+    pub(crate) fn on_limit_reports(&mut self, reports: &[LimitReport], now_ms: u64) {
+        if reports.is_empty() {
+            return;
+        }
+        let others = self.gossip.other_nodes();
+        let members = Members { local: self.gossip.local_node(), others: &others };
+        for it in reports {
+            if self.restrictions.limits.on_report(*it, members, now_ms) {
+                log::info!(upstream_hash = it.upstream, limit_per_ks = it.limit_per_ks; "limit of upstream reported");
+            }
+        }
     }
 
     /// Logs if a request is quarantined, which means that it is no longer sent to any upstream.
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -103,7 +103,7 @@
 }
 
 /// Decoded head of an upstream's response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// Identifier of the request that this is the response to.
     pub id: Option<String>,
@@ -113,6 +113,8 @@
     pub is_leaving: bool,
     /// Pause that an upstream asks for which has turned a request away, in milliseconds.
     pub pause_ms: Option<Result<u64, InvalidPause>>,
+    /// Requests per second that the upstream accepts from all nodes together.
+    pub limit_per_s: Option<Result<f64, InvalidLimit>>,
 }
 
 /// A pause that cannot be decoded.
@@ -120,6 +122,11 @@
 #[error("{0:?} is no number of seconds")]
 pub struct InvalidPause(pub String);
 
+/// A limit that cannot be decoded.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is no number of requests per second")]
+pub struct InvalidLimit(pub String);
+
 /// Encoding of requests and responses in HTTP headers and bodies.
 pub trait HttpCodec {
     /// Decodes the head of a client's request.
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -374,10 +374,10 @@
             return None;
         }
         let now_ms = node.now_ms();
-        if state.pauses.remaining_ms(from, now_ms).is_some() {
+        if state.restrictions.pauses.remaining_ms(from, now_ms).is_some() {
             return None;
         }
-        let candidates = available(&state.catalog, &state.pauses, &from.service, now_ms);
+        let candidates = available(&state.catalog, &state.restrictions, &from.service, now_ms);
         let excluded = std::slice::from_ref(&from.id);
         let assignment =
             state.load_table.assign(None, candidates, excluded, now_ms, &mut state.rng)?;
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -257,6 +257,7 @@
     };
     if is_from_entry {
         node.on_upstream_statements(&entry, &head);
+        node.on_limit_statement(&entry, &head);
     }
     match head.kind {
         ResponseKind::NotRun => {
@@ -306,12 +307,25 @@
         }
     }
 
+    /// Handles the limit that an upstream states in the response to a request, or that it states none.
+    fn on_limit_statement(&self, entry: &UpstreamEntry, head: &ResponseHead) {
+        let per_s = match &head.limit_per_s {
+            Some(Ok(it)) => Some(*it),
+            None => None,
+            Some(Err(err)) => {
+                log::warn!(upstream = entry.id.as_str(), error:% = err; "ignoring limit that an upstream states");
+                return;
+            }
+        };
+        self.state.borrow_mut().record_limit(entry, per_s, self.now_ms());
+    }
+
     fn on_pause(&self, entry: &UpstreamEntry, pause_ms: u64) {
         let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let was_paused = state.pauses.remaining_ms(entry, now_ms).is_some();
-        state.pauses.record(entry, pause_ms, now_ms, &mut state.rng);
+        let was_paused = state.restrictions.pauses.remaining_ms(entry, now_ms).is_some();
+        state.restrictions.pauses.record(entry, pause_ms, now_ms, &mut state.rng);
         if !was_paused {
             let is_capped = PAUSE_MAX_MS < pause_ms;
             log::info!(upstream = entry.id.as_str(), pause_ms, is_capped; "upstream asks for a pause");
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -26,7 +26,9 @@
 
 use lentilhitch_types::Fingerprint;
 
-use crate::{placement::InProgress, suspects::segments::SegmentReport};
+use crate::{
+    placement::InProgress, suspects::segments::SegmentReport, upstream_limits::LimitReport,
+};
 use message::{
     Admitted, DutyHolder, Evidence, LocalState, Message, NodeAddress, NodeRates, NodeReport, Pulse,
     Summary, ZoneRates, ZoneState, ZoneSummary,
@@ -152,26 +154,35 @@
     }
 }
 
-/// Evidence of crashes to pass on.
+/// News about upstreams and requests to pass on.
 #[derive(Clone, Debug, Default)]
-struct CrashNews {
+struct UpstreamNews {
     requests: Relay<(Fingerprint, u64)>,
     segments: Relay<SegmentReport>,
+    limits: Relay<LimitReport>,
 }
 
-impl CrashNews {
-    fn extend(&mut self, evidence: &Evidence, segment_reports: &[SegmentReport], now_ms: u64) {
+impl UpstreamNews {
+    fn extend(
+        &mut self,
+        evidence: &Evidence,
+        segment_reports: &[SegmentReport],
+        limit_reports: &[LimitReport],
+        now_ms: u64,
+    ) {
         self.requests.extend(evidence, now_ms);
         self.segments.extend(segment_reports, now_ms);
+        self.limits.extend(limit_reports, now_ms);
     }
 
     fn is_urgent(&self) -> bool {
-        self.requests.is_urgent() || self.segments.is_urgent()
+        self.requests.is_urgent() || self.segments.is_urgent() || self.limits.is_urgent()
     }
 
     fn discard_due(&mut self) {
         self.requests.take_due();
         self.segments.take_due();
+        self.limits.take_due();
     }
 }
 
@@ -191,6 +202,8 @@
     evidence: Evidence,
     /// Reports on prompt segments in the summaries of the current interval.
     segment_reports: Vec<SegmentReport>,
+    /// Reports on limits of upstreams in the summaries of the current interval.
+    limit_reports: Vec<LimitReport>,
     /// Since when this node is a delegate and collects reports, if it is one.
     delegate_since_ms: Option<u64>,
     role: Role,
@@ -205,8 +218,8 @@
     zones: FxHashMap<u32, KnownZone>,
     reader: Option<u64>,
     duty: Option<(DutyHolder, u64)>,
-    to_nodes: CrashNews,
-    to_zones: CrashNews,
+    to_nodes: UpstreamNews,
+    to_zones: UpstreamNews,
     /// Teams of each zone whose totals are to be passed on urgently.
     urgent_teams: FxHashMap<u32, FxHashSet<u32>>,
 }
@@ -230,6 +243,7 @@
             slot: 0,
             evidence: Evidence::new(),
             segment_reports: Vec::new(),
+            limit_reports: Vec::new(),
             delegate_since_ms: None,
             role: Role::Member,
             primary: None,
@@ -240,8 +254,8 @@
             zones: FxHashMap::default(),
             reader: None,
             duty: None,
-            to_nodes: CrashNews::default(),
-            to_zones: CrashNews::default(),
+            to_nodes: UpstreamNews::default(),
+            to_zones: UpstreamNews::default(),
             urgent_teams: FxHashMap::default(),
         }
     }
@@ -382,6 +396,16 @@
         self.nodes.iter().map(|it| &it.address)
     }
 
+    /// Returns the hash of the name of this node.
+    pub fn local_node(&self) -> u64 {
+        self.local.node
+    }
+
+    /// Returns the hashes of the names of all other known nodes.
+    pub fn other_nodes(&self) -> Vec<u64> {
+        self.nodes.iter().map(|it| it.address.node).collect()
+    }
+
     /// Returns the number of other known nodes.
     pub fn n_peers(&self) -> usize {
         self.nodes.iter().count()
@@ -449,6 +473,7 @@
                 self.send_zone_summaries(output, now_ms);
                 self.evidence = self.to_nodes.requests.take_due();
                 self.segment_reports = self.to_nodes.segments.take_due();
+                self.limit_reports = self.to_nodes.limits.take_due();
                 let base = self.summary_base(now_ms);
                 let update = self.apply_summary(self.summary_for(&base, self.local.node), now_ms);
                 output.updates.push(update);
@@ -505,6 +530,7 @@
     fn send_zone_summaries(&mut self, output: &mut Output, now_ms: u64) {
         let evidence = self.to_zones.requests.take_due();
         let segment_reports = self.to_zones.segments.take_due();
+        let limit_reports = self.to_zones.limits.take_due();
         let in_zone: FxHashMap<_, _> = self.reports.loads();
         let summary = ZoneSummary {
             from: self.local,
@@ -515,6 +541,7 @@
             demand: self.reports.demand().into_iter().collect(),
             evidence,
             segment_reports,
+            limit_reports,
             duty: self.reports.duty_holder(now_ms),
         };
         for zone in self.nodes.zones().filter(|it| *it != self.local.zone) {
@@ -622,6 +649,7 @@
             demand: demand.into_iter().collect(),
             evidence: self.evidence.clone(),
             segment_reports: self.segment_reports.clone(),
+            limit_reports: self.limit_reports.clone(),
             duty: base.duty,
         }
     }
@@ -675,9 +703,9 @@
     }
 
     fn on_report(&mut self, report: NodeReport, now_ms: u64) {
-        let LocalState { evidence, segment_reports, .. } = &report.state;
-        self.to_nodes.extend(evidence, segment_reports, now_ms);
-        self.to_zones.extend(evidence, segment_reports, now_ms);
+        let LocalState { evidence, segment_reports, limit_reports, .. } = &report.state;
+        self.to_nodes.extend(evidence, segment_reports, limit_reports, now_ms);
+        self.to_zones.extend(evidence, segment_reports, limit_reports, now_ms);
         self.reports.insert(report, now_ms);
     }
 
@@ -737,7 +765,8 @@
             }
             return;
         }
-        self.to_nodes.extend(&summary.evidence, &summary.segment_reports, now_ms);
+        let ZoneSummary { evidence, segment_reports, limit_reports, .. } = &summary;
+        self.to_nodes.extend(evidence, segment_reports, limit_reports, now_ms);
         let zone = summary.state.zone;
         let is_outdated = self.remote.get(&zone).is_some_and(|it| {
             let known = &it.summary;
--- a/crates/lentilhitch_policy/src/gossip/message.rs
+++ b/crates/lentilhitch_policy/src/gossip/message.rs
@@ -9,7 +9,9 @@
 
 use lentilhitch_types::{Fingerprint, LogPosition};
 
-use crate::{placement::InProgress, suspects::segments::SegmentReport};
+use crate::{
+    placement::InProgress, suspects::segments::SegmentReport, upstream_limits::LimitReport,
+};
 
 /// A message of one node to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -105,6 +107,8 @@
     pub evidence: Evidence,
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub segment_reports: Vec<SegmentReport>,
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub limit_reports: Vec<LimitReport>,
     /// End offset of the duty topic after the node's last claim or renewal. Present only if the node holds the duty
     /// lease.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
@@ -193,6 +197,8 @@
     pub evidence: Evidence,
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub segment_reports: Vec<SegmentReport>,
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub limit_reports: Vec<LimitReport>,
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub duty: Option<DutyHolder>,
 }
@@ -220,6 +226,8 @@
     pub evidence: Evidence,
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub segment_reports: Vec<SegmentReport>,
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub limit_reports: Vec<LimitReport>,
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub duty: Option<DutyHolder>,
 }
--- a/crates/lentilhitch_policy/src/gossip/relay.rs
+++ b/crates/lentilhitch_policy/src/gossip/relay.rs
@@ -6,7 +6,7 @@
 
 use lentilhitch_types::Fingerprint;
 
-use crate::suspects::segments::SegmentReport;
+use crate::{suspects::segments::SegmentReport, upstream_limits::LimitReport};
 
 /// Number of times that a piece of news is sent.
 const SENDS: u8 = 4;
@@ -17,6 +17,9 @@
 /// Time after which the same news about a segment may be passed on again.
 const SEGMENT_REPEAT_MS: u64 = 500;
 
+/// Time after which the same limit of an upstream may be passed on again.
+const LIMIT_REPEAT_MS: u64 = 1_000;
+
 /// A piece of news.
 pub trait News: Copy + Eq + Hash {
     /// Returns what two equal pieces of news have in common.
@@ -57,6 +60,16 @@
     }
 }
 
+impl News for LimitReport {
+    fn key(self) -> Self {
+        Self { age_ms: 0, ..self }
+    }
+
+    fn repeat_after_ms(self) -> u64 {
+        LIMIT_REPEAT_MS
+    }
+}
+
 /// Queue of the news to pass on.
 #[derive(Clone, Debug)]
 pub struct Relay<T> {
