Only successful answers clear the segments of a prompt

An upstream that refuses a request with a 4xx has not begun to write an answer on its prompt, so such a response says nothing about its segments; it would have ended a quarantine. Found when reading the change; no test brings it about, since the stand-ins answer with 200, 421, 500 and 503 only.

--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -364,7 +364,7 @@
             Ok(res) => res?,
         };
         let is_failure = self.parts.status.is_server_error();
-        if !is_failure && marker == EndMarker::Explicit {
+        if self.parts.status.is_success() && marker == EndMarker::Explicit {
             node.record_answer(admitted);
         }
         self.assignment.set_result(if is_failure {
