--- a/crates/lentilhitch/tests/edge_suspects.rs
+++ b/crates/lentilhitch/tests/edge_suspects.rs
@@ -78,3 +78,48 @@
         assert!(sound.is_complete && sound.status == 200, "request {idx}: {sound:?}");
     }
 }
+
+/// Guards against a node that starts after a request was quarantined and sends this request to upstreams.
+#[tokio::test]
+async fn quarantined_request_is_stopped_by_a_node_that_starts_later() {
+    const N_REQUEST_CRASHES: usize = 3;
+    let options = SiteOptions { n_nodes: N_NODES, n_engines: N_ENGINES, ..SiteOptions::default() };
+    let mut site = Site::start(options).await.unwrap();
+    for it in &site.engines {
+        it.set(Behavior::Stream { n_events: 5, interval_ms: 20, break_after: None });
+        it.crash_on_segment(CRASHING_SEGMENT);
+    }
+    // The segment is the last one, so only the request as a whole can be the cause.
+    let prefix = format!("{SHARED_SEGMENT}:800,{CRASHING_SEGMENT}:50");
+    let request = |site: &Site, node: usize, id: &str| {
+        let request = site.request(node, id, "/ask/x").header("x-token-usage", "900,80");
+        request.header("x-prompt-prefix", prefix.clone())
+    };
+    for idx in 0..N_REQUEST_CRASHES {
+        let response = site.send(request(&site, idx, &format!("r{idx}"))).await.unwrap();
+        assert!(!response.is_complete || response.status != 200, "request {idx}: {response:?}");
+    }
+    let n_stopped = |site: &Site, node: usize| {
+        site.nodes[node].process.log_text().matches("request stopped").count()
+    };
+    for node in 0..N_NODES {
+        let is_stopped = || async { 0 < n_stopped(&site, node) };
+        until("the node has quarantined the request", is_stopped).await.unwrap();
+    }
+    for it in &site.engines {
+        if !it.executed().is_empty() {
+            site.store.delete("keyed.servers", &it.id);
+        }
+    }
+    site.nodes[0].process.kill();
+    // The log continues that of the earlier process.
+    let n_stopped_before = n_stopped(&site, 0);
+    site.restart(0).unwrap();
+    let is_stopped = || async { n_stopped_before < n_stopped(&site, 0) };
+    until("the node has learned of the quarantine", is_stopped).await.unwrap();
+    site.until_ready().await.unwrap();
+    let n_before = n_executed(&site);
+    let response = site.send(request(&site, 0, "late")).await.unwrap();
+    assert_eq!(response.status, 500, "{response:?}");
+    assert_eq!(n_executed(&site), n_before, "a quarantined request reached an upstream");
+}
