--- a/crates/lentilhitch_policy/src/upstream_limits.rs
+++ b/crates/lentilhitch_policy/src/upstream_limits.rs
@@ -34,10 +34,10 @@
     /// Hash of the upstream's name.
     #[serde(rename = "u")]
     pub upstream: u32,
-    /// Start of the incarnation that stated the limit.
+    /// Start of the incarnation that stated the limit, in milliseconds since the Unix epoch.
     #[serde(rename = "b")]
     pub started_ms: u64,
-    /// Limit in thousandths of a request per second, or `None` if the upstream no longer states one.
+    /// Limit in requests per 1000 s, or `None` if the upstream no longer states one.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub limit_per_ks: Option<u64>,
     /// Time since the statement.
@@ -59,7 +59,7 @@
 enum Share {
     /// Other nodes use the limit.
     Nothing,
-    /// A request at each interval.
+    /// Milliseconds between the requests of this node.
     Interval(f64),
 }
 
