Log lines state the software version of upstreams and the attempt that a request resumes

Both are in the line of each attempt, and the version in that of a continued run. No decision depends on them yet.

--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -131,7 +131,7 @@
     /// returns `None` if it fails. The caller can then run the request again with [`Attempts::next_response`].
     pub(crate) async fn resume_from_copy(
         &mut self,
-        entry: UpstreamEntry,
+        entry: &UpstreamEntry,
         kv_copy: KvCopy,
         resume_after: Option<u64>,
     ) -> Option<Box<UpstreamResponse<P>>> {
@@ -149,7 +149,7 @@
             state.load_table.assign(None, target, &[], now_ms, &mut state.rng)?
         };
         let assignment = AssignmentGuard::new(&self.node, assigned);
-        self.attempt_at(entry, assignment, resume_after, Some(kv_copy)).await.ok().flatten()
+        self.attempt_at(entry.clone(), assignment, resume_after, Some(kv_copy)).await.ok().flatten()
     }
 
     /// Makes one attempt. Returns `None` if it failed and another may follow.
@@ -251,6 +251,8 @@
             request = self.admitted.head.id.as_str(),
             route = self.admitted.route.name.as_str(),
             upstream = entry.id.as_str(),
+            version = entry.version.as_str(),
+            resumed = self.admitted.head.resumed_id.as_deref(),
             n_sent = self.sent_to.len(),
             n_there = n_in_progress,
             uncached_tokens,
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -37,6 +37,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event of a stream that the client has received.
     pub resume_after: Option<u64>,
+    /// Identifier of the client's earlier sending that brought the first event of the stream to resume.
+    pub resumed_id: Option<String>,
 }
 
 impl RequestHead {
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -113,7 +113,7 @@
     /// The stream was interrupted, for this reason.
     Broken(BreakCause, &'static str),
     /// The run was stopped, and this upstream can fetch the run's KV cache.
-    Transferred(UpstreamEntry, KvCopy),
+    Transferred(Box<UpstreamEntry>, KvCopy),
 }
 
 impl<P: Platform> StreamRelay<P> {
@@ -134,7 +134,7 @@
                     let last_id = self.splitter.last_id();
                     self.log_transfer(upstream.as_str(), &to);
                     // If the run does not continue from the copy, the request is run again below, if that is allowed.
-                    match self.attempts.resume_from_copy(to, kv_copy, last_id).await {
+                    match self.attempts.resume_from_copy(&to, kv_copy, last_id).await {
                         Some(it) if it.parts.status.is_success() => {
                             response = *it;
                             continue;
@@ -288,7 +288,7 @@
     async fn drain(
         &mut self,
         mut body: Incoming,
-        to: UpstreamEntry,
+        to: Box<UpstreamEntry>,
         kv_copy: KvCopy,
     ) -> RelayOutcome {
         while let Ok(Some(Ok(frame))) = timeout(DRAIN_TIMEOUT, body.frame()).await {
@@ -414,7 +414,8 @@
     }
 
     fn log_transfer(&self, from: &str, to: &UpstreamEntry) {
-        log::info!(request = self.id(), from, to = to.id.as_str(); "continuing run after KV cache transfer");
+        let version = to.version.as_str();
+        log::info!(request = self.id(), from, to = to.id.as_str(), version; "continuing run after KV cache transfer");
     }
 }
 
--- a/crates/lentilhitch_gateway/src/run_transfer.rs
+++ b/crates/lentilhitch_gateway/src/run_transfer.rs
@@ -30,7 +30,7 @@
 /// Result of the transfer of a run's KV cache.
 pub(crate) enum TransferOutcome {
     /// The run was stopped. It continues at this upstream, which is the source itself if it retained the KV cache.
-    Stopped(UpstreamEntry, KvCopy),
+    Stopped(Box<UpstreamEntry>, KvCopy),
     /// There is no copy from which the run could continue.
     NoCopy(RunStop),
 }
@@ -50,10 +50,10 @@
     let source = from.address;
     match result {
         Ok(KvTransfer::Copied { handle }) => {
-            TransferOutcome::Stopped(to, KvCopy { source, handle })
+            TransferOutcome::Stopped(Box::new(to), KvCopy { source, handle })
         }
         Ok(KvTransfer::Kept { handle }) => {
-            TransferOutcome::Stopped(from, KvCopy { source, handle })
+            TransferOutcome::Stopped(Box::new(from), KvCopy { source, handle })
         }
         Ok(KvTransfer::Ended | KvTransfer::Refused) => TransferOutcome::NoCopy(RunStop::NotStopped),
         Ok(KvTransfer::Unknown) => TransferOutcome::NoCopy(RunStop::MaybeStopped),
--- a/crates/lentilhitch_policy/src/traffic.rs
+++ b/crates/lentilhitch_policy/src/traffic.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-use lentilhitch_types::{ServiceName, TeamName, UpstreamName, Zone};
+use lentilhitch_types::{ServiceName, SoftwareVersion, TeamName, UpstreamName, Zone};
 
 /// A complete configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -172,6 +172,8 @@
     pub address: SocketAddr,
     #[serde(rename = "z")]
     pub zone: Zone,
+    #[serde(rename = "v", default)]
+    pub version: SoftwareVersion,
     #[serde(rename = "t")]
     pub state: EntryState,
     #[serde(rename = "n")]
--- a/crates/lentilhitch_policy/tests/catalog.rs
+++ b/crates/lentilhitch_policy/tests/catalog.rs
@@ -8,7 +8,7 @@
     catalog::{Catalog, Change, Settings},
     traffic::{EntryState, UpstreamEntry},
 };
-use lentilhitch_types::{LogPosition, StoreEra};
+use lentilhitch_types::{LogPosition, SoftwareVersion, StoreEra};
 
 const READ_INTERVAL_MS: u64 = 400;
 const OUTAGE_MS: u64 = 1_200;
@@ -23,6 +23,7 @@
         slots: 4,
         started_ms,
         is_spot: false,
+        version: SoftwareVersion::default(),
         leaves_in_ms: None,
     }
 }
--- a/crates/lentilhitch_policy/tests/pauses.rs
+++ b/crates/lentilhitch_policy/tests/pauses.rs
@@ -6,6 +6,7 @@
     pauses::{PAUSE_MAX_MS, Pauses},
     traffic::{EntryState, UpstreamEntry},
 };
+use lentilhitch_types::SoftwareVersion;
 
 const NOW_MS: u64 = 10_000;
 
@@ -19,6 +20,7 @@
         slots: 4,
         started_ms,
         is_spot: false,
+        version: SoftwareVersion::default(),
         leaves_in_ms: None,
     }
 }
--- a/crates/lentilhitch_policy/tests/placement.rs
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -17,7 +17,7 @@
     },
     traffic::{EntryState, UpstreamEntry},
 };
-use lentilhitch_types::{LogPosition, SegmentId, UpstreamName};
+use lentilhitch_types::{LogPosition, SegmentId, SoftwareVersion, UpstreamName};
 
 fn upstreams(n: usize) -> Vec<Upstream> {
     let mut catalog = Catalog::new(CatalogSettings::default());
@@ -31,6 +31,7 @@
             slots: 64,
             started_ms: 1,
             is_spot: false,
+            version: SoftwareVersion::default(),
             leaves_in_ms: None,
         };
         catalog.insert(entry, LogPosition::from(idx as u64 + 1), 0);
--- a/crates/lentilhitch_policy/tests/upstream_limits.rs
+++ b/crates/lentilhitch_policy/tests/upstream_limits.rs
@@ -6,6 +6,7 @@
     traffic::{EntryState, UpstreamEntry},
     upstream_limits::{LimitReport, Members, UpstreamLimits},
 };
+use lentilhitch_types::SoftwareVersion;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 
 const START_MS: u64 = 1_000_000;
@@ -24,6 +25,7 @@
         state: EntryState::Ready,
         started_ms,
         is_spot: false,
+        version: SoftwareVersion::default(),
         leaves_in_ms: None,
     }
 }
--- a/crates/lentilhitch_types/src/lib.rs
+++ b/crates/lentilhitch_types/src/lib.rs
@@ -11,6 +11,7 @@
 mod position;
 mod rate;
 mod size;
+mod version;
 
 pub use finding::{Finding, Findings, SourcePosition};
 pub use id::{AttemptId, Fingerprint, Incarnation, LogOffset, RequestId, SegmentId};
@@ -19,3 +20,4 @@
 pub use position::{InvalidPosition, LogPosition, StoreEra};
 pub use rate::{PricePerHour, RequestRate, TokenRate};
 pub use size::{ByteSize, TokenCount};
+pub use version::SoftwareVersion;
