ORDER: failing tests of streams that go on at another software version

Each of the three ways of the timeline is brought about on processes, and fails: a broken stream that its node continues (first stream at v1 and v2), a stream that its client takes up at the same node, in the same zone and in another zone, with the first node running or killed, and the transfer of a run's KV cache. A fourth one asks for a rejection while several versions serve and no node knows which one began the stream.

--- /dev/null
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -0,0 +1,145 @@
+//! Upstreams of several software versions in one service: what two versions write does not fit together, so a stream
+//! goes on only at the version that began it.
+
+use std::collections::BTreeSet;
+
+use futures_util::future::join_all;
+use lentilhitch_standin::{
+    harness::until,
+    users_platform::{Behavior, Site, SiteOptions},
+};
+use serde_json::json;
+
+const N_EVENTS: u64 = 40;
+const N_STREAMS: usize = 16;
+const OPTIONS: SiteOptions =
+    SiteOptions { n_nodes: 4, n_engines: 8, n_applications: 1, n_versions: 2, usage_window_s: 1.0 };
+
+fn set_streams(site: &Site, interval_ms: u64, break_after: Option<u64>) {
+    for it in &site.engines {
+        it.set(Behavior::Stream { n_events: N_EVENTS, interval_ms, break_after });
+    }
+}
+
+/// Returns the versions of the engines that executed one of the requests.
+fn versions_of<'a>(site: &'a Site, ids: &[&str]) -> BTreeSet<&'a str> {
+    let has_run = |it: &&lentilhitch_standin::users_platform::Upstream| {
+        it.executed().iter().any(|it| ids.contains(&it.id.as_str()))
+    };
+    site.engines.iter().filter(has_run).map(|it| it.version.as_str()).collect()
+}
+
+/// Guards against a broken stream that a node continues at an upstream of another software version.
+#[tokio::test]
+async fn broken_stream_goes_on_only_at_the_version_that_began_it() {
+    let site = Site::start(OPTIONS).await.unwrap();
+    set_streams(&site, 5, Some(2));
+    let mut n_continued = 0;
+    for idx in 0..N_STREAMS {
+        let id = format!("s{idx}");
+        let request = site.request(idx % OPTIONS.n_nodes, &id, "/review/x");
+        let response = site.send(request).await.unwrap();
+        assert_eq!(response.status, 200, "{id}: {response:?}");
+        assert!(!response.is_complete, "{id}: each run breaks off early");
+        let versions = versions_of(&site, &[&id]);
+        assert_eq!(versions.len(), 1, "{id} ran at {versions:?}");
+        n_continued += usize::from(1 < site.n_runs(&id));
+    }
+    assert!(N_STREAMS / 2 <= n_continued, "{n_continued} of {N_STREAMS} streams went on");
+}
+
+/// Guards against a stream that its client takes up at another node, which sends it to another software version.
+#[tokio::test]
+async fn stream_that_a_client_takes_up_goes_on_only_at_the_version_that_began_it() {
+    struct Case {
+        name: &'static str,
+        /// Whether the node at which the streams began is killed before they are taken up.
+        kills_first_node: bool,
+        /// Node at which the clients take their streams up. Nodes with an even number are in the zone of the first one.
+        second_node: usize,
+    }
+    let cases = [
+        Case { name: "same node", kills_first_node: false, second_node: 0 },
+        Case { name: "same zone", kills_first_node: false, second_node: 2 },
+        Case { name: "other zone", kills_first_node: false, second_node: 1 },
+        Case { name: "same zone, first node killed", kills_first_node: true, second_node: 2 },
+        Case { name: "other zone, first node killed", kills_first_node: true, second_node: 3 },
+    ];
+    for case in cases {
+        let mut site = Site::start(OPTIONS).await.unwrap();
+        set_streams(&site, 50, None);
+        let begin = |idx: usize| {
+            let request = site.request(0, &format!("s{idx}"), "/review/x");
+            async move {
+                let mut response = request.send().await.unwrap();
+                response.chunk().await.unwrap();
+                response
+            }
+        };
+        let responses = join_all((0..N_STREAMS).map(begin)).await;
+        drop(responses);
+        if case.kills_first_node {
+            site.nodes[0].process.kill();
+        }
+        set_streams(&site, 1, None);
+        let resume = |idx: usize| {
+            let request = site.request(case.second_node, &format!("t{idx}"), "/review/x");
+            site.send(request.header("resumes", format!("s{idx}")).header("last-event-id", "1"))
+        };
+        let responses = join_all((0..N_STREAMS).map(resume)).await;
+        for (idx, response) in responses.into_iter().enumerate() {
+            let response = response.unwrap();
+            let (first, second) = (format!("s{idx}"), format!("t{idx}"));
+            assert_eq!(response.status, 200, "{}, {second}: {response:?}", case.name);
+            assert!(response.is_complete, "{}, {second}", case.name);
+            let versions = versions_of(&site, &[&first, &second]);
+            assert_eq!(versions.len(), 1, "{}, {second} ran at {versions:?}", case.name);
+        }
+    }
+}
+
+/// Guards against a stream that goes on at any software version because no node knows which one began it.
+#[tokio::test]
+async fn stream_of_unknown_version_is_rejected_while_several_versions_serve() {
+    let site = Site::start(OPTIONS).await.unwrap();
+    set_streams(&site, 1, None);
+    let request = site.request(1, "t0", "/review/x");
+    let request = request.header("resumes", "unknown").header("last-event-id", "1");
+    let response = site.send(request).await.unwrap();
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(!response.header("retry-after").is_empty(), "{response:?}");
+    assert_eq!(site.n_runs("t0"), 0);
+}
+
+/// Guards against the transfer of a run's KV cache to an upstream of another software version.
+#[tokio::test]
+async fn run_is_transferred_only_to_an_upstream_of_its_version() {
+    let options = SiteOptions { n_nodes: 1, n_engines: 4, ..OPTIONS };
+    let site = Site::start(options).await.unwrap();
+    // Of these four engines, two are of each version.
+    set_streams(&site, 50, None);
+    let begin = |idx: usize| {
+        let request = site.request(0, &format!("s{idx}"), "/ask/x");
+        async move {
+            let mut response = request.send().await.unwrap();
+            response.chunk().await.unwrap();
+            response
+        }
+    };
+    let responses = join_all((0..N_STREAMS).map(begin)).await;
+    let (leaving, staying): (Vec<_>, Vec<_>) =
+        site.engines.iter().partition(|it| it.id.ends_with(['0', '2']));
+    for it in &leaving {
+        it.write_entry(&site.store, &json!({ "state": "draining", "leaves_ms": 1_400, "seq": 2 }));
+    }
+    let n_transfers = || leaving.iter().map(|it| it.kv_transfers().len()).sum::<usize>();
+    until("runs are transferred", || async { 0 < n_transfers() }).await.unwrap();
+    drop(responses);
+    for from in &leaving {
+        for transfer in from.kv_transfers() {
+            let to = staying.iter().find(|it| transfer["to"] == it.address.to_string());
+            let to = to.expect("the run goes to an engine that stays");
+            assert_eq!(to.version, from.version, "{transfer} from {}", from.id);
+        }
+    }
+}
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -24,13 +24,15 @@
     pub n_nodes: usize,
     pub n_engines: usize,
     pub n_applications: usize,
+    /// Number of software versions among the upstreams of a service, which alternate in each zone.
+    pub n_versions: usize,
     /// Duration of a usage window in seconds.
     pub usage_window_s: f64,
 }
 
 impl Default for SiteOptions {
     fn default() -> Self {
-        Self { n_nodes: 1, n_engines: 1, n_applications: 1, usage_window_s: 1.0 }
+        Self { n_nodes: 1, n_engines: 1, n_applications: 1, n_versions: 1, usage_window_s: 1.0 }
     }
 }
 
@@ -93,9 +95,11 @@
     pub async fn start_without_waiting(options: SiteOptions) -> anyhow::Result<Self> {
         let store = LogStore::start().await?;
         let stream = Behavior::Stream { n_events: 5, interval_ms: 5, break_after: None };
-        let engines = start_upstreams("engine", "draft", options.n_engines, stream).await?;
+        let engines =
+            start_upstreams("engine", "draft", options.n_engines, &options, stream).await?;
         let serve = Behavior::Serve { work_ms: 1 };
-        let applications = start_upstreams("app", "filing", options.n_applications, serve).await?;
+        let applications =
+            start_upstreams("app", "filing", options.n_applications, &options, serve).await?;
         for it in engines.iter().chain(&applications) {
             it.write_entry(&store, &json!({}));
         }
@@ -265,12 +269,15 @@
     name: &str,
     service: &str,
     n: usize,
+    options: &SiteOptions,
     behavior: Behavior,
 ) -> anyhow::Result<Vec<Upstream>> {
     let mut upstreams = Vec::new();
     for idx in 0..n {
         let id = format!("{name}-{idx}");
-        upstreams.push(Upstream::start(&id, service, ZONES[idx % 2], behavior).await?);
+        let mut upstream = Upstream::start(&id, service, ZONES[idx % 2], behavior).await?;
+        upstream.version = format!("v{}", 1 + idx / ZONES.len() % options.n_versions);
+        upstreams.push(upstream);
     }
     Ok(upstreams)
 }
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -84,6 +84,8 @@
 pub struct Upstream {
     pub id: String,
     pub address: SocketAddr,
+    /// Version of the software that the upstream's entry states.
+    pub version: String,
     service: String,
     zone: String,
     state: Arc<Mutex<State>>,
@@ -120,7 +122,7 @@
             drop(server);
         });
         let (id, service, zone) = (id.to_owned(), service.to_owned(), zone.to_owned());
-        Ok(Self { id, address, service, zone, state, task })
+        Ok(Self { id, address, version: "v1".to_owned(), service, zone, state, task })
     }
 
     /// Starts an upstream in addition to those of the site, and writes its entry to the store.
@@ -139,7 +141,7 @@
     pub fn write_entry(&self, store: &LogStore, extra: &Value) {
         let mut entry = json!({
             "service": self.service, "address": self.address.to_string(), "zone": self.zone,
-            "version": "v1", "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1,
+            "version": self.version, "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1,
         });
         for (name, value) in extra.as_object().into_iter().flatten() {
             entry[name] = value.clone();
