Streams go on only at the software version that began them

Cause: the version of an upstream was read nowhere. A continued attempt, a KV cache transfer and a request that takes a stream up (whose earlier attempt was not read either) went to any upstream of the service. Change: with the first event that is passed on, a request is bound to the service and version of its upstream; transfers stay within a version. While a service has several versions, a node tells two holders of each stream it begins, found by hash order; a node that is to resume a stream which it doesn't know asks these. What no node knows is rejected as not run. With a single version for as long as a stream may last nothing is told or asked. Why it works: an upstream of another version is no candidate, wherever the client comes back; edge_versions and stream_origins (8 to 340 nodes, the first node or its whole zone lost) pass.

--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use lentilhitch_standin::{
     harness::until,
-    users_platform::{Behavior, Site, SiteOptions},
+    users_platform::{Behavior, Site, SiteOptions, Upstream},
 };
 use serde_json::json;
 
@@ -15,6 +15,21 @@
 const OPTIONS: SiteOptions =
     SiteOptions { n_nodes: 4, n_engines: 8, n_applications: 1, n_versions: 2, usage_window_s: 1.0 };
 
+/// Starts a site and waits until each node knows the others.
+async fn start(options: SiteOptions) -> Site {
+    let site = Site::start(options).await.unwrap();
+    let n_peers = format!("\"n_peers\":{},", options.n_nodes - 1);
+    for it in &site.nodes {
+        let url = format!("http://{}/v1/status", it.metrics);
+        let knows_others = || async {
+            let response = site.http.get(&url).send().await.unwrap();
+            response.text().await.unwrap().contains(&n_peers)
+        };
+        until("the node knows the others", knows_others).await.unwrap();
+    }
+    site
+}
+
 fn set_streams(site: &Site, interval_ms: u64, break_after: Option<u64>) {
     for it in &site.engines {
         it.set(Behavior::Stream { n_events: N_EVENTS, interval_ms, break_after });
@@ -23,16 +38,14 @@
 
 /// Returns the versions of the engines that executed one of the requests.
 fn versions_of<'a>(site: &'a Site, ids: &[&str]) -> BTreeSet<&'a str> {
-    let has_run = |it: &&lentilhitch_standin::users_platform::Upstream| {
-        it.executed().iter().any(|it| ids.contains(&it.id.as_str()))
-    };
+    let has_run = |it: &&Upstream| it.executed().iter().any(|it| ids.contains(&it.id.as_str()));
     site.engines.iter().filter(has_run).map(|it| it.version.as_str()).collect()
 }
 
 /// Guards against a broken stream that a node continues at an upstream of another software version.
 #[tokio::test]
 async fn broken_stream_goes_on_only_at_the_version_that_began_it() {
-    let site = Site::start(OPTIONS).await.unwrap();
+    let site = start(OPTIONS).await;
     set_streams(&site, 5, Some(2));
     let mut n_continued = 0;
     for idx in 0..N_STREAMS {
@@ -66,7 +79,7 @@
         Case { name: "other zone, first node killed", kills_first_node: true, second_node: 3 },
     ];
     for case in cases {
-        let mut site = Site::start(OPTIONS).await.unwrap();
+        let mut site = start(OPTIONS).await;
         set_streams(&site, 50, None);
         let begin = |idx: usize| {
             let request = site.request(0, &format!("s{idx}"), "/review/x");
@@ -101,7 +114,7 @@
 /// Guards against a stream that goes on at any software version because no node knows which one began it.
 #[tokio::test]
 async fn stream_of_unknown_version_is_rejected_while_several_versions_serve() {
-    let site = Site::start(OPTIONS).await.unwrap();
+    let site = start(OPTIONS).await;
     set_streams(&site, 1, None);
     let request = site.request(1, "t0", "/review/x");
     let request = request.header("resumes", "unknown").header("last-event-id", "1");
@@ -115,7 +128,7 @@
 #[tokio::test]
 async fn run_is_transferred_only_to_an_upstream_of_its_version() {
     let options = SiteOptions { n_nodes: 1, n_engines: 4, ..OPTIONS };
-    let site = Site::start(options).await.unwrap();
+    let site = start(options).await;
     // Of these four engines, two are of each version.
     set_streams(&site, 50, None);
     let begin = |idx: usize| {
--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -12,6 +12,7 @@
 use lentilhitch_policy::{
     placement::Prompt,
     shared_rate::ClusterView,
+    stream_origins::StreamOrigin,
     suspects::Suspect,
     traffic::{Route, RouteTable, Team},
 };
@@ -47,6 +48,8 @@
     pub(crate) suspect: Suspect,
     /// Cost that was charged to the team's rate limit.
     pub(crate) cost: f64,
+    /// Service and software version that began the stream which the request resumes.
+    pub(crate) origin: Option<StreamOrigin>,
 }
 
 impl AdmittedRequest {
@@ -117,6 +120,7 @@
         deadline_at_ms,
         suspect,
         cost,
+        origin: None,
     })
 }
 
--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -5,7 +5,9 @@
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 
 use lentilhitch_policy::{
+    catalog::Upstream,
     retry::{self, Repeatable},
+    stream_origins::{StreamKey, StreamOrigin},
     traffic::UpstreamEntry,
 };
 use lentilhitch_types::UpstreamName;
@@ -49,6 +51,8 @@
     /// Whether an upstream has run the request or may have run it.
     may_have_run: bool,
     is_usage_counted: bool,
+    /// Service and software version that wrote the first event of the stream. Only upstreams of these may continue it.
+    origin: Option<StreamOrigin>,
 }
 
 impl<P: Platform> Attempts<P> {
@@ -61,6 +65,7 @@
             n_connect_failures: 0,
             may_have_run: false,
             is_usage_counted: false,
+            origin: admitted.origin,
         }
     }
 
@@ -92,6 +97,17 @@
         }
     }
 
+    /// Handles the first event that an upstream has written for this request. From now on, only upstreams of its version
+    /// may continue the stream.
+    pub(crate) fn on_first_event(&mut self, upstream: &UpstreamEntry) {
+        self.origin.get_or_insert(StreamOrigin::of(upstream));
+        if self.admitted.route.repeat.may_repeat() {
+            let head = &self.admitted.head;
+            let begun_by = head.resumed_id.as_ref().unwrap_or(&head.id);
+            self.node.on_stream_begun(StreamKey::of(begun_by), upstream);
+        }
+    }
+
     /// Makes attempts until an upstream that ran the request responds.
     pub(crate) async fn next_response(
         &mut self,
@@ -144,7 +160,9 @@
             }
             let restrictions = &state.restrictions;
             let target = state.catalog.iter().filter(|it| {
-                it.entry.id == entry.id && restrictions.remaining_ms(&it.entry, now_ms).is_none()
+                it.entry.id == entry.id
+                    && it.entry.started_ms == entry.started_ms
+                    && restrictions.remaining_ms(&it.entry, now_ms).is_none()
             });
             state.load_table.assign(None, target, &[], now_ms, &mut state.rng)?
         };
@@ -308,11 +326,16 @@
         }
         let prompt = self.admitted.head.prompt.as_ref();
         let service = &self.admitted.service;
+        let origin = self.origin;
+        let may_continue =
+            |it: &&Upstream| origin.is_none_or(|origin| StreamOrigin::of(&it.entry) == origin);
         let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
+        let candidates = candidates.filter(may_continue);
         let mut assigned =
             state.load_table.assign(prompt, candidates, &self.excluded, now_ms, &mut state.rng);
         if assigned.is_none() && self.admitted.route.repeat.may_repeat() {
             let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
+            let candidates = candidates.filter(may_continue);
             assigned = state.load_table.assign(prompt, candidates, &[], now_ms, &mut state.rng);
         }
         let assigned = assigned?;
--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -15,6 +15,7 @@
     node::Node,
     platform::Platform,
     relay,
+    stream_versions::bind_resumed,
 };
 
 /// Serves one request.
@@ -30,7 +31,7 @@
         Ok(head) => {
             let id = head.id.clone();
             match admit(&node, parts, head, body, arrived_ms).await {
-                Ok(admitted) => serve_admitted(&node, Rc::new(admitted)).await,
+                Ok(admitted) => serve_admitted(&node, admitted).await,
                 Err(rejection) => reject(&node, &id, "", rejection, arrived_ms),
             }
         }
@@ -58,12 +59,15 @@
 /// Sends an admitted request to upstreams until one of them responds or the request is rejected.
 async fn serve_admitted<P: Platform>(
     node: &Rc<Node<P>>,
-    admitted: Rc<AdmittedRequest>,
+    mut admitted: AdmittedRequest,
 ) -> Response<ResponseBody> {
+    let bound = bind_resumed(node, &mut admitted).await;
+    let admitted = Rc::new(admitted);
     let mut attempts = Attempts::new(node, &admitted);
-    let res = match admitted.route.repeat {
-        Repeat::Stream { .. } => serve_stream(attempts).await,
-        _ => serve_non_streaming(&mut attempts).await,
+    let res = match (bound, admitted.route.repeat) {
+        (Err(rejection), _) => Err(rejection),
+        (Ok(()), Repeat::Stream { .. }) => serve_stream(attempts).await,
+        (Ok(()), _) => serve_non_streaming(&mut attempts).await,
     };
     match res {
         Ok(response) => {
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -40,6 +40,7 @@
     discovery::UPSTREAMS_POLL_INTERVAL_MS,
     node::{Node, State, short_hash},
     platform::Platform,
+    stream_versions::OriginMessage,
 };
 
 /// Interval at which an update of an upstream entry is sent again.
@@ -55,7 +56,7 @@
 
 /// Content of a datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-enum Datagram {
+pub(crate) enum Datagram {
     #[serde(rename = "g")]
     Gossip(Message),
     /// Usage counts of the sender, for the holder of the duty lease.
@@ -69,6 +70,9 @@
     /// are leaving. Sent to the other nodes of its zone.
     #[serde(rename = "r")]
     UpstreamUpdates(Vec<UpstreamUpdate>),
+    /// Which software version began a stream.
+    #[serde(rename = "o")]
+    StreamOrigin(OriginMessage),
 }
 
 /// Current entry of an upstream, sent when the entry changes.
@@ -205,6 +209,14 @@
         let state_age_ms = self.state.borrow().gossip.state_age_ms(self.now_ms());
         UPSTREAMS_POLL_INTERVAL_MS + state_age_ms + DELAY_ALLOWANCE_MS
     }
+
+    /// Queues a datagram for each of the addresses.
+    pub(crate) fn send_to(&self, datagram: &Datagram, addresses: &[SocketAddr], urgency: Urgency) {
+        let Some(bytes) = encode(datagram) else { return };
+        for address in addresses {
+            self.outbox.push(&bytes, *address, urgency);
+        }
+    }
 }
 
 impl<P: Platform> Node<P> {
@@ -298,13 +310,6 @@
         self.send_to(&Datagram::ConfigVersion(version), &addresses, Urgency::Urgent);
     }
 
-    fn send_to(&self, datagram: &Datagram, addresses: &[SocketAddr], urgency: Urgency) {
-        let Some(bytes) = encode(datagram) else { return };
-        for address in addresses {
-            self.outbox.push(&bytes, *address, urgency);
-        }
-    }
-
     /// Sends messages and applies updates.
     async fn handle_output(&self, socket: &UdpSocket, output: Output) {
         for it in output.updates {
@@ -385,6 +390,7 @@
                 state.announced_config_version = version.max(state.announced_config_version);
             }
             Datagram::UpstreamUpdates(updates) => self.apply_updates(updates),
+            Datagram::StreamOrigin(message) => self.on_origin_message(message, from),
             Datagram::Counts(counts) => {
                 let mut state = self.state.borrow_mut();
                 state.peer_counts.push(counts);
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod run_transfer;
 mod settings;
 mod store;
+mod stream_versions;
 mod upstream_attempt;
 
 pub use run::run;
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -19,6 +19,7 @@
     retry::{self, RetryBudget},
     shared_rate::{self, SharedRate},
     store_era::EraTracker,
+    stream_origins::StreamOrigins,
     suspects::{
         Suspects, UpstreamIncarnation,
         segments::{self, SegmentReport},
@@ -40,6 +41,7 @@
     outbox::Outbox,
     pool::ConnectionPool,
     settings::NodeSettings,
+    stream_versions::Inquiries,
 };
 
 /// Phase of a node from its start to its exit.
@@ -69,6 +71,8 @@
     /// Number of requests whose responses have not been sent completely.
     pub(crate) n_in_flight: Rc<Cell<usize>>,
     pub(crate) phase: watch::Sender<NodePhase>,
+    /// Questions to other nodes about the origin of a stream.
+    pub(crate) inquiries: Inquiries,
     /// Notified when there are changed upstream entries to send to the peers immediately.
     pub(crate) updates_due: Notify,
     /// Notified when the peers should immediately receive the cost of the requests that this node has admitted.
@@ -115,6 +119,8 @@
     pub(crate) usage_counter: UsageCounter,
     /// Time estimated from the wall clocks of several nodes.
     pub(crate) synced_clock: SyncedClock,
+    /// Software versions of the services, and which of them began each stream.
+    pub(crate) stream_origins: StreamOrigins,
     /// Requests that were present at crashes of upstreams, and so may have caused them.
     pub(crate) suspects: Suspects,
     /// For each upstream, when this node last probed whether it still accepts connections after a connection broke.
@@ -235,6 +241,7 @@
             demand: FxHashMap::default(),
             usage_counter: UsageCounter::new(settings.bounds.usage_window_ms),
             synced_clock: SyncedClock::default(),
+            stream_origins: StreamOrigins::default(),
             suspects: Suspects::new(segments::Settings {
                 objection_ms: settings.bounds.contact_ms / OBJECTION_CONTACT_DIVISOR,
                 reminder_interval_ms: settings.bounds.contact_ms / OBJECTION_CONTACT_DIVISOR,
@@ -272,6 +279,7 @@
             state: RefCell::new(state),
             n_in_flight: Rc::default(),
             phase,
+            inquiries: Inquiries::default(),
             updates_due: Notify::new(),
             rates_due: Notify::new(),
             store_restored,
@@ -328,6 +336,7 @@
         let instance = self.settings.instance.as_str();
         log::info!(instance, version, n_routes, source; "configuration in force");
         state.set_rates(&config.teams, self.clock.uptime_ms(), now_ms);
+        state.stream_origins.set_lifetime_ms(config.stream_lifetime_ms());
         state.route_table = Some(Rc::new(RouteTable::new(config)));
         state.config_text = text;
     }
@@ -336,6 +345,9 @@
     /// the tasks that wait for leaving upstreams.
     pub(crate) fn apply_changes(&self, changes: &[Change]) {
         let now_ms = self.now_ms();
+        if !changes.is_empty() {
+            self.on_versions_changed();
+        }
         for change in changes {
             let mut state = self.state.borrow_mut();
             if matches!(change, Change::Leaving(_) | Change::Removed { .. }) {
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -57,6 +57,7 @@
         attempts,
         chunks,
         splitter: EventSplitter::after(resume_after),
+        has_passed_event: false,
         body_end: None,
     };
     tokio::task::spawn_local(relay.run(response));
@@ -70,6 +71,8 @@
     attempts: Attempts<P>,
     chunks: Sender<Result<Bytes, StreamAborted>>,
     splitter: EventSplitter,
+    /// Whether an event was passed on to the client.
+    has_passed_event: bool,
     /// End of the body that was read last. `None` before the first end.
     body_end: Option<BodyEnd>,
 }
@@ -227,7 +230,7 @@
                 frame = body.frame() => match self.record_body_end(marker, frame) {
                     Some(Ok(frame)) => {
                         let Ok(data) = frame.into_data() else { continue };
-                        match self.push(&data).await {
+                        match self.push(&data, entry).await {
                             Pushed::Progress => {
                                 stall_timer.as_mut().reset(Instant::now() + stall_timeout);
                             }
@@ -276,7 +279,7 @@
                     match transferred {
                         TransferOutcome::NoCopy(it) => run_stop = it,
                         TransferOutcome::Stopped(to, kv_copy) => {
-                            return self.drain(body, to, kv_copy).await;
+                            return self.drain(body, entry, to, kv_copy).await;
                         }
                     }
                 }
@@ -288,12 +291,13 @@
     async fn drain(
         &mut self,
         mut body: Incoming,
+        from: &UpstreamEntry,
         to: Box<UpstreamEntry>,
         kv_copy: KvCopy,
     ) -> RelayOutcome {
         while let Ok(Some(Ok(frame))) = timeout(DRAIN_TIMEOUT, body.frame()).await {
             let Ok(data) = frame.into_data() else { continue };
-            match self.push(&data).await {
+            match self.push(&data, from).await {
                 Pushed::ClientDisconnected => return RelayOutcome::ClientDisconnected,
                 Pushed::TooLarge => break,
                 Pushed::Progress | Pushed::NoProgress => {}
@@ -348,7 +352,7 @@
 
     /// Passes on the events that are complete now. Only a new event is progress: an engine that has stalled may still
     /// send parts of an event, or events without an id, now and then.
-    async fn push(&mut self, data: &[u8]) -> Pushed {
+    async fn push(&mut self, data: &[u8], from: &UpstreamEntry) -> Pushed {
         let previous_id = self.splitter.last_id();
         let events = match self.splitter.push(data) {
             Ok(Some(events)) => events,
@@ -356,6 +360,9 @@
             Err(EventTooLarge) => return Pushed::TooLarge,
         };
         self.attempts.count_usage_once();
+        if !std::mem::replace(&mut self.has_passed_event, true) {
+            self.attempts.on_first_event(from);
+        }
         if self.chunks.send(Ok(events)).await.is_err() {
             return Pushed::ClientDisconnected;
         }
@@ -378,6 +385,7 @@
             return None;
         }
         let candidates = available(&state.catalog, &state.restrictions, &from.service, now_ms);
+        let candidates = candidates.filter(|it| it.entry.version == from.version);
         let excluded = std::slice::from_ref(&from.id);
         let assignment =
             state.load_table.assign(None, candidates, excluded, now_ms, &mut state.rng)?;
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -0,0 +1,287 @@
+//! Resumed streams: finds out which software version began a stream, and tells other nodes where streams have begun.
+//!
+//! What is known, who is told and who is asked is decided by [`lentilhitch_policy::stream_origins`].
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout_at},
+};
+
+use lentilhitch_policy::{
+    gossip::message::NodeAddress,
+    send_queue::Urgency,
+    stream_origins::{self, OriginRecord, StreamKey, StreamOrigin, service_hash},
+    traffic::UpstreamEntry,
+};
+use lentilhitch_types::ServiceName;
+
+use crate::{
+    admission::AdmittedRequest, client_response::Rejection, gossip::Datagram, node::Node,
+    platform::Platform,
+};
+
+/// Time limit for the answers of the nodes that are asked first.
+const FIRST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time limit for the answers of all nodes of the zone, which are asked next.
+const ZONE_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of records in one message, so that the message fits into one packet.
+const RECORDS_PER_MESSAGE_MAX: usize = 32;
+/// `Retry-After` of a resumed stream whose version no node knows.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Message between nodes about the origin of streams.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum OriginMessage {
+    /// From a node at which streams have begun to a holder of these.
+    #[serde(rename = "r")]
+    Records(Vec<OriginRecord>),
+    #[serde(rename = "q")]
+    Question(Question),
+    #[serde(rename = "a")]
+    Answer(Answer),
+}
+
+/// Asks where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Question {
+    /// Identifies the question at the node that asks.
+    #[serde(rename = "n")]
+    number: u64,
+    /// Absent if the client does not say which stream it resumes.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    key: Option<StreamKey>,
+    /// Hash of the service that the request would be sent to.
+    #[serde(rename = "s")]
+    service: u32,
+}
+
+/// Answers a question as far as the node can.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Answer {
+    #[serde(rename = "n")]
+    number: u64,
+    /// Where the stream began.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    known: Option<StreamOrigin>,
+    /// Origin of all streams of the service, if it has had a single version for long enough.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    sole: Option<StreamOrigin>,
+}
+
+/// Questions of this node whose answers are awaited, by number.
+#[derive(Default)]
+pub(crate) struct Inquiries {
+    waiting: RefCell<(u64, FxHashMap<u64, mpsc::UnboundedSender<Answer>>)>,
+}
+
+impl Inquiries {
+    fn start(&self) -> (u64, mpsc::UnboundedReceiver<Answer>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.0 += 1;
+        let number = waiting.0;
+        waiting.1.insert(number, sender);
+        (number, receiver)
+    }
+
+    fn end(&self, number: u64) {
+        self.waiting.borrow_mut().1.remove(&number);
+    }
+
+    fn on_answer(&self, answer: Answer) {
+        if let Some(sender) = self.waiting.borrow().1.get(&answer.number) {
+            // The receiver may have just given up.
+            let _ = sender.send(answer);
+        }
+    }
+}
+
+/// How the origin of a resumed stream was found out, for the logs.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Local,
+    SoleVersion,
+    Peer,
+    SoleVersionAtPeer,
+}
+
+/// Finds out which version began the stream that a request resumes, and binds the request to this version and its
+/// service. Fails if no node knows.
+pub(crate) async fn bind_resumed<P: Platform>(
+    node: &Node<P>,
+    admitted: &mut AdmittedRequest,
+) -> Result<(), Rejection> {
+    let is_resumed = admitted.head.resume_after.is_some() || admitted.head.resumed_id.is_some();
+    if !admitted.route.repeat.is_stream() || !is_resumed {
+        return Ok(());
+    }
+    let key = admitted.head.resumed_id.as_deref().map(StreamKey::of);
+    let found = match node.local_origin(key, &admitted.service) {
+        Some(it) => Some(it),
+        None => node.ask_for_origin(key, &admitted.service).await,
+    };
+    let request = admitted.head.id.as_str();
+    let resumed = admitted.head.resumed_id.as_deref();
+    let elapsed_ms = node.now_ms() - admitted.arrived_ms;
+    let Some((origin, source)) = found else {
+        log::warn!(request, resumed, elapsed_ms; "no node knows which version began the stream");
+        return Err(Rejection::Unavailable {
+            reason: "no node knows which version began the stream",
+            retry_after_ms: RETRY_AFTER_MS,
+        });
+    };
+    log::info!(request, resumed, version_hash = origin.version, source:? = source, elapsed_ms; "version that began the stream is known");
+    let services = admitted.route.split.iter().map(|it| &it.0);
+    if let Some(service) = services.into_iter().find(|it| service_hash(it) == origin.service) {
+        admitted.service = service.clone();
+    }
+    admitted.origin = Some(origin);
+    Ok(())
+}
+
+impl<P> Node<P> {
+    /// Returns the origin of a stream if this node knows it, or if its service has had a single version for long enough
+    /// and this node's list of upstreams is current.
+    fn local_origin(
+        &self,
+        key: Option<StreamKey>,
+        service: &ServiceName,
+    ) -> Option<(StreamOrigin, Source)> {
+        let known = key.and_then(|it| self.state.borrow().stream_origins.get(it));
+        if let Some(origin) = known {
+            return Some((origin, Source::Local));
+        }
+        Some((self.sole_origin(service_hash(service))?, Source::SoleVersion))
+    }
+
+    fn sole_origin(&self, service: u32) -> Option<StreamOrigin> {
+        let now_ms = self.now_ms();
+        let state = self.state.borrow();
+        let is_current =
+            state.catalog.age_ms(now_ms).is_some_and(|it| it <= self.settings.bounds.contact_ms);
+        if is_current { state.stream_origins.sole_origin(service, now_ms) } else { None }
+    }
+
+    /// Handles a change of the upstreams and their versions.
+    pub(crate) fn on_versions_changed(&self) {
+        let now_ms = self.now_ms();
+        {
+            let mut state = self.state.borrow_mut();
+            let state = &mut *state;
+            let upstreams = state.catalog.iter().map(|it| &it.entry);
+            let is_first_start = self.settings.is_first_start;
+            state.stream_origins.on_upstreams_changed(upstreams, is_first_start, now_ms);
+        }
+        self.tell_holders();
+    }
+
+    /// Records that an upstream has written the first event of a stream, and tells the holders if necessary.
+    pub(crate) fn on_stream_begun(&self, key: StreamKey, upstream: &UpstreamEntry) {
+        let now_ms = self.now_ms();
+        let origin = StreamOrigin::of(upstream);
+        self.state.borrow_mut().stream_origins.on_first_event(key, origin, now_ms);
+        self.tell_holders();
+    }
+
+    fn tell_holders(&self) {
+        let now_ms = self.now_ms();
+        let mut by_holder: FxHashMap<SocketAddr, Vec<OriginRecord>> = FxHashMap::default();
+        {
+            let mut state = self.state.borrow_mut();
+            let state = &mut *state;
+            for record in state.stream_origins.take_due(now_ms) {
+                let (zone, others) = (state.gossip.local_zone(), state.gossip.node_addresses());
+                for holder in stream_origins::holders(record.key, zone, others) {
+                    by_holder.entry(holder.gossip).or_default().push(record);
+                }
+            }
+        }
+        for (holder, records) in by_holder {
+            for it in records.chunks(RECORDS_PER_MESSAGE_MAX) {
+                let message = OriginMessage::Records(it.to_vec());
+                self.send_to(&Datagram::StreamOrigin(message), &[holder], Urgency::Urgent);
+            }
+        }
+    }
+
+    /// Asks the nodes that may hold the stream, and then all nodes of the zone.
+    async fn ask_for_origin(
+        &self,
+        key: Option<StreamKey>,
+        service: &ServiceName,
+    ) -> Option<(StreamOrigin, Source)> {
+        let (first, zone) = self.nodes_to_ask(key);
+        let (number, mut answers) = self.inquiries.start();
+        let question = Question { number, key, service: service_hash(service) };
+        let mut found = self.ask(question, &first, FIRST_ANSWERS_TIMEOUT, &mut answers).await;
+        if found.is_none() {
+            found = self.ask(question, &zone, ZONE_ANSWERS_TIMEOUT, &mut answers).await;
+        }
+        self.inquiries.end(number);
+        found
+    }
+
+    /// Returns the gossip addresses of the nodes that are asked first, and of those and all others of the zone.
+    fn nodes_to_ask(&self, key: Option<StreamKey>) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let state = self.state.borrow();
+        let (zone, others) = (state.gossip.local_zone(), state.gossip.node_addresses());
+        // Without a key, any node may know whether the service has a single version.
+        let key = key.unwrap_or(StreamKey::of(""));
+        let first = stream_origins::nodes_to_ask(key, zone, others);
+        let first: Vec<_> = first.iter().map(|it: &NodeAddress| it.gossip).collect();
+        let mut all = state.gossip.zone_addresses();
+        all.extend(first.iter().filter(|it| !all.contains(it)).copied().collect::<Vec<_>>());
+        (first, all)
+    }
+
+    /// Asks nodes and waits until one of them knows the stream, all have answered or the time is over. Otherwise, the
+    /// only version of the service is taken if the nodes that state one agree.
+    async fn ask(
+        &self,
+        question: Question,
+        nodes: &[SocketAddr],
+        time_limit: Duration,
+        answers: &mut mpsc::UnboundedReceiver<Answer>,
+    ) -> Option<(StreamOrigin, Source)> {
+        let message = OriginMessage::Question(question);
+        self.send_to(&Datagram::StreamOrigin(message), nodes, Urgency::Urgent);
+        let end = Instant::now() + time_limit;
+        let mut sole = Vec::new();
+        let mut n_answers = 0;
+        while n_answers < nodes.len()
+            && let Ok(Some(answer)) = timeout_at(end, answers.recv()).await
+        {
+            n_answers += 1;
+            if let Some(origin) = answer.known {
+                return Some((origin, Source::Peer));
+            }
+            sole.extend(answer.sole);
+        }
+        let first = *sole.first()?;
+        sole.iter().all(|it| *it == first).then_some((first, Source::SoleVersionAtPeer))
+    }
+
+    /// Handles a message of another node.
+    pub(crate) fn on_origin_message(&self, message: OriginMessage, from: SocketAddr) {
+        match message {
+            OriginMessage::Records(records) => {
+                let now_ms = self.now_ms();
+                let mut state = self.state.borrow_mut();
+                for it in records {
+                    state.stream_origins.insert(it, now_ms);
+                }
+            }
+            OriginMessage::Question(Question { number, key, service }) => {
+                let known = key.and_then(|it| self.state.borrow().stream_origins.get(it));
+                let sole = if known.is_none() { self.sole_origin(service) } else { None };
+                let answer = OriginMessage::Answer(Answer { number, known, sole });
+                self.send_to(&Datagram::StreamOrigin(answer), &[from], Urgency::Urgent);
+            }
+            OriginMessage::Answer(answer) => self.inquiries.on_answer(answer),
+        }
+    }
+}
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -396,6 +396,11 @@
         self.nodes.iter().map(|it| &it.address)
     }
 
+    /// Returns the hash of the name of this node's zone.
+    pub fn local_zone(&self) -> u32 {
+        self.local.zone
+    }
+
     /// Returns the hash of the name of this node.
     pub fn local_node(&self) -> u64 {
         self.local.node
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod shared_rate;
 pub mod store_era;
 pub mod stream_end;
+pub mod stream_origins;
 pub mod suspects;
 pub mod synced_clock;
 pub mod traffic;
--- /dev/null
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -0,0 +1,266 @@
+//! Which software version of which service began each stream, so that a stream goes on only at that version.
+//!
+//! Upstreams of several versions may serve side by side in one service, and what two versions write does not fit
+//! together. A client that takes a stream up again may reach any node. While a service has several versions, the node at
+//! which a stream begins therefore tells two other nodes, the holders of the stream: one of its own zone and one of
+//! another, each the first in the hash order of the stream. A node that doesn't know a stream asks the first nodes of the
+//! same orders, see [`holders`] and [`nodes_to_ask`].
+//!
+//! While a service has a single version, nothing is told: a node that has seen only this version for as long as a stream
+//! may last knows that it began the stream. When a second version appears, a node tells the holders of all streams that it
+//! has begun.
+
+use std::collections::VecDeque;
+
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use lentilhitch_types::ServiceName;
+
+use crate::{gossip::message::NodeAddress, traffic::UpstreamEntry};
+
+/// Identifies a stream: the hash of the id of the client's sending that brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StreamKey(u64);
+
+impl StreamKey {
+    /// Returns the key of the stream that the sending with this id began.
+    pub fn of(request_id: &str) -> Self {
+        Self(xxh3_64(request_id.as_bytes()))
+    }
+}
+
+/// Service and software version of the upstreams that may write a stream, as hashes of their names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    #[serde(rename = "s")]
+    pub service: u32,
+    #[serde(rename = "v")]
+    pub version: u32,
+}
+
+impl StreamOrigin {
+    /// Returns the service and version of an upstream.
+    pub fn of(upstream: &UpstreamEntry) -> Self {
+        Self {
+            service: service_hash(&upstream.service),
+            version: xxh3_64(upstream.version.as_str().as_bytes()) as u32,
+        }
+    }
+}
+
+/// Returns the hash that stands for a service.
+pub fn service_hash(service: &ServiceName) -> u32 {
+    xxh3_64(service.as_str().as_bytes()) as u32
+}
+
+/// Origin of a stream, as nodes tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginRecord {
+    #[serde(rename = "k")]
+    pub key: StreamKey,
+    #[serde(rename = "o")]
+    pub origin: StreamOrigin,
+    /// Time since the first event.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    origin: StreamOrigin,
+    began_ms: u64,
+}
+
+/// The software versions of a service that have upstreams, or had some not long ago.
+#[derive(Clone, Debug, Default)]
+struct ServiceVersions {
+    /// For each version, when its last upstream was gone, or `None` while it has some.
+    gone_ms: FxHashMap<u32, Option<u64>>,
+    /// Streams that began at this node while the service had a single version.
+    untold: VecDeque<StreamKey>,
+}
+
+impl ServiceVersions {
+    fn is_mixed(&self) -> bool {
+        1 < self.gone_ms.len()
+    }
+}
+
+/// Origins of streams that began at this node or that other nodes have told it, and the versions of the services.
+#[derive(Clone, Debug)]
+pub struct StreamOrigins {
+    /// Time for which a stream may last, and a client may take it up.
+    lifetime_ms: u64,
+    /// From when on this node has followed the versions of the services for as long as a stream may last.
+    complete_from_ms: Option<u64>,
+    known: FxHashMap<StreamKey, Known>,
+    /// Keys in the order in which their records expire, but for late news from other nodes.
+    expiring: VecDeque<(u64, StreamKey)>,
+    services: FxHashMap<u32, ServiceVersions>,
+    /// Streams to tell their holders of.
+    due: Vec<StreamKey>,
+}
+
+/// Lifetime of a stream if nothing states one.
+const LIFETIME_DEFAULT_MS: u64 = 60_000;
+
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self {
+            lifetime_ms: LIFETIME_DEFAULT_MS,
+            complete_from_ms: None,
+            known: FxHashMap::default(),
+            expiring: VecDeque::new(),
+            services: FxHashMap::default(),
+            due: Vec::new(),
+        }
+    }
+}
+
+impl StreamOrigins {
+    /// Sets the time for which a stream may last.
+    pub fn set_lifetime_ms(&mut self, lifetime_ms: u64) {
+        self.lifetime_ms = lifetime_ms;
+    }
+
+    /// Handles a change of the upstreams. `is_first_start` means that there was no stream before this node started.
+    pub fn on_upstreams_changed<'a>(
+        &mut self,
+        upstreams: impl Iterator<Item = &'a UpstreamEntry>,
+        is_first_start: bool,
+        now_ms: u64,
+    ) {
+        let complete_from_ms = if is_first_start { now_ms } else { now_ms + self.lifetime_ms };
+        self.complete_from_ms.get_or_insert(complete_from_ms);
+        for it in self.services.values_mut().flat_map(|it| it.gone_ms.values_mut()) {
+            it.get_or_insert(now_ms);
+        }
+        for it in upstreams {
+            let StreamOrigin { service, version } = StreamOrigin::of(it);
+            self.services.entry(service).or_default().gone_ms.insert(version, None);
+        }
+        let lifetime_ms = self.lifetime_ms;
+        for it in self.services.values_mut() {
+            it.gone_ms.retain(|_, it| it.is_none_or(|it| now_ms < it + lifetime_ms));
+            if it.is_mixed() {
+                self.due.extend(it.untold.drain(..));
+            }
+        }
+    }
+
+    /// Records that an upstream has written the first event of a stream which this node relays.
+    pub fn on_first_event(&mut self, key: StreamKey, origin: StreamOrigin, now_ms: u64) {
+        self.insert(OriginRecord { key, origin, age_ms: 0 }, now_ms);
+        let versions = self.services.entry(origin.service).or_default();
+        if versions.is_mixed() {
+            self.due.push(key);
+        } else {
+            versions.untold.push_back(key);
+        }
+    }
+
+    /// Records what another node has told.
+    pub fn insert(&mut self, record: OriginRecord, now_ms: u64) {
+        self.discard_expired(now_ms);
+        let OriginRecord { key, origin, age_ms } = record;
+        let began_ms = now_ms.saturating_sub(age_ms);
+        if self.known.insert(key, Known { origin, began_ms }).is_none() {
+            self.expiring.push_back((began_ms, key));
+        }
+    }
+
+    /// Returns where a stream began, if this node knows it.
+    pub fn get(&self, key: StreamKey) -> Option<StreamOrigin> {
+        self.known.get(&key).map(|it| it.origin)
+    }
+
+    /// Returns the origin of every stream of a service, if all its upstreams have had the same version for as long as a
+    /// stream may last.
+    pub fn sole_origin(&self, service: u32, now_ms: u64) -> Option<StreamOrigin> {
+        if now_ms < self.complete_from_ms? {
+            return None;
+        }
+        let versions = self.services.get(&service)?.gone_ms.iter();
+        let mut recent =
+            versions.filter(|it| it.1.is_none_or(|gone_ms| now_ms < gone_ms + self.lifetime_ms));
+        match (recent.next(), recent.next()) {
+            (Some((version, _)), None) => Some(StreamOrigin { service, version: *version }),
+            _ => None,
+        }
+    }
+
+    /// Returns the streams to tell their holders of. Each is returned once.
+    pub fn take_due(&mut self, now_ms: u64) -> Vec<OriginRecord> {
+        let due = std::mem::take(&mut self.due);
+        let records = due.into_iter().filter_map(|key| {
+            let Known { origin, began_ms } = *self.known.get(&key)?;
+            Some(OriginRecord { key, origin, age_ms: now_ms.saturating_sub(began_ms) })
+        });
+        records.collect()
+    }
+
+    fn discard_expired(&mut self, now_ms: u64) {
+        while let Some((began_ms, key)) = self.expiring.front().copied()
+            && began_ms + self.lifetime_ms < now_ms
+        {
+            self.expiring.pop_front();
+            self.known.remove(&key);
+        }
+        for it in self.services.values_mut() {
+            while it.untold.front().is_some_and(|it| !self.known.contains_key(it)) {
+                it.untold.pop_front();
+            }
+        }
+    }
+}
+
+/// Returns the nodes that a node tells of a stream which began there: the first other node of its zone and the first
+/// node outside of it, in the hash order of the stream.
+pub fn holders<'a>(
+    key: StreamKey,
+    local_zone: u32,
+    others: impl Iterator<Item = &'a NodeAddress>,
+) -> Vec<NodeAddress> {
+    let order = hash_order(key, others);
+    let inside = order.iter().find(|it| it.zone == local_zone);
+    let outside = order.iter().find(|it| it.zone != local_zone);
+    inside.into_iter().chain(outside).copied().collect()
+}
+
+/// Returns the nodes that a node asks for a stream. These are the first two other nodes of its zone, in the hash order of
+/// the stream, since one of them may be the node where it began. Outside of the zone they are the first node of the
+/// order and the first one of another zone than this, since either may be the holder, depending on the zone where the
+/// stream began.
+pub fn nodes_to_ask<'a>(
+    key: StreamKey,
+    local_zone: u32,
+    others: impl Iterator<Item = &'a NodeAddress>,
+) -> Vec<NodeAddress> {
+    let order = hash_order(key, others);
+    let inside = order.iter().filter(|it| it.zone == local_zone).take(N_ASKED_INSIDE);
+    let mut asked: Vec<_> = inside.copied().collect();
+    let Some(first) = order.first() else { return asked };
+    let first_of_other_zone = order.iter().find(|it| it.zone != first.zone);
+    for it in [Some(first), first_of_other_zone].into_iter().flatten() {
+        if !asked.contains(it) {
+            asked.push(*it);
+        }
+    }
+    asked
+}
+
+/// Number of nodes of the own zone that are asked first.
+const N_ASKED_INSIDE: usize = 2;
+
+/// Returns the nodes in the hash order of a stream (rendezvous hashing).
+fn hash_order<'a>(
+    key: StreamKey,
+    nodes: impl Iterator<Item = &'a NodeAddress>,
+) -> Vec<NodeAddress> {
+    let mut order: Vec<_> = nodes.copied().collect();
+    order.sort_unstable_by_key(|it| xxh3_64_with_seed(&it.node.to_le_bytes(), key.0));
+    order
+}
--- a/crates/lentilhitch_policy/src/traffic.rs
+++ b/crates/lentilhitch_policy/src/traffic.rs
@@ -18,6 +18,18 @@
     pub teams: Vec<Team>,
 }
 
+/// Maximum time that a client of a route without a timeout waits.
+const ROUTE_TIMEOUT_DEFAULT_MS: u64 = 30_000;
+
+impl Config {
+    /// Returns the time for which a stream may last: a client whose stream was broken off may take it up once more.
+    pub fn stream_lifetime_ms(&self) -> u64 {
+        let streams = self.routes.iter().filter(|it| it.repeat.is_stream());
+        let timeouts_ms = streams.map(|it| it.timeout_ms.unwrap_or(ROUTE_TIMEOUT_DEFAULT_MS));
+        2 * timeouts_ms.max().unwrap_or(ROUTE_TIMEOUT_DEFAULT_MS)
+    }
+}
+
 /// Whether a node may send a request of a route to an upstream more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
--- /dev/null
+++ b/crates/lentilhitch_policy/tests/stream_origins.rs
@@ -0,0 +1,231 @@
+//! Origins of streams: known to the node that is asked as long as a holder lives, and inferred only from a single version.
+
+use lentilhitch_policy::{
+    gossip::message::NodeAddress,
+    stream_origins::{OriginRecord, StreamKey, StreamOrigin, StreamOrigins, holders, nodes_to_ask},
+    traffic::{EntryState, UpstreamEntry},
+};
+use lentilhitch_types::SoftwareVersion;
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+
+const LIFETIME_MS: u64 = 30_000;
+const START_MS: u64 = 1_000;
+
+fn upstream(version: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        id: "engine".parse().unwrap(),
+        service: "draft".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        version: SoftwareVersion::from(version.to_owned()),
+        state: EntryState::Ready,
+        slots: 8,
+        started_ms: 1,
+        is_spot: false,
+        leaves_in_ms: None,
+    }
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin::of(&upstream(version))
+}
+
+fn set_versions(origins: &mut StreamOrigins, versions: &[&str], is_first: bool, now_ms: u64) {
+    let upstreams: Vec<_> = versions.iter().map(|it| upstream(it)).collect();
+    origins.on_upstreams_changed(upstreams.iter(), is_first, now_ms);
+}
+
+fn new_origins() -> StreamOrigins {
+    let mut origins = StreamOrigins::default();
+    origins.set_lifetime_ms(LIFETIME_MS);
+    origins
+}
+
+/// Guards against a node that takes the version it sees now for the one that began an earlier stream.
+#[test]
+fn version_is_inferred_only_if_there_was_no_other_while_a_stream_may_last() {
+    struct Case {
+        name: &'static str,
+        is_first_start: bool,
+        /// Versions that have upstreams from each time on.
+        changes: &'static [(u64, &'static [&'static str])],
+        now_ms: u64,
+        sole: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "one version since the first start",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1"])],
+            now_ms: START_MS,
+            sole: Some("v1"),
+        },
+        Case {
+            name: "one version, restarted node",
+            is_first_start: false,
+            changes: &[(START_MS, &["v1"])],
+            now_ms: START_MS + LIFETIME_MS - 1,
+            sole: None,
+        },
+        Case {
+            name: "one version, node restarted long ago",
+            is_first_start: false,
+            changes: &[(START_MS, &["v1"])],
+            now_ms: START_MS + LIFETIME_MS,
+            sole: Some("v1"),
+        },
+        Case {
+            name: "two versions",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1"]), (5_000, &["v1", "v2"])],
+            now_ms: 5_000 + 2 * LIFETIME_MS,
+            sole: None,
+        },
+        Case {
+            name: "the other version is gone",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1", "v2"]), (5_000, &["v2"])],
+            now_ms: 5_000 + LIFETIME_MS - 1,
+            sole: None,
+        },
+        Case {
+            name: "the other version is gone for long, without a change since",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1", "v2"]), (5_000, &["v2"])],
+            now_ms: 5_000 + LIFETIME_MS,
+            sole: Some("v2"),
+        },
+        Case {
+            name: "no upstream for a moment",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1"]), (5_000, &[]), (6_000, &["v2"])],
+            now_ms: 7_000,
+            sole: None,
+        },
+        Case {
+            name: "no upstream was known yet",
+            is_first_start: true,
+            changes: &[],
+            now_ms: START_MS,
+            sole: None,
+        },
+    ];
+    for case in cases {
+        let mut origins = new_origins();
+        for (at_ms, versions) in case.changes {
+            set_versions(&mut origins, versions, case.is_first_start, *at_ms);
+        }
+        let sole = origins.sole_origin(origin("v1").service, case.now_ms);
+        assert_eq!(sole, case.sole.map(origin), "{}", case.name);
+    }
+}
+
+/// Guards against streams that began just before a second version appears and whose holders never hear of them.
+#[test]
+fn holders_are_told_of_all_running_streams_when_a_second_version_appears() {
+    let mut origins = new_origins();
+    set_versions(&mut origins, &["v1"], true, START_MS);
+    let (old, running) = (StreamKey::of("old"), StreamKey::of("running"));
+    origins.on_first_event(old, origin("v1"), START_MS);
+    let running_ms = START_MS + LIFETIME_MS;
+    origins.on_first_event(running, origin("v1"), running_ms);
+    assert_eq!(origins.take_due(running_ms), [], "the service has a single version");
+
+    let appears_ms = running_ms + 500;
+    let new = StreamKey::of("new");
+    let key = StreamKey::of("stream of another node");
+    origins.insert(OriginRecord { key, origin: origin("v1"), age_ms: 0 }, appears_ms);
+    set_versions(&mut origins, &["v1", "v2"], true, appears_ms);
+    origins.on_first_event(new, origin("v2"), appears_ms);
+    let due = origins.take_due(appears_ms);
+    let told: Vec<_> = due.iter().map(|it| (it.key, it.origin, it.age_ms)).collect();
+    assert_eq!(told, [(running, origin("v1"), 500), (new, origin("v2"), 0)]);
+    assert_eq!(origins.take_due(appears_ms), [], "each is told once");
+    assert_eq!(origins.get(old), None, "no client takes the old stream up any more");
+    assert_eq!(origins.get(running), Some(origin("v1")));
+}
+
+struct Size {
+    n_nodes: u16,
+    n_zones: u16,
+}
+
+const SIZES: [Size; 4] = [
+    Size { n_nodes: 8, n_zones: 4 },
+    Size { n_nodes: 74, n_zones: 5 },
+    Size { n_nodes: 295, n_zones: 6 },
+    Size { n_nodes: 340, n_zones: 31 },
+];
+const N_STREAMS: usize = 400;
+
+fn nodes(size: &Size) -> Vec<NodeAddress> {
+    let node = |idx: u16| NodeAddress {
+        node: u64::from(idx).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        zone: u32::from(idx % size.n_zones),
+        gossip: ([10, 0, 0, 1], 10_000 + idx).into(),
+        exchange: ([10, 0, 0, 1], 20_000 + idx).into(),
+    };
+    (0..size.n_nodes).map(node).collect()
+}
+
+/// Returns whether a node finds out where a stream began that began at `first`.
+fn is_found(
+    key: StreamKey,
+    first: NodeAddress,
+    asking: NodeAddress,
+    nodes: &[NodeAddress],
+    lives: impl Fn(&NodeAddress) -> bool,
+) -> bool {
+    let others = |of: NodeAddress| nodes.iter().filter(move |it| **it != of);
+    let told = holders(key, first.zone, others(first));
+    let asked = nodes_to_ask(key, asking.zone, others(asking));
+    told.iter().any(|it| lives(it) && (*it == asking || asked.contains(it)))
+}
+
+/// Guards against streams that are lost with the node at which they began, although other nodes live.
+#[test]
+fn origin_is_found_without_the_node_or_the_zone_where_the_stream_began() {
+    for size in SIZES {
+        let nodes = nodes(&size);
+        let mut rng = SmallRng::seed_from_u64(u64::from(size.n_nodes));
+        for idx in 0..N_STREAMS {
+            let key = StreamKey::of(&format!("{idx}"));
+            let first = nodes[rng.random_range(0..nodes.len())];
+            let asking = nodes[rng.random_range(0..nodes.len())];
+            let (n_nodes, name) = (size.n_nodes, format!("stream {idx}"));
+            if asking != first {
+                let lives = |it: &NodeAddress| *it != first;
+                assert!(is_found(key, first, asking, &nodes, lives), "{n_nodes} nodes, {name}");
+            }
+            if asking.zone != first.zone {
+                let lives = |it: &NodeAddress| it.zone != first.zone;
+                assert!(
+                    is_found(key, first, asking, &nodes, lives),
+                    "{n_nodes} nodes, {name}, zone"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against most streams being lost when three in five nodes are killed at once.
+#[test]
+fn most_origins_are_found_in_the_zone_after_three_in_five_nodes_are_killed() {
+    for size in SIZES {
+        let nodes = nodes(&size);
+        let mut rng = SmallRng::seed_from_u64(u64::from(size.n_nodes));
+        let (mut n_asked, mut n_found) = (0, 0);
+        for idx in 0..N_STREAMS {
+            let key = StreamKey::of(&format!("{idx}"));
+            let first = nodes[rng.random_range(0..nodes.len())];
+            let killed: Vec<_> = nodes.iter().filter(|_| rng.random_bool(0.6)).collect();
+            let lives = |it: &NodeAddress| *it != first && !killed.contains(&it);
+            let in_zone = |it: &&NodeAddress| it.zone == first.zone && **it != first;
+            // A killed node comes back soon, and knows nothing.
+            let Some(asking) = nodes.iter().find(in_zone) else { continue };
+            n_asked += 1;
+            n_found += u32::from(is_found(key, first, *asking, &nodes, lives));
+        }
+        assert!(n_asked < 2 * n_found, "{} nodes: {n_found} of {n_asked}", size.n_nodes);
+    }
+}
