A resumed stream without a name takes the first answer

Seen in the play with killed nodes: a node that had started again waited 0.1 s for a killed one, although another had stated that the service has a single version. Without the name of an attempt no node can answer more than that.

--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -260,6 +260,10 @@
                 return Some((origin, Source::Peer));
             }
             sole.extend(answer.sole);
+            if question.key.is_none() && !sole.is_empty() {
+                // No node can know more of a stream without a name.
+                break;
+            }
         }
         let first = *sole.first()?;
         sole.iter().all(|it| *it == first).then_some((first, Source::SoleVersionAtPeer))
