--- a/crates/lentilhitch/tests/edge_unframed.rs
+++ b/crates/lentilhitch/tests/edge_unframed.rs
@@ -32,8 +32,14 @@
     };
 }
 
-const OPTIONS: SiteOptions =
-    SiteOptions { n_nodes: 1, n_engines: 0, n_applications: 0, n_versions: 1, usage_window_s: 1.0 };
+const OPTIONS: SiteOptions = SiteOptions {
+    n_nodes: 1,
+    n_engines: 0,
+    n_applications: 0,
+    n_versions: 1,
+    has_links: false,
+    usage_window_s: 1.0,
+};
 
 async fn start(service: &str, script: RawScript) -> (Site, RawUpstream) {
     let site = Site::start_without_waiting(OPTIONS).await.unwrap();
--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -12,8 +12,14 @@
 
 const N_EVENTS: u64 = 40;
 const N_STREAMS: usize = 16;
-const OPTIONS: SiteOptions =
-    SiteOptions { n_nodes: 4, n_engines: 8, n_applications: 1, n_versions: 2, usage_window_s: 1.0 };
+const OPTIONS: SiteOptions = SiteOptions {
+    n_nodes: 4,
+    n_engines: 8,
+    n_applications: 1,
+    n_versions: 2,
+    has_links: false,
+    usage_window_s: 1.0,
+};
 
 /// Starts a site and waits until each node knows the others.
 async fn start(options: SiteOptions) -> Site {
--- a/crates/lentilhitch_standin/src/users_platform.rs
+++ b/crates/lentilhitch_standin/src/users_platform.rs
@@ -4,11 +4,13 @@
 //! The stand-ins implement the published protocol and run inside the test's process, so that a test can inspect the
 //! requests they received and change their behavior. The nodes are processes of the shipped binary.
 
+mod link;
 mod log_store;
 mod raw_upstream;
 mod site;
 mod upstream;
 
+pub use link::{Cut, Link};
 pub use log_store::{LogStore, StoreFault};
 pub use raw_upstream::{RawEnd, RawResponse, RawScript, RawUpstream};
 pub use site::{Client, ClientResponse, Site, SiteOptions};
--- a/crates/lentilhitch_standin/src/users_platform/log_store.rs
+++ b/crates/lentilhitch_standin/src/users_platform/log_store.rs
@@ -83,6 +83,28 @@
         Ok(Self { state, written, address, cloud_address })
     }
 
+    /// Opens another address of the store, at which the topic `shown` stands in place of `hidden`.
+    pub async fn listen_with(
+        &self,
+        hidden: &'static str,
+        shown: &'static str,
+    ) -> std::io::Result<SocketAddr> {
+        let shared = (self.state.clone(), self.written.clone());
+        let (address, _) = serve_http(move |mut request: Request<Incoming>| {
+            let (state, written) = shared.clone();
+            async move {
+                let (from, to) = (format!("topic={hidden}"), format!("topic={shown}"));
+                *request.uri_mut() = request.uri().to_string().replace(&from, &to).parse().ok()?;
+                let mut response = handle_request(&state, &written, request).await?;
+                let era = state.lock().era;
+                response.headers_mut().insert("store-era", era.into());
+                Some(response)
+            }
+        })
+        .await?;
+        Ok(address)
+    }
+
     /// Appends a record of a key, as operators and upstreams do.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
         let mut content = BytesMut::new();
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     harness::{Process, free_address, until},
-    users_platform::{Behavior, LogStore, Upstream},
+    users_platform::{Behavior, Cut, Link, LogStore, Upstream},
 };
 
 /// `Host` header of every request.
@@ -17,6 +17,8 @@
 /// API key of the default team.
 const KEY: &str = "key-of-etna";
 const ZONES: [&str; 2] = ["a", "b"];
+/// Topic of the list of upstreams with the addresses of the links to them.
+const LINKED_UPSTREAMS_TOPIC: &str = "keyed.linked-servers";
 
 /// Size and settings of a site.
 #[derive(Clone, Copy, Debug)]
@@ -26,13 +28,22 @@
     pub n_applications: usize,
     /// Number of software versions among the upstreams of a service, which alternate in each zone.
     pub n_versions: usize,
+    /// Whether the first node reaches the upstreams over links that can be cut. It must be the only one of its zone.
+    pub has_links: bool,
     /// Duration of a usage window in seconds.
     pub usage_window_s: f64,
 }
 
 impl Default for SiteOptions {
     fn default() -> Self {
-        Self { n_nodes: 1, n_engines: 1, n_applications: 1, n_versions: 1, usage_window_s: 1.0 }
+        Self {
+            n_nodes: 1,
+            n_engines: 1,
+            n_applications: 1,
+            n_versions: 1,
+            has_links: false,
+            usage_window_s: 1.0,
+        }
     }
 }
 
@@ -52,6 +63,8 @@
     pub engines: Vec<Upstream>,
     pub applications: Vec<Upstream>,
     pub nodes: Vec<Node>,
+    /// Links of the first node to the upstreams, if it has some.
+    pub links: Vec<Link>,
     pub http: reqwest::Client,
     /// Version of the last configuration that was written.
     version: u64,
@@ -105,11 +118,15 @@
         }
         let http = reqwest::Client::builder().no_proxy().build()?;
         let folder = tempfile::tempdir()?;
-        let nodes = Vec::new();
-        let mut site = Self { store, engines, applications, nodes, http, version: 0, folder };
+        let (nodes, links) = (Vec::new(), Vec::new());
+        let mut site =
+            Self { store, engines, applications, nodes, links, http, version: 0, folder };
         site.put_config(|_| {});
         for idx in 0..options.n_nodes {
-            site.start_node(idx, &options)?;
+            let has_links = options.has_links && idx == 0;
+            let store_address =
+                if has_links { site.start_links().await? } else { site.store.address };
+            site.start_node(idx, &options, store_address)?;
         }
         Ok(site)
     }
@@ -123,7 +140,39 @@
         self.version
     }
 
-    fn start_node(&mut self, idx: usize, options: &SiteOptions) -> anyhow::Result<()> {
+    /// Starts a link to each upstream. Returns the address of the store for a node that uses them.
+    async fn start_links(&mut self) -> anyhow::Result<SocketAddr> {
+        for it in self.engines.iter().chain(&self.applications) {
+            let link = Link::start(it.address).await?;
+            let extra = json!({ "address": link.address.to_string() });
+            it.write_entry_to(&self.store, LINKED_UPSTREAMS_TOPIC, &extra);
+            self.links.push(link);
+        }
+        Ok(self.store.listen_with("keyed.servers", LINKED_UPSTREAMS_TOPIC).await?)
+    }
+
+    /// Cuts all links of the first node to the upstreams.
+    pub async fn cut_links(&self, cut: Cut) -> anyhow::Result<()> {
+        for it in &self.links {
+            it.cut(cut).await?;
+        }
+        Ok(())
+    }
+
+    /// Heals all links of the first node to the upstreams.
+    pub fn heal_links(&self) -> anyhow::Result<()> {
+        for it in &self.links {
+            it.heal()?;
+        }
+        Ok(())
+    }
+
+    fn start_node(
+        &mut self,
+        idx: usize,
+        options: &SiteOptions,
+        store_address: SocketAddr,
+    ) -> anyhow::Result<()> {
         let name = format!("edge-{}-{idx}", ZONES[idx % 2]);
         let front = free_address()?;
         let ready = free_address()?;
@@ -137,7 +186,7 @@
             "portRange": [first_port, first_port + 15], "seeds": [], "bootstrap": true,
             "limits": { "memoryMb": 260 },
             "bounds": { "usageWindowS": options.usage_window_s, "usageDelayS": 4, "graceS": 6 },
-            "platform": { "address": self.store.address.to_string() },
+            "platform": { "address": store_address.to_string() },
             "cloud": {
                 "address": self.store.cloud_address.to_string(),
                 "duties": ["usage_report", "autoscale"],
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -139,6 +139,11 @@
 
     /// Writes the upstream's entry to the store, with the fields of `extra` added or replaced.
     pub fn write_entry(&self, store: &LogStore, extra: &Value) {
+        self.write_entry_to(store, "keyed.servers", extra);
+    }
+
+    /// Writes the upstream's entry to a topic of the store.
+    pub(super) fn write_entry_to(&self, store: &LogStore, topic: &str, extra: &Value) {
         let mut entry = json!({
             "service": self.service, "address": self.address.to_string(), "zone": self.zone,
             "version": self.version, "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1,
@@ -146,7 +151,7 @@
         for (name, value) in extra.as_object().into_iter().flatten() {
             entry[name] = value.clone();
         }
-        store.put("keyed.servers", &self.id, &entry);
+        store.put(topic, &self.id, &entry);
     }
 
     /// Sets how the upstream responds to later requests.
