A node without a path to the upstreams serves its clients through a peer

Cause: a node had no way to an upstream but its own connections, and no notion of being cut off. It tried four upstreams one after the other and gave up. It also took its partition for crashes: each refused connection counted as a crash of the upstream, and requests in progress as their cause. Change: a node counts as cut off once connections to three upstreams, two of them of its own zone, have failed with none opened meanwhile. It then sends each attempt through a peer, which applies what it knows of the upstream and says what has become of the request, so that the node remains its owner. When nothing is heard from any upstream while requests are in progress, upstreams are probed. A refusal counts as a crash only after a connection to another upstream was opened; what failed in a partition is forgotten when a peer has served. Why it works: the first request after the detection (milliseconds when refused, 1.5 s when connections hang) takes the way through a peer, for all kinds of route, and runs once.

--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -179,6 +179,7 @@
         let changes = node.state.borrow_mut().catalog.tick(now_ms);
         node.apply_changes(&changes);
         node.pool.close_expired(now_ms);
+        node.peer_pool.close_expired(now_ms);
     }
 }
 
--- a/crates/lentilhitch_gateway/src/ingress.rs
+++ b/crates/lentilhitch_gateway/src/ingress.rs
@@ -16,6 +16,7 @@
     client_response::ResponseBody,
     exchange, forward,
     node::{Node, NodePhase},
+    peer_relay,
     platform::Platform,
 };
 
@@ -113,30 +114,53 @@
             (true, true) => StatusCode::OK,
             (true, false) => StatusCode::SERVICE_UNAVAILABLE,
         };
-        build_response(status, Bytes::new())
+        async move { build_response(status, Bytes::new()) }
     })
     .await;
 }
 
-/// Serves the requests of other nodes and of operators.
+/// Serves the requests of other nodes.
 pub(crate) async fn serve_exchange<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     serve_internal(listener, move |request: Request<Incoming>| {
-        match exchange::response_body(&node, request.uri().path()) {
-            Ok(Some(bytes)) => build_response(StatusCode::OK, bytes),
-            Ok(None) => build_response(StatusCode::NOT_FOUND, Bytes::new()),
-            Err(err) => {
-                log::warn!(error:% = err; "failed to respond to a node or operator");
-                build_response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        let node = node.clone();
+        async move {
+            if peer_relay::is_relayed(&request) {
+                return peer_relay::serve(node, request).await;
             }
+            respond_internal(&node, &request)
         }
     })
     .await;
 }
 
-/// Serves a listener with a synchronous handler.
-async fn serve_internal<F>(listener: TcpListener, respond: F)
+/// Serves the requests of operators.
+pub(crate) async fn serve_admin<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    serve_internal(listener, move |request: Request<Incoming>| {
+        let response = respond_internal(&node, &request);
+        async { response }
+    })
+    .await;
+}
+
+fn respond_internal<P: Platform>(
+    node: &Node<P>,
+    request: &Request<Incoming>,
+) -> Response<ResponseBody> {
+    match exchange::response_body(node, request.uri().path()) {
+        Ok(Some(bytes)) => build_response(StatusCode::OK, bytes),
+        Ok(None) => build_response(StatusCode::NOT_FOUND, Bytes::new()),
+        Err(err) => {
+            log::warn!(error:% = err; "failed to respond to a node or operator");
+            build_response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+/// Serves a listener with a handler.
+async fn serve_internal<F, R>(listener: TcpListener, respond: F)
 where
-    F: Fn(Request<Incoming>) -> Response<ResponseBody> + Clone + 'static,
+    F: Fn(Request<Incoming>) -> R + Clone + 'static,
+    R: Future<Output = Response<ResponseBody>> + 'static,
 {
     loop {
         let stream = match listener.accept().await {
@@ -155,9 +179,11 @@
             let io = TokioIo::new(ClientIo::new(stream, phase_tracker.clone()));
             let service = service_fn(|request: Request<Incoming>| {
                 phase_tracker.on_request_head(request.version());
-                let response = respond(request);
-                let response = response.map(|it| it.with_phase_tracker(phase_tracker.clone()));
-                async { Ok::<_, Infallible>(response) }
+                let (response, phase_tracker) = (respond(request), phase_tracker.clone());
+                async move {
+                    let response = response.await;
+                    Ok::<_, Infallible>(response.map(|it| it.with_phase_tracker(phase_tracker)))
+                }
             });
             if let Err(err) = http1::Builder::new().serve_connection(io, service).await {
                 log::debug!("connection failed: {err}");
@@ -173,7 +199,7 @@
 }
 
 impl<P> Node<P> {
-    fn client_limits(&self) -> ClientLimits {
+    pub(crate) fn client_limits(&self) -> ClientLimits {
         let state = self.state.borrow();
         state.route_table.as_ref().map(|it| it.config.limits).unwrap_or_default()
     }
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod metrics;
 mod node;
 mod outbox;
+mod peer_relay;
 pub mod platform;
 mod pool;
 mod relay;
@@ -48,6 +49,7 @@
 mod store;
 mod stream_versions;
 mod upstream_attempt;
+mod upstream_paths;
 
 pub use run::run;
 pub use settings::{Bounds, NodeSettings};
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -27,6 +28,7 @@
     synced_clock::SyncedClock,
     traffic::{Config, RouteTable, Team, UpstreamEntry},
     upstream_limits::{LimitReport, Members},
+    upstream_paths::{self, UpstreamPaths},
     usage::{NodeCounts, UsageCounter},
 };
 use lentilhitch_types::{
@@ -39,7 +41,7 @@
     gossip::UpstreamUpdate,
     metrics::Metrics,
     outbox::Outbox,
-    pool::ConnectionPool,
+    pool::{Connection, ConnectionPool},
     settings::NodeSettings,
     stream_versions::Inquiries,
 };
@@ -65,9 +67,17 @@
     pub(crate) incarnation: u64,
     pub(crate) metrics: Metrics,
     pub(crate) pool: ConnectionPool,
+    /// Connections to peers through which requests are sent, by exchange address.
+    pub(crate) peer_pool: ConnectionPool<SocketAddr>,
     pub(crate) state: RefCell<State>,
     /// Messages to other nodes that wait to be sent.
     pub(crate) outbox: Outbox,
+    /// When a byte of any upstream was last received on a connection of this node, or a connection was opened.
+    pub(crate) upstream_heard_ms: Cell<u64>,
+    /// Number of requests at upstreams.
+    pub(crate) n_at_upstreams: Cell<usize>,
+    /// Whether upstreams are being probed to tell a crash from a partition of this node.
+    pub(crate) is_probing: Cell<bool>,
     /// Number of requests whose responses have not been sent completely.
     pub(crate) n_in_flight: Rc<Cell<usize>>,
     pub(crate) phase: watch::Sender<NodePhase>,
@@ -105,6 +115,8 @@
     pub(crate) catalog: Catalog,
     /// Load of each upstream, as known to this node.
     pub(crate) load_table: LoadTable,
+    /// Whether this node itself reaches the upstreams.
+    pub(crate) paths: UpstreamPaths,
     /// What upstreams have asked of this node or of all nodes.
     pub(crate) restrictions: Restrictions,
     /// Rate limits of the teams that have one.
@@ -234,6 +246,7 @@
                 },
                 settings.zone.clone(),
             ),
+            paths: UpstreamPaths::new(upstream_paths::Settings::default()),
             restrictions: Restrictions::default(),
             rates: FxHashMap::default(),
             team_names: FxHashMap::default(),
@@ -276,6 +289,10 @@
             incarnation,
             metrics,
             pool: ConnectionPool::default(),
+            peer_pool: ConnectionPool::default(),
+            upstream_heard_ms: Cell::default(),
+            n_at_upstreams: Cell::default(),
+            is_probing: Cell::default(),
             state: RefCell::new(state),
             n_in_flight: Rc::default(),
             phase,
@@ -374,10 +391,30 @@
         }
     }
 
-    /// Records the crash of an upstream's incarnation that refuses connections.
-    pub(crate) fn record_crash(&self, entry: &UpstreamEntry) {
-        let now_ms = self.now_ms();
-        self.state.borrow_mut().record_crash(&(entry.id.clone(), entry.started_ms), now_ms);
+    /// Removes and returns an idle connection to an upstream. While this node is cut off, only one that was used since is
+    /// returned, because the others may hang.
+    pub(crate) fn take_pooled(
+        &self,
+        upstream: &UpstreamName,
+        idle_max_ms: u64,
+    ) -> Option<Connection> {
+        let since_ms = self.cut_off_since_ms();
+        let idle_max_ms = since_ms.map_or(idle_max_ms, |it| idle_max_ms.min(self.now_ms() - it));
+        self.pool.take(upstream, idle_max_ms, self.clock)
+    }
+
+    /// Keeps a connection on which a response has been read completely. `keep_alive_ms` is the idle limit that the
+    /// upstream stated.
+    pub(crate) fn put_pooled(
+        &self,
+        upstream: &UpstreamName,
+        connection: Connection,
+        keep_alive_ms: Option<u64>,
+    ) {
+        match connection.peer {
+            Some(peer) => self.peer_pool.put(&peer, connection, None, self.clock),
+            None => self.pool.put(upstream, connection, keep_alive_ms, self.clock),
+        }
     }
 
     /// Records that a request was answered completely, so that the segments of its prompt do not crash upstreams.
--- a/crates/lentilhitch_gateway/src/pool.rs
+++ b/crates/lentilhitch_gateway/src/pool.rs
@@ -1,7 +1,8 @@
-//! Connections to upstreams. Each connection carries one request at a time.
+//! Connections to upstreams, and to peers through which requests are sent. Each connection carries one request at a time.
 
 use std::{
     cell::RefCell,
+    hash::Hash,
     net::SocketAddr,
     sync::{
         Arc,
@@ -50,6 +51,8 @@
     task: JoinHandle<()>,
     /// Whether nothing has been sent on the connection yet.
     pub(crate) is_fresh: bool,
+    /// Exchange address of the peer that the connection leads to, or `None` if it leads to an upstream.
+    pub(crate) peer: Option<SocketAddr>,
 }
 
 impl Drop for Connection {
@@ -74,6 +77,8 @@
     Http(hyper::Error),
     #[error("too many informational responses")]
     TooManyInformationalResponses,
+    #[error("the connection of a peer to the upstream broke")]
+    BrokenAtPeer,
 }
 
 impl Connection {
@@ -102,7 +107,7 @@
                 log::debug!("connection to {address} failed: {err}");
             }
         });
-        Ok(Self { sender, task, is_fresh: true })
+        Ok(Self { sender, task, is_fresh: true, peer: None })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -151,23 +156,23 @@
     timeout_ms: u64,
 }
 
-/// Idle connections by upstream.
-#[derive(Default)]
-pub(crate) struct ConnectionPool {
-    idle: RefCell<FxHashMap<UpstreamName, Vec<IdleConnection>>>,
+/// Idle connections by upstream or peer.
+pub(crate) struct ConnectionPool<K = UpstreamName> {
+    idle: RefCell<FxHashMap<K, Vec<IdleConnection>>>,
+}
+
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> Self {
+        Self { idle: RefCell::default() }
+    }
 }
 
-impl ConnectionPool {
+impl<K: Clone + Eq + Hash> ConnectionPool<K> {
     /// Removes and returns the most recently used connection that is still open and was idle for at most `idle_max_ms`.
-    pub(crate) fn take(
-        &self,
-        upstream: &UpstreamName,
-        idle_max_ms: u64,
-        clock: Clock,
-    ) -> Option<Connection> {
+    pub(crate) fn take(&self, target: &K, idle_max_ms: u64, clock: Clock) -> Option<Connection> {
         let now_ms = clock.monotonic_ms();
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(upstream)?;
+        let connections = idle.get_mut(target)?;
         while let Some(it) = connections.pop() {
             let idle_ms = now_ms.saturating_sub(it.idle_since_ms);
             if !it.connection.sender.is_closed() && idle_ms <= it.timeout_ms.min(idle_max_ms) {
@@ -181,7 +186,7 @@
     /// upstream stated.
     pub(crate) fn put(
         &self,
-        upstream: &UpstreamName,
+        target: &K,
         connection: Connection,
         keep_alive_ms: Option<u64>,
         clock: Clock,
@@ -192,7 +197,7 @@
         let timeout_ms = keep_alive_ms
             .map_or(IDLE_TIMEOUT_DEFAULT_MS, |it| it.saturating_sub(IDLE_TIMEOUT_MARGIN_MS));
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(upstream.clone()).or_default();
+        let connections = idle.entry(target.clone()).or_default();
         if connections.len() < IDLE_CONNECTIONS_MAX {
             connections.push(IdleConnection {
                 connection,
@@ -202,9 +207,9 @@
         }
     }
 
-    /// Closes the idle connections to an upstream.
-    pub(crate) fn close_idle(&self, upstream: &UpstreamName) {
-        self.idle.borrow_mut().remove(upstream);
+    /// Closes the idle connections to an upstream or peer.
+    pub(crate) fn close_idle(&self, target: &K) {
+        self.idle.borrow_mut().remove(target);
     }
 
     /// Closes the connections that were idle for too long.
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -31,6 +31,7 @@
     client_response::{ResponseBody, StreamAborted},
     node::available,
     platform::{KvCopy, Platform},
+    pool::Connection,
     run_transfer::{self, TransferOutcome},
     upstream_attempt::{UpstreamResponse, keep_alive_ms, record_broken_connection_and_probe},
 };
@@ -172,9 +173,9 @@
     /// Passes on the stream of one upstream until it ends or is interrupted.
     async fn relay_response(&mut self, response: UpstreamResponse<P>) -> RelayOutcome {
         self.splitter.start_body();
-        let marker = response.end_marker();
-        let UpstreamResponse { parts, body, connection, mut assignment, entry } = response;
-        let outcome = self.relay_body(body, marker, &entry).await;
+        let marker = response.end_marker;
+        let UpstreamResponse { parts, body, connection, mut assignment, entry, .. } = response;
+        let outcome = self.relay_body(body, marker, &entry, &connection).await;
         assignment.set_result(self.attempt_result(&outcome));
         let node = &self.attempts.node;
         match outcome {
@@ -182,11 +183,11 @@
                 if marker == EndMarker::Explicit {
                     node.record_answer(&self.attempts.admitted);
                 }
-                node.pool.put(&entry.id, connection, keep_alive_ms(&parts), node.clock);
+                node.put_pooled(&entry.id, connection, keep_alive_ms(&parts));
             }
             RelayOutcome::Broken(BreakCause::ConnectionLost, _) => {
                 let suspect = &self.attempts.admitted.suspect;
-                record_broken_connection_and_probe(node, suspect, &entry);
+                record_broken_connection_and_probe(node, suspect, &entry, &connection);
             }
             _ => {}
         }
@@ -212,6 +213,7 @@
         mut body: Incoming,
         marker: EndMarker,
         entry: &UpstreamEntry,
+        connection: &Connection,
     ) -> RelayOutcome {
         let node = self.attempts.node.clone();
         let deadline_at_ms = self.attempts.admitted.deadline_at_ms;
@@ -229,6 +231,9 @@
             tokio::select! {
                 frame = body.frame() => match self.record_body_end(marker, frame) {
                     Some(Ok(frame)) => {
+                        if connection.peer.is_none() {
+                            self.attempts.node.on_upstream_heard();
+                        }
                         let Ok(data) = frame.into_data() else { continue };
                         match self.push(&data, entry).await {
                             Pushed::Progress => {
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -15,6 +15,7 @@
     node::{Node, NodePhase},
     platform::Platform,
     settings::NodeSettings,
+    upstream_paths,
 };
 
 /// Time after which the load balancer sends no more clients to a stopping node. It checks readiness once a second and
@@ -46,7 +47,7 @@
     let duty = duties::shared_duty(&node);
     spawn_local(ingress::serve_readiness(node.clone(), readiness_listener));
     spawn_local(ingress::serve_exchange(node.clone(), exchange_listener));
-    spawn_local(ingress::serve_exchange(node.clone(), admin_listener));
+    spawn_local(ingress::serve_admin(node.clone(), admin_listener));
     spawn_local(ingress::serve_clients(node.clone(), frontend_listener));
     spawn_local(gossip::run(node.clone(), gossip_socket));
     spawn_local(discovery::follow_config(node.clone()));
@@ -54,6 +55,7 @@
     spawn_local(discovery::follow_nodes(node.clone()));
     spawn_local(discovery::tick(node.clone()));
     spawn_local(exchange::run(node.clone()));
+    spawn_local(upstream_paths::watch(node.clone()));
     if settings.has_usage_duty || settings.has_scaling_duty {
         spawn_local(duties::keep_lease(node.clone(), duty.clone()));
     }
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -21,12 +21,12 @@
     admission::AdmittedRequest,
     body_memory::{BodyMemoryGuard, MemoryExhausted},
     node::Node,
+    peer_relay,
     platform::{KvCopy, Platform, ResponseHead, ResponseKind, UpstreamRequestHead},
     pool::{Connection, SendResult},
+    upstream_paths::CONNECT_TIMEOUT_MS,
 };
 
-/// Timeout for opening a connection. It covers a round trip with one lost packet, but not with two.
-const CONNECT_TIMEOUT_MS: u64 = 400;
 /// Maximum idle time of a pooled connection on which a request that must run at most once is sent. After a longer idle
 /// time the connection may have been dropped without this node noticing it.
 const AT_MOST_ONCE_IDLE_MAX_MS: u64 = 2_000;
@@ -44,6 +44,7 @@
 impl<P> AssignmentGuard<P> {
     pub(crate) fn new(node: &Rc<Node<P>>, assignment: Assignment) -> Self {
         let started_ms = node.now_ms();
+        node.on_request_sent();
         Self {
             node: node.clone(),
             assignment: Some(assignment),
@@ -75,6 +76,7 @@
 impl<P> Drop for AssignmentGuard<P> {
     fn drop(&mut self) {
         if let Some(assignment) = self.assignment.take() {
+            self.node.on_request_ended();
             let now_ms = self.node.now_ms();
             self.node.state.borrow_mut().load_table.release(assignment, self.result, now_ms);
         }
@@ -88,6 +90,7 @@
     pub(crate) connection: Connection,
     pub(crate) assignment: AssignmentGuard<P>,
     pub(crate) entry: UpstreamEntry,
+    pub(crate) end_marker: EndMarker,
 }
 
 /// Outcome of an attempt.
@@ -123,19 +126,27 @@
         Repeat::AtMostOnce => AT_MOST_ONCE_IDLE_MAX_MS,
         _ => u64::MAX,
     };
-    let mut pooled = node.pool.take(&entry.id, idle_max_ms, node.clock);
+    let mut pooled = node.take_pooled(&entry.id, idle_max_ms);
+    let mut n_failed_at_peers = 0;
     loop {
         let connection = match pooled.take() {
             Some(it) => Some(it),
             None => open(node, &params).await,
         };
         let Some(mut connection) = connection else {
-            assignment.set_result(AttemptResult::Unreachable);
+            assignment.set_result(node.connect_failure_result());
             return AttemptOutcome::NotSent;
         };
         let was_fresh = connection.is_fresh;
-        let request = build_request::<P>(&params, node.now_ms());
+        let mut request = build_request::<P>(&params, node.now_ms());
+        if connection.peer.is_some() {
+            peer_relay::address_to(&mut request, entry);
+        }
         let send_result = timeout(head_timeout, connection.send(request)).await;
+        let send_result = match connection.peer {
+            Some(peer) => send_result.map(|it| node.decode_relayed(peer, it)),
+            None => send_result,
+        };
         return match send_result {
             Err(_) => {
                 assignment.set_result(AttemptResult::Failed);
@@ -143,14 +154,20 @@
             }
             // The pooled connection was closed and nothing was sent, so a new connection is opened.
             Ok(SendResult::NotSent) if !was_fresh => continue,
+            Ok(SendResult::NotSent)
+                if connection.peer.is_some() && n_failed_at_peers < FAILED_AT_PEERS_MAX =>
+            {
+                n_failed_at_peers += 1;
+                continue;
+            }
             Ok(SendResult::NotSent) => {
-                assignment.set_result(AttemptResult::Unreachable);
+                assignment.set_result(node.connect_failure_result());
                 AttemptOutcome::NotSent
             }
             Ok(SendResult::Broken(err)) => {
                 log::info!(request = admitted.head.id.as_str(), upstream = entry.id.as_str(), error:% = err; "connection to upstream broke");
                 assignment.set_result(AttemptResult::Failed);
-                record_broken_connection_and_probe(node, &admitted.suspect, entry);
+                record_broken_connection_and_probe(node, &admitted.suspect, entry, &connection);
                 AttemptOutcome::Unknown("the connection broke")
             }
             Ok(SendResult::Response(response)) => {
@@ -160,18 +177,27 @@
     }
 }
 
+/// Number of peers that may fail to pass on a request of one attempt before the attempt ends.
+const FAILED_AT_PEERS_MAX: u32 = 3;
+
 /// Records that a connection to an upstream broke during a request, and probes whether the upstream has crashed. The
 /// purpose is to find requests that crash upstreams: a request that was present at several crashes is quarantined.
 ///
 /// The probe opens a connection after [`PROBE_DELAY`], because a crashed process needs a moment until its port is
 /// closed. Only a refused connection counts as a crash, because it shows that no process listens at the address. Any
 /// other error may have other causes. No probe is made if the last probe of the upstream was scheduled less than
-/// [`PROBE_INTERVAL_MS`] ago.
+/// [`PROBE_INTERVAL_MS`] ago, or if this node is cut off from the upstreams, in which case a connection of its own that
+/// breaks says nothing of the upstream.
 pub(crate) fn record_broken_connection_and_probe<P: Platform>(
     node: &Rc<Node<P>>,
     suspect: &Suspect,
     entry: &UpstreamEntry,
+    connection: &Connection,
 ) {
+    let is_cut_off = node.cut_off_since_ms().is_some();
+    if is_cut_off && connection.peer.is_none() {
+        return;
+    }
     let now_ms = node.now_ms();
     let mut state = node.state.borrow_mut();
     let incarnation = (entry.id.clone(), entry.started_ms);
@@ -180,6 +206,9 @@
         state.record_crash(&incarnation, now_ms);
         return;
     }
+    if is_cut_off {
+        return;
+    }
     let last_probe_ms = state.last_probe_ms.entry(entry.id.clone()).or_default();
     if now_ms < *last_probe_ms + PROBE_INTERVAL_MS {
         return;
@@ -189,12 +218,10 @@
     tokio::task::spawn_local(async move {
         tokio::time::sleep(PROBE_DELAY).await;
         let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        let refused_kind = std::io::ErrorKind::ConnectionRefused;
-        if Connection::open(entry.address, connect_timeout)
-            .await
-            .is_err_and(|it| it.kind() == refused_kind)
+        if let Err(err) = Connection::open(entry.address, connect_timeout).await
+            && err.kind() == std::io::ErrorKind::ConnectionRefused
         {
-            node.record_crash(&entry);
+            node.on_connect_failed(&entry, &err);
         }
     });
 }
@@ -204,19 +231,24 @@
 /// Minimum interval between probes of one upstream. A probe that would be due earlier is skipped.
 const PROBE_INTERVAL_MS: u64 = 1_000;
 
+/// Opens a connection to the upstream, or to a peer if this node is cut off from the upstreams.
 async fn open<P: Platform>(node: &Rc<Node<P>>, params: &AttemptParams<'_>) -> Option<Connection> {
     let AttemptParams { admitted, entry, head_timeout_ms, .. } = params;
     let connect_timeout = Duration::from_millis(CONNECT_TIMEOUT_MS.min(*head_timeout_ms));
-    match Connection::open(entry.address, connect_timeout).await {
-        Ok(it) => Some(it),
-        Err(err) => {
-            log::info!(request = admitted.head.id.as_str(), upstream = entry.id.as_str(), error:% = err; "failed to connect to upstream");
-            if err.kind() == std::io::ErrorKind::ConnectionRefused {
-                node.record_crash(entry);
+    if node.cut_off_since_ms().is_none() {
+        match Connection::open(entry.address, connect_timeout).await {
+            Ok(it) => {
+                node.on_upstream_connected();
+                return Some(it);
+            }
+            Err(err) => {
+                log::info!(request = admitted.head.id.as_str(), upstream = entry.id.as_str(), error:% = err; "failed to connect to upstream");
+                node.on_connect_failed(entry, &err);
             }
-            None
         }
+        node.cut_off_since_ms()?;
     }
+    node.connect_to_peer(connect_timeout).await
 }
 
 fn build_request<P: Platform>(params: &AttemptParams<'_>, now_ms: u64) -> Request<Full<Bytes>> {
@@ -246,23 +278,20 @@
     connection: Connection,
     mut assignment: AssignmentGuard<P>,
 ) -> AttemptOutcome<P> {
-    let (parts, body) = response.into_parts();
+    let (mut parts, body) = response.into_parts();
+    let end_marker =
+        peer_relay::take_end_marker(&mut parts).unwrap_or_else(|| end_marker(&parts, &body));
+    if connection.peer.is_none() {
+        node.on_upstream_heard();
+    }
     let head = P::decode_response(&parts);
     let entry = params.entry;
-    let is_other_id = head.id.as_deref() != Some(&params.admitted.head.id);
-    let is_from_entry = match head.kind {
-        ResponseKind::NotRun => true,
-        ResponseKind::Ran => !is_other_id,
-        ResponseKind::Misdirected => false,
-    };
-    if is_from_entry {
-        node.on_upstream_statements(&entry, &head);
-        node.on_limit_statement(&entry, &head);
-    }
+    let is_other_id = !node.on_response_head(&entry, &head, &params.admitted.head.id);
     match head.kind {
         ResponseKind::NotRun => {
             assignment.set_result(AttemptResult::Full);
-            let response = UpstreamResponse { parts, body, connection, assignment, entry };
+            let response =
+                UpstreamResponse { parts, body, connection, assignment, entry, end_marker };
             let node = node.clone();
             tokio::task::spawn_local(async move { response.discard(&node).await });
             AttemptOutcome::NotRun("the upstream is full")
@@ -283,12 +312,42 @@
                 connection,
                 assignment,
                 entry,
+                end_marker,
             }))
         }
     }
 }
 
 impl<P: Platform> Node<P> {
+    /// Handles what the head of the response to a request states, if it comes from the upstream that the request was sent
+    /// to. Returns whether it is the response to this request from this upstream.
+    pub(crate) fn on_response_head(
+        &self,
+        entry: &UpstreamEntry,
+        head: &ResponseHead,
+        request_id: &str,
+    ) -> bool {
+        let is_from_entry = match head.kind {
+            ResponseKind::NotRun => true,
+            ResponseKind::Ran => head.id.as_deref() == Some(request_id),
+            ResponseKind::Misdirected => false,
+        };
+        if is_from_entry {
+            self.on_upstream_statements(entry, head);
+            self.on_limit_statement(entry, head);
+        }
+        is_from_entry
+    }
+
+    /// Returns the result of an attempt for which no connection could be opened. A node that is cut off from the upstreams
+    /// does not hold it against the upstream.
+    fn connect_failure_result(&self) -> AttemptResult {
+        match self.cut_off_since_ms() {
+            Some(_) => AttemptResult::Canceled,
+            None => AttemptResult::Unreachable,
+        }
+    }
+
     /// Handles what an upstream states about itself in the head of a response.
     pub(crate) fn on_upstream_statements(&self, entry: &UpstreamEntry, head: &ResponseHead) {
         if let Some(load) = head.load {
@@ -334,28 +393,13 @@
 }
 
 impl<P: Platform> UpstreamResponse<P> {
-    /// Returns how the end of the body is marked.
-    pub(crate) fn end_marker(&self) -> EndMarker {
-        let headers = &self.parts.headers;
-        let is_chunked = |value: &HeaderValue| {
-            let last = value.as_bytes().rsplit(|it| *it == b',').next().unwrap_or_default();
-            last.trim_ascii().eq_ignore_ascii_case(b"chunked")
-        };
-        // A transfer coding takes precedence over a length.
-        let is_explicit = match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
-            Some(value) => is_chunked(value),
-            None => headers.contains_key(header::CONTENT_LENGTH) || self.body.is_end_stream(),
-        };
-        if is_explicit { EndMarker::Explicit } else { EndMarker::ConnectionEnd }
-    }
-
     /// Reads the complete response. The connection returns to the pool unless the read fails.
     pub(crate) async fn read_to_end(
         mut self,
         node: &Rc<Node<P>>,
         admitted: &AdmittedRequest,
     ) -> Result<(response::Parts, Bytes), &'static str> {
-        let marker = self.end_marker();
+        let marker = self.end_marker;
         let body_timeout_ms = admitted.remaining_ms(node.now_ms());
         self.assignment.set_result(AttemptResult::Failed);
         let body = read_body(node, self.body);
@@ -372,7 +416,7 @@
         } else {
             AttemptResult::Served
         });
-        node.pool.put(&self.entry.id, self.connection, keep_alive_ms(&self.parts), node.clock);
+        node.put_pooled(&self.entry.id, self.connection, keep_alive_ms(&self.parts));
         Ok((self.parts, body))
     }
 
@@ -381,11 +425,26 @@
         let body = http_body_util::Limited::new(self.body, DISCARD_BYTES_MAX);
         let body = timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), body.collect()).await;
         if matches!(body, Ok(Ok(_))) {
-            node.pool.put(&self.entry.id, self.connection, keep_alive_ms(&self.parts), node.clock);
+            node.put_pooled(&self.entry.id, self.connection, keep_alive_ms(&self.parts));
         }
     }
 }
 
+/// Returns how the end of the body of a response is marked.
+pub(crate) fn end_marker(parts: &response::Parts, body: &Incoming) -> EndMarker {
+    let headers = &parts.headers;
+    let is_chunked = |value: &HeaderValue| {
+        let last = value.as_bytes().rsplit(|it| *it == b',').next().unwrap_or_default();
+        last.trim_ascii().eq_ignore_ascii_case(b"chunked")
+    };
+    // A transfer coding takes precedence over a length.
+    let is_explicit = match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+        Some(value) => is_chunked(value),
+        None => headers.contains_key(header::CONTENT_LENGTH) || body.is_end_stream(),
+    };
+    if is_explicit { EndMarker::Explicit } else { EndMarker::ConnectionEnd }
+}
+
 /// Reads a body of at most [`RESPONSE_BYTES_MAX`], as far as the node has memory for it. A body without a length, which
 /// ends with its connection, might otherwise never end.
 async fn read_body<P>(node: &Rc<Node<P>>, mut body: Incoming) -> Result<Bytes, &'static str> {
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -53,4 +53,5 @@
 pub mod synced_clock;
 pub mod traffic;
 pub mod upstream_limits;
+pub mod upstream_paths;
 pub mod usage;
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -384,6 +384,14 @@
         }
     }
 
+    /// Ends all ejections, because the failures to connect were no fault of the upstreams.
+    pub fn end_ejections(&mut self) {
+        for it in self.upstreams.values_mut() {
+            it.ejected_until_ms = 0;
+            it.n_connect_failures = 0;
+        }
+    }
+
     /// Records the load that an upstream reported in a response.
     pub fn record_load(&mut self, upstream: &UpstreamName, load: ReportedLoad, now_ms: u64) {
         self.entry(upstream).reported = Some((load, now_ms));
--- a/crates/lentilhitch_policy/src/suspects.rs
+++ b/crates/lentilhitch_policy/src/suspects.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Forgets the requests whose connections broke from the given time on, because this was no fault of the upstreams.
+    pub fn forget_broken_connections(&mut self, from_ms: u64) {
+        self.broken_requests.retain(|it| it.broken_ms < from_ms);
+    }
+
     /// Records that an incarnation of an upstream ended in a crash. Returns the requests that were present, each with
     /// the id of the crash, as evidence for the peers.
     pub fn record_crash(
