A test of upstreams that are silent for a second

All upstreams are silent for 1.2 s at once, before the first byte and between events: the requests of all four kinds are answered whole, each run once, and the node does not count as cut off.

--- a/crates/lentilhitch/tests/edge_partitioned.rs
+++ b/crates/lentilhitch/tests/edge_partitioned.rs
@@ -116,3 +116,26 @@
 async fn clients_are_served_while_connections_to_upstreams_hang() {
     clients_are_served_while_cut(Cut::Silent).await;
 }
+
+/// Guards against a node that takes the silence of sound upstreams for a partition, or their requests elsewhere.
+#[tokio::test]
+async fn upstreams_that_are_silent_for_a_second_are_left_alone() {
+    const SILENCE_MS: u64 = 1_200;
+    let site = start().await;
+    for it in &site.engines {
+        it.set(Behavior::Stream { n_events: 2, interval_ms: SILENCE_MS, break_after: None });
+    }
+    for it in &site.applications {
+        it.set(Behavior::Serve { work_ms: SILENCE_MS });
+    }
+    let calls = PATHS.map(|path| {
+        let site = &site;
+        async move { (path, site.call(0, path, path).await.unwrap()) }
+    });
+    for (path, response) in join_all(calls).await {
+        assert!(response.status == 200 && response.is_complete, "{path}: {response:?}");
+        assert_eq!(site.n_runs(path), 1, "{path}");
+    }
+    let log = site.nodes[0].process.log_text();
+    assert!(!log.contains("cut off from the upstreams"), "{log}");
+}
