Nodes keep what brittle upstreams reject below the number that these state

They state the rejections in a second above which each falls over, and may let fewer requests wait. Before: the header was read nowhere; with a stand-in that does it, four nodes and four times the demand that there is room for made two upstreams fall over 547 times in 5 s (edge_brittle; 2 allowed). Change: a node has no more requests at a brittle upstream that are unanswered, or were rejected within the last second, than its part of the number. Parts need no agreement. With fewer rejections than nodes, a third is reserved for nodes without a part.

--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -179,7 +179,7 @@
         kv_copy: Option<KvCopy>,
     ) -> Result<Option<Box<UpstreamResponse<P>>>, Rejection> {
         let now_ms = self.node.now_ms();
-        self.node.state.borrow_mut().restrictions.limits.record_send(&entry, now_ms);
+        self.node.state.borrow_mut().restrictions.record_send(&entry, now_ms);
         self.excluded.push(entry.id.clone());
         let incarnation = (entry.id.clone(), entry.started_ms);
         let admitted = self.admitted.clone();
@@ -327,8 +327,11 @@
         let prompt = self.admitted.head.prompt.as_ref();
         let service = &self.admitted.service;
         let origin = self.origin;
-        let may_continue =
-            |it: &&Upstream| origin.is_none_or(|origin| StreamOrigin::of(&it.entry) == origin);
+        let blocked = state.blocked_upstreams(service, now_ms);
+        let may_continue = |it: &&Upstream| {
+            origin.is_none_or(|origin| StreamOrigin::of(&it.entry) == origin)
+                && !blocked.contains(&it.entry.id)
+        };
         let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
         let candidates = candidates.filter(may_continue);
         let mut assigned =
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -8,11 +8,12 @@
 
 use bytes::Bytes;
 use rand::{SeedableRng, rngs::SmallRng};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use lentilhitch_policy::{
+    brittle,
     catalog::{self, Catalog, Change, Upstream},
     gossip::{self, Gossip, message::NodeAddress, relay::Relay},
     placement::{self, LoadTable},
@@ -497,6 +498,29 @@
         }
     }
 
+    /// Returns the upstreams of a service to which this node sends nothing now because they are brittle.
+    pub(crate) fn blocked_upstreams(
+        &mut self,
+        service: &ServiceName,
+        now_ms: u64,
+    ) -> FxHashSet<UpstreamName> {
+        let Self { restrictions, catalog, load_table, gossip, .. } = self;
+        if !restrictions.brittle.is_brittle(service, now_ms) {
+            return FxHashSet::default();
+        }
+        let others = gossip.other_nodes();
+        let members = Members { local: gossip.local_node(), others: &others };
+        let blocked = catalog.ready(service).filter(|it| {
+            let id = &it.entry.id;
+            let load = brittle::Load {
+                n_unanswered: load_table.n_unanswered(id),
+                n_requests: load_table.n_requests(id, now_ms),
+            };
+            !restrictions.brittle.may_send(&it.entry, load, members, now_ms)
+        });
+        blocked.map(|it| it.entry.id.clone()).collect()
+    }
+
     /// Handles the reports of other nodes on limits of upstreams.
     pub(crate) fn on_limit_reports(&mut self, reports: &[LimitReport], now_ms: u64) {
         if reports.is_empty() {
--- a/crates/lentilhitch_gateway/src/peer_relay.rs
+++ b/crates/lentilhitch_gateway/src/peer_relay.rs
@@ -224,7 +224,7 @@
         if state.restrictions.remaining_ms(&entry, now_ms).is_some() {
             return Err("the upstream wants no request of this node now");
         }
-        state.restrictions.limits.record_send(&entry, now_ms);
+        state.restrictions.record_send(&entry, now_ms);
         Ok(entry)
     }
 }
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -117,6 +117,8 @@
     pub pause_ms: Option<Result<u64, InvalidPause>>,
     /// Requests per second that the upstream accepts from all nodes together.
     pub limit_per_s: Option<Result<f64, InvalidLimit>>,
+    /// Rejections for want of room in a second above which the upstream fails.
+    pub rejections_max_per_s: Option<Result<u32, InvalidRejectionsMax>>,
 }
 
 /// A pause that cannot be decoded.
@@ -129,6 +131,11 @@
 #[error("{0:?} is no number of requests per second")]
 pub struct InvalidLimit(pub String);
 
+/// A number of rejections that cannot be decoded.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is no number of rejections per second")]
+pub struct InvalidRejectionsMax(pub String);
+
 /// Encoding of requests and responses in HTTP headers and bodies.
 pub trait HttpCodec {
     /// Decodes the head of a client's request.
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -335,6 +335,7 @@
         if is_from_entry {
             self.on_upstream_statements(entry, head);
             self.on_limit_statement(entry, head);
+            self.on_brittle_statement(entry, head);
         }
         is_from_entry
     }
@@ -366,6 +367,26 @@
         }
     }
 
+    /// Handles whether an upstream states in the response to a request that it is brittle.
+    fn on_brittle_statement(&self, entry: &UpstreamEntry, head: &ResponseHead) {
+        let rejections_max_per_s = match &head.rejections_max_per_s {
+            Some(Ok(it)) => Some(*it),
+            None => None,
+            Some(Err(err)) => {
+                log::warn!(upstream = entry.id.as_str(), error:% = err; "ignoring number of rejections that an upstream states");
+                return;
+            }
+        };
+        let now_ms = self.now_ms();
+        let brittle = &mut self.state.borrow_mut().restrictions.brittle;
+        if brittle.record(&entry.service, rejections_max_per_s, now_ms) {
+            log::info!(service = entry.service.as_str(), upstream = entry.id.as_str(), rejections_max_per_s; "brittleness of upstreams changed");
+        }
+        if head.kind == ResponseKind::NotRun {
+            brittle.record_rejection(entry, now_ms);
+        }
+    }
+
     /// Handles the limit that an upstream states in the response to a request, or that it states none.
     fn on_limit_statement(&self, entry: &UpstreamEntry, head: &ResponseHead) {
         let per_s = match &head.limit_per_s {
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -476,6 +476,11 @@
         it.n_requests.saturating_sub(it.n_waiting)
     }
 
+    /// Returns the number of this node's requests at an upstream whose response has not started.
+    pub fn n_unanswered(&self, upstream: &UpstreamName) -> u32 {
+        self.upstreams.get(upstream).map_or(0, |it| it.local.n_waiting)
+    }
+
     /// Returns the number of prompt tokens that wait at an upstream from all nodes, as known to this node.
     pub fn waiting_tokens(&self, upstream: &UpstreamName) -> u64 {
         u64::from(self.in_progress(upstream).waiting_tokens)
--- a/crates/lentilhitch_policy/src/restrictions.rs
+++ b/crates/lentilhitch_policy/src/restrictions.rs
@@ -1,12 +1,17 @@
-//! What upstreams have asked of this node or of all nodes: pauses and limits.
+//! What upstreams have asked of this node or of all nodes: pauses, limits, and care while they are brittle.
 
-use crate::{pauses::Pauses, traffic::UpstreamEntry, upstream_limits::UpstreamLimits};
+use crate::{
+    brittle::BrittleUpstreams, pauses::Pauses, traffic::UpstreamEntry,
+    upstream_limits::UpstreamLimits,
+};
 
 /// Restrictions on sending requests to upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Restrictions {
     pub pauses: Pauses,
     pub limits: UpstreamLimits,
+    /// Applies to services whose upstreams say so, when a request is assigned.
+    pub brittle: BrittleUpstreams,
 }
 
 impl Restrictions {
@@ -15,4 +20,10 @@
         let pause_ms = self.pauses.remaining_ms(upstream, now_ms);
         pause_ms.max(self.limits.remaining_ms(upstream, now_ms))
     }
+
+    /// Records that this node sends a request to the upstream.
+    pub fn record_send(&mut self, upstream: &UpstreamEntry, now_ms: u64) {
+        self.limits.record_send(upstream, now_ms);
+        self.brittle.record_send(upstream, now_ms);
+    }
 }
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -1,6 +1,7 @@
 //! Stand-in for an upstream: writes its entry to the store, responds as it is set to, and records what it executed.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -73,6 +74,8 @@
     is_leaving: bool,
     /// Limit that responses state, in requests per second from all nodes together.
     limit: Option<&'static str>,
+    /// Room for requests, if it is limited.
+    room: Option<Room>,
     executed: Vec<ExecutedRequest>,
     /// Number of streams whose connection closed before their end.
     n_aborted_streams: u64,
@@ -80,6 +83,52 @@
     kv_transfers: Vec<Value>,
 }
 
+/// Room of a brittle upstream, which rejects what it has no room for.
+struct Room {
+    /// Requests that the upstream executes at the same time. None waits.
+    slots: usize,
+    n_running: usize,
+    /// Rejections in a second above which the upstream falls over.
+    rejections_max: usize,
+    /// Rejections within the last second.
+    rejected: VecDeque<Instant>,
+    n_rejected: usize,
+    n_falls: usize,
+}
+
+/// Span in which a brittle upstream counts its rejections.
+const REJECTION_WINDOW: Duration = Duration::from_secs(1);
+
+impl Room {
+    /// Takes a slot. Returns whether there was one.
+    fn enter(&mut self) -> bool {
+        if self.n_running < self.slots {
+            self.n_running += 1;
+            return true;
+        }
+        let now = Instant::now();
+        self.n_rejected += 1;
+        self.rejected.push_back(now);
+        self.rejected.retain(|it| now.duration_since(*it) < REJECTION_WINDOW);
+        if self.rejections_max < self.rejected.len() {
+            self.n_falls += 1;
+            self.rejected.clear();
+        }
+        false
+    }
+}
+
+/// Frees a slot when it is dropped.
+struct Slot(Arc<Mutex<State>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if let Some(room) = &mut self.0.lock().room {
+            room.n_running = room.n_running.saturating_sub(1);
+        }
+    }
+}
+
 /// An upstream that runs in the test's process.
 pub struct Upstream {
     pub id: String,
@@ -104,6 +153,7 @@
             crashing_segment: None,
             is_leaving: false,
             limit: None,
+            room: None,
             executed: Vec::new(),
             n_aborted_streams: 0,
             kv_transfers: Vec::new(),
@@ -174,6 +224,25 @@
         self.state.lock().limit = limit;
     }
 
+    /// Makes the upstream brittle: it executes so many requests at the same time, rejects all others, states in all
+    /// responses how many rejections in a second it bears, and counts how often it would fall over.
+    pub fn become_brittle(&self, slots: usize, rejections_max: usize) {
+        let room = Room {
+            slots,
+            n_running: 0,
+            rejections_max,
+            rejected: VecDeque::new(),
+            n_rejected: 0,
+            n_falls: 0,
+        };
+        self.state.lock().room = Some(room);
+    }
+
+    /// Returns how often a brittle upstream would have fallen over so far, and how many requests it has rejected.
+    pub fn n_falls_and_rejections(&self) -> (usize, usize) {
+        self.state.lock().room.as_ref().map_or((0, 0), |it| (it.n_falls, it.n_rejected))
+    }
+
     /// Returns the requests that the upstream has executed so far.
     pub fn executed(&self) -> Vec<ExecutedRequest> {
         self.state.lock().executed.clone()
@@ -218,6 +287,9 @@
     }
     let behavior = state.lock().behavior;
     let statements = Statements::of(&state.lock());
+    let has_room = state.lock().room.as_mut().is_none_or(Room::enter);
+    let _slot = (has_room && statements.rejections_max.is_some()).then(|| Slot(state.clone()));
+    let behavior = if has_room { behavior } else { Behavior::Full };
     if matches!(behavior, Behavior::Full | Behavior::Pause) {
         let mut response = with_status(503, full(""));
         response.headers_mut().insert("x-not-executed", "1".parse().ok()?);
@@ -281,11 +353,13 @@
 struct Statements {
     is_leaving: bool,
     limit: Option<&'static str>,
+    rejections_max: Option<usize>,
 }
 
 impl Statements {
     fn of(state: &State) -> Self {
-        Self { is_leaving: state.is_leaving, limit: state.limit }
+        let rejections_max = state.room.as_ref().map(|it| it.rejections_max);
+        Self { is_leaving: state.is_leaving, limit: state.limit, rejections_max }
     }
 
     fn add_to(&self, mut response: Response<StandInBody>) -> Response<StandInBody> {
@@ -296,6 +370,9 @@
         if let Some(limit) = self.limit {
             headers.insert("server-limit", HeaderValue::from_static(limit));
         }
+        if let Some(rejections_max) = self.rejections_max {
+            headers.insert("server-brittle", rejections_max.into());
+        }
         response
     }
 }
