Quarantines of requests are repeated, so that nodes that start later stop them too

What callers saw: a request that had crashed three upstreams was quarantined, and reached upstreams again through a node that started after that. Cause: evidence on whole requests was told four times and never again; quarantines of prompt segments are repeated. Change: nodes name the requests that were quarantined last again, at the interval of the segments, each once in a message; delegates pass each on at most twice a second. Why it works: a node gets the set within an interval of its zone's summaries.

--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -365,6 +365,7 @@
             evidence: state.evidence.take_due(),
             segment_reports: state.segment_reports.take_due(),
             limit_reports: state.limit_reports.take_due(),
+            quarantined: state.quarantine_reports.take_due(),
             duty_topic_end: state.local_duty_topic_end,
         }
     }
@@ -500,6 +501,11 @@
             self.suspects.segments.on_report(it, now_ms);
         }
         self.on_limit_reports(&summary.limit_reports, now_ms);
+        for it in summary.quarantined {
+            if self.suspects.on_quarantined(it) {
+                self.log_if_quarantined(it.0);
+            }
+        }
         if let Some(duty) = summary.duty {
             let as_of_ms = now_ms.saturating_sub(duty.age_ms);
             self.received_duty_topic_end = Some((duty.topic_end, as_of_ms));
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -23,7 +23,7 @@
     store_era::EraTracker,
     stream_origins::StreamOrigins,
     suspects::{
-        Suspects, UpstreamIncarnation,
+        QuarantinedRequest, Suspects, UpstreamIncarnation,
         segments::{self, SegmentReport},
     },
     synced_clock::SyncedClock,
@@ -145,6 +145,8 @@
     pub(crate) segment_reports: Relay<SegmentReport>,
     /// Reports on limits of upstreams to send to the peers.
     pub(crate) limit_reports: Relay<LimitReport>,
+    /// Reports of quarantined requests to send to the peers.
+    pub(crate) quarantine_reports: Relay<QuarantinedRequest>,
     /// Changed upstream entries to send to the peers, with the number of times that each is still to be sent.
     pub(crate) upstream_updates: Vec<(UpstreamUpdate, u8)>,
     /// The exchange of state with the other nodes.
@@ -265,6 +267,7 @@
             evidence: Relay::default(),
             segment_reports: Relay::default(),
             limit_reports: Relay::default(),
+            quarantine_reports: Relay::default(),
             upstream_updates: Vec::new(),
             local_duty_topic_end: None,
             received_duty_topic_end: None,
@@ -476,6 +479,7 @@
             log::warn!(segment:% = segment, n_crashes; "prompt segment quarantined");
         }
         self.segment_reports.extend(&segments.take_reports(now_ms), now_ms);
+        self.quarantine_reports.extend(&self.suspects.take_reminders(now_ms), now_ms);
         if !self.restrictions.limits.is_empty() {
             let others = self.gossip.other_nodes();
             let members = Members { local: self.gossip.local_node(), others: &others };
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -27,7 +27,9 @@
 use lentilhitch_types::Fingerprint;
 
 use crate::{
-    placement::InProgress, suspects::segments::SegmentReport, upstream_limits::LimitReport,
+    placement::InProgress,
+    suspects::{QuarantinedRequest, segments::SegmentReport},
+    upstream_limits::LimitReport,
 };
 use message::{
     Admitted, DutyHolder, Evidence, LocalState, Message, NodeAddress, NodeRates, NodeReport, Pulse,
@@ -160,19 +162,24 @@
     requests: Relay<(Fingerprint, u64)>,
     segments: Relay<SegmentReport>,
     limits: Relay<LimitReport>,
+    quarantined: Relay<QuarantinedRequest>,
+}
+
+/// News about upstreams and requests in a message.
+#[derive(Clone, Copy)]
+struct NewsPieces<'a> {
+    evidence: &'a [(Fingerprint, u64)],
+    segment_reports: &'a [SegmentReport],
+    limit_reports: &'a [LimitReport],
+    quarantined: &'a [QuarantinedRequest],
 }
 
 impl UpstreamNews {
-    fn extend(
-        &mut self,
-        evidence: &Evidence,
-        segment_reports: &[SegmentReport],
-        limit_reports: &[LimitReport],
-        now_ms: u64,
-    ) {
-        self.requests.extend(evidence, now_ms);
-        self.segments.extend(segment_reports, now_ms);
-        self.limits.extend(limit_reports, now_ms);
+    fn extend(&mut self, news: NewsPieces<'_>, now_ms: u64) {
+        self.requests.extend(news.evidence, now_ms);
+        self.segments.extend(news.segment_reports, now_ms);
+        self.limits.extend(news.limit_reports, now_ms);
+        self.quarantined.extend(news.quarantined, now_ms);
     }
 
     fn is_urgent(&self) -> bool {
@@ -183,6 +190,7 @@
         self.requests.take_due();
         self.segments.take_due();
         self.limits.take_due();
+        self.quarantined.take_due();
     }
 }
 
@@ -204,6 +212,8 @@
     segment_reports: Vec<SegmentReport>,
     /// Reports on limits of upstreams in the summaries of the current interval.
     limit_reports: Vec<LimitReport>,
+    /// Quarantined requests in the summaries of the current interval.
+    quarantined: Vec<QuarantinedRequest>,
     /// Since when this node is a delegate and collects reports, if it is one.
     delegate_since_ms: Option<u64>,
     role: Role,
@@ -244,6 +254,7 @@
             evidence: Evidence::new(),
             segment_reports: Vec::new(),
             limit_reports: Vec::new(),
+            quarantined: Vec::new(),
             delegate_since_ms: None,
             role: Role::Member,
             primary: None,
@@ -479,6 +490,7 @@
                 self.evidence = self.to_nodes.requests.take_due();
                 self.segment_reports = self.to_nodes.segments.take_due();
                 self.limit_reports = self.to_nodes.limits.take_due();
+                self.quarantined = self.to_nodes.quarantined.take_due();
                 let base = self.summary_base(now_ms);
                 let update = self.apply_summary(self.summary_for(&base, self.local.node), now_ms);
                 output.updates.push(update);
@@ -536,6 +548,7 @@
         let evidence = self.to_zones.requests.take_due();
         let segment_reports = self.to_zones.segments.take_due();
         let limit_reports = self.to_zones.limits.take_due();
+        let quarantined = self.to_zones.quarantined.take_due();
         let in_zone: FxHashMap<_, _> = self.reports.loads();
         let summary = ZoneSummary {
             from: self.local,
@@ -547,6 +560,7 @@
             evidence,
             segment_reports,
             limit_reports,
+            quarantined,
             duty: self.reports.duty_holder(now_ms),
         };
         for zone in self.nodes.zones().filter(|it| *it != self.local.zone) {
@@ -655,6 +669,7 @@
             evidence: self.evidence.clone(),
             segment_reports: self.segment_reports.clone(),
             limit_reports: self.limit_reports.clone(),
+            quarantined: self.quarantined.clone(),
             duty: base.duty,
         }
     }
@@ -708,9 +723,11 @@
     }
 
     fn on_report(&mut self, report: NodeReport, now_ms: u64) {
-        let LocalState { evidence, segment_reports, limit_reports, .. } = &report.state;
-        self.to_nodes.extend(evidence, segment_reports, limit_reports, now_ms);
-        self.to_zones.extend(evidence, segment_reports, limit_reports, now_ms);
+        let LocalState { evidence, segment_reports, limit_reports, quarantined, .. } =
+            &report.state;
+        let news = NewsPieces { evidence, segment_reports, limit_reports, quarantined };
+        self.to_nodes.extend(news, now_ms);
+        self.to_zones.extend(news, now_ms);
         self.reports.insert(report, now_ms);
     }
 
@@ -770,8 +787,9 @@
             }
             return;
         }
-        let ZoneSummary { evidence, segment_reports, limit_reports, .. } = &summary;
-        self.to_nodes.extend(evidence, segment_reports, limit_reports, now_ms);
+        let ZoneSummary { evidence, segment_reports, limit_reports, quarantined, .. } = &summary;
+        let news = NewsPieces { evidence, segment_reports, limit_reports, quarantined };
+        self.to_nodes.extend(news, now_ms);
         let zone = summary.state.zone;
         let is_outdated = self.remote.get(&zone).is_some_and(|it| {
             let known = &it.summary;
--- a/crates/lentilhitch_policy/src/gossip/message.rs
+++ b/crates/lentilhitch_policy/src/gossip/message.rs
@@ -10,7 +10,9 @@
 use lentilhitch_types::{Fingerprint, LogPosition};
 
 use crate::{
-    placement::InProgress, suspects::segments::SegmentReport, upstream_limits::LimitReport,
+    placement::InProgress,
+    suspects::{QuarantinedRequest, segments::SegmentReport},
+    upstream_limits::LimitReport,
 };
 
 /// A message of one node to another.
@@ -109,6 +111,8 @@
     pub segment_reports: Vec<SegmentReport>,
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub limit_reports: Vec<LimitReport>,
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub quarantined: Vec<QuarantinedRequest>,
     /// End offset of the duty topic after the node's last claim or renewal. Present only if the node holds the duty
     /// lease.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
@@ -199,6 +203,8 @@
     pub segment_reports: Vec<SegmentReport>,
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub limit_reports: Vec<LimitReport>,
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub quarantined: Vec<QuarantinedRequest>,
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub duty: Option<DutyHolder>,
 }
@@ -228,6 +234,8 @@
     pub segment_reports: Vec<SegmentReport>,
     #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub limit_reports: Vec<LimitReport>,
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub quarantined: Vec<QuarantinedRequest>,
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub duty: Option<DutyHolder>,
 }
--- a/crates/lentilhitch_policy/src/gossip/relay.rs
+++ b/crates/lentilhitch_policy/src/gossip/relay.rs
@@ -6,7 +6,10 @@
 
 use lentilhitch_types::Fingerprint;
 
-use crate::{suspects::segments::SegmentReport, upstream_limits::LimitReport};
+use crate::{
+    suspects::{QuarantinedRequest, segments::SegmentReport},
+    upstream_limits::LimitReport,
+};
 
 /// Number of times that a piece of news is sent.
 const SENDS: u8 = 4;
@@ -14,8 +17,8 @@
 const PIECES_PER_MESSAGE_MAX: usize = 32;
 /// Maximum number of pieces that are remembered as passed on.
 const SEEN_MAX: usize = 8_192;
-/// Time after which the same news about a segment may be passed on again.
-const SEGMENT_REPEAT_MS: u64 = 500;
+/// Time after which the same news about a segment, or the same quarantine of a request, may be passed on again.
+const QUARANTINE_REPEAT_MS: u64 = 500;
 
 /// Time after which the same limit of an upstream may be passed on again.
 const LIMIT_REPEAT_MS: u64 = 1_000;
@@ -56,7 +59,18 @@
     }
 
     fn repeat_after_ms(self) -> u64 {
-        if matches!(self, Self::Crash { .. }) { u64::MAX } else { SEGMENT_REPEAT_MS }
+        if matches!(self, Self::Crash { .. }) { u64::MAX } else { QUARANTINE_REPEAT_MS }
+    }
+}
+
+impl News for QuarantinedRequest {
+    /// Quarantines are reported again and again, so each report is sent once.
+    fn n_sends(self) -> u8 {
+        1
+    }
+
+    fn repeat_after_ms(self) -> u64 {
+        QUARANTINE_REPEAT_MS
     }
 }
 
--- a/crates/lentilhitch_policy/src/suspects.rs
+++ b/crates/lentilhitch_policy/src/suspects.rs
@@ -10,7 +10,9 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
-use rustc_hash::{FxHashMap, FxHashSet};
+use indexmap::IndexSet;
+use rustc_hash::{FxBuildHasher, FxHashMap, FxHashSet};
+use serde::{Deserialize, Serialize};
 
 use lentilhitch_types::{Fingerprint, SegmentId, UpstreamName};
 use segments::SegmentSuspects;
@@ -25,6 +27,8 @@
 /// Time for which a request with a broken connection can still be matched to a crash. A crash may become known only
 /// when the upstream's entry expires, which is after three missed heartbeats.
 const BROKEN_REQUEST_RETENTION_MS: u64 = 8_000;
+/// Maximum number of quarantined requests in one reminder.
+const REMINDERS_MAX: usize = 8;
 /// Maximum number of requests whose crashes are kept.
 const SUSPECTS_MAX: usize = 4_096;
 /// Maximum number of crashed incarnations that are remembered.
@@ -56,8 +60,18 @@
     crashed_incarnations: VecDeque<UpstreamIncarnation>,
     crashes_by_request: FxHashMap<Fingerprint, FxHashSet<u64>>,
     insertion_order: VecDeque<Fingerprint>,
+    /// Requests that are quarantined, the latest last.
+    quarantined: IndexSet<Fingerprint, FxBuildHasher>,
+    /// When the latest of them were last reported to the peers.
+    reminded_ms: u64,
 }
 
+/// A quarantined request, as nodes tell each other again and again, so that a node that starts or was out of reach learns
+/// of it too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct QuarantinedRequest(pub Fingerprint);
+
 impl Suspects {
     /// Creates an empty record with settings for the segments of prompts.
     pub fn new(settings: segments::Settings) -> Self {
@@ -128,6 +142,7 @@
         let crashes = self.crashes_by_request.entry(request).or_default();
         let is_new = crashes.insert(crash);
         if CRASHES_UNTIL_QUARANTINE <= crashes.len() {
+            quarantine(&mut self.quarantined, request);
             for it in crashes.iter() {
                 self.segments.explain_crash(*it);
             }
@@ -137,7 +152,22 @@
 
     /// Returns whether the request was present at so many crashes that it is no longer sent to any upstream.
     pub fn is_quarantined(&self, request: Fingerprint) -> bool {
-        self.crashes_by_request.get(&request).is_some_and(|it| CRASHES_UNTIL_QUARANTINE <= it.len())
+        self.quarantined.contains(&request)
+    }
+
+    /// Quarantines a request as a peer has reported. Returns whether it was not quarantined before.
+    pub fn on_quarantined(&mut self, request: QuarantinedRequest) -> bool {
+        quarantine(&mut self.quarantined, request.0)
+    }
+
+    /// Returns the reports of quarantined requests that are due: those of the latest, at an interval.
+    pub fn take_reminders(&mut self, now_ms: u64) -> Vec<QuarantinedRequest> {
+        if now_ms < self.reminded_ms + self.segments.reminder_interval_ms() {
+            return Vec::new();
+        }
+        self.reminded_ms = now_ms;
+        let latest = self.quarantined.iter().rev().take(REMINDERS_MAX);
+        latest.copied().map(QuarantinedRequest).collect()
     }
 
     /// Returns whether the request, or a segment of its prompt, is quarantined.
@@ -147,6 +177,18 @@
     }
 }
 
+/// Adds a quarantined request, and drops the first one if there are too many. Returns whether it was not quarantined before.
+fn quarantine(
+    quarantined: &mut IndexSet<Fingerprint, FxBuildHasher>,
+    request: Fingerprint,
+) -> bool {
+    let is_new = quarantined.insert(request);
+    if SUSPECTS_MAX < quarantined.len() {
+        quarantined.shift_remove_index(0);
+    }
+    is_new
+}
+
 /// Returns the id of a crash, which is the same at every node.
 fn crash_id((upstream, started_ms): &UpstreamIncarnation) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(upstream.as_str().as_bytes(), *started_ms)
--- a/crates/lentilhitch_policy/src/suspects/segments.rs
+++ b/crates/lentilhitch_policy/src/suspects/segments.rs
@@ -242,6 +242,11 @@
         reports
     }
 
+    /// Returns the interval at which quarantines are reported again.
+    pub(super) fn reminder_interval_ms(&self) -> u64 {
+        self.settings.reminder_interval_ms
+    }
+
     /// Returns reports of the quarantines that began last.
     fn reminders(&self, now_ms: u64) -> impl Iterator<Item = SegmentReport> + use<> {
         let quarantined = self.evidence.iter().filter_map(|it| Some((it.1.quarantined_ms?, *it.0)));
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -14,7 +14,10 @@
     },
     placement::InProgress,
     shared_rate::{self, ClusterView, PeerReport, SharedRate},
-    suspects::segments::{SegmentReport, SegmentSuspects},
+    suspects::{
+        QuarantinedRequest, Suspects,
+        segments::{SegmentReport, SegmentSuspects},
+    },
     traffic::{RateUnit, TeamRate},
 };
 use lentilhitch_types::{Fingerprint, SegmentId};
@@ -48,6 +51,8 @@
     received_evidence: Evidence,
     segments: SegmentSuspects,
     segment_reports: Relay<SegmentReport>,
+    suspects: Suspects,
+    quarantine_reports: Relay<QuarantinedRequest>,
     rate: SharedRate,
     rates_due: bool,
     next_rates_ms: u64,
@@ -141,6 +146,8 @@
             received_evidence: Evidence::new(),
             segments: SegmentSuspects::default(),
             segment_reports: Relay::default(),
+            suspects: Suspects::default(),
+            quarantine_reports: Relay::default(),
             rate: SharedRate::new(
                 shared_rate::Settings::default(),
                 self.rate,
@@ -305,6 +312,9 @@
                 for it in &summary.segment_reports {
                     node.segments.on_report(*it, now_ms);
                 }
+                for it in &summary.quarantined {
+                    node.suspects.on_quarantined(*it);
+                }
                 let newest = summary.zones.iter().map(|it| it.config.version).max();
                 node.config_version = newest.unwrap_or(0).max(node.config_version);
                 for zone in summary.zones.iter().filter(|it| fresh_zones.contains(&it.zone)) {
@@ -369,6 +379,7 @@
             admitted: vec![(TEAM, self.rate.report())],
             evidence: std::mem::take(&mut self.evidence),
             segment_reports: self.segment_reports.take_due(),
+            quarantined: self.quarantine_reports.take_due(),
             ..LocalState::default()
         }
     }
@@ -377,6 +388,7 @@
     fn update_segments(&mut self, now_ms: u64) {
         self.segments.decide(now_ms);
         self.segment_reports.extend(&self.segments.take_reports(now_ms), now_ms);
+        self.quarantine_reports.extend(&self.suspects.take_reminders(now_ms), now_ms);
         if self.segment_reports.is_urgent() {
             self.next_tick_ms = now_ms;
         }
@@ -532,6 +544,40 @@
 
 /// Guards against nodes that serve by an older configuration because they lost its announcement while the primary
 /// delegates of the zones were stopped and started again.
+/// Guards against nodes that send a quarantined request because they did not run, or were out of reach, when it was
+/// quarantined.
+#[test]
+fn quarantined_request_becomes_known_to_nodes_that_start_and_to_a_zone_that_was_cut_off() {
+    const CONTACT_MS: u64 = 3_000;
+    const CUT_ZONE: u32 = 4;
+    const REQUEST: QuarantinedRequest = QuarantinedRequest(Fingerprint(7));
+    fn is_cut(a: usize, b: usize, it: &Simulation) -> bool {
+        (it.nodes[a].address.zone == CUT_ZONE) != (it.nodes[b].address.zone == CUT_ZONE)
+    }
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 13);
+        simulation.run_for(SETTLED_MS);
+        simulation.is_cut = is_cut;
+        simulation.run_for(SETTLED_MS);
+        for idx in [0, 1, 2] {
+            simulation.nodes[idx].suspects.on_quarantined(REQUEST);
+        }
+        let knows = |it: &Node| it.suspects.is_quarantined(REQUEST.0);
+        simulation.run_for(CONTACT_MS);
+        for node in &simulation.nodes {
+            let is_reached = node.address.zone != CUT_ZONE;
+            assert_eq!(knows(node), is_reached, "{size:?}: during the cut");
+        }
+        simulation.is_cut = |_, _, _| false;
+        let end_ms = simulation.now_ms + CONTACT_MS;
+        let all_know = |it: &Simulation| it.nodes.iter().all(knows);
+        assert!(simulation.run_until(end_ms, all_know), "{size:?}: after the cut");
+        simulation.restart(3);
+        let end_ms = simulation.now_ms + CONTACT_MS;
+        assert!(simulation.run_until(end_ms, all_know), "{size:?}: after a restart");
+    }
+}
+
 /// Guards against nodes that send requests with a quarantined segment because they were out of reach, or did not run, when
 /// it was quarantined.
 #[test]
--- a/crates/lentilhitch_policy/tests/suspects.rs
+++ b/crates/lentilhitch_policy/tests/suspects.rs
@@ -1,7 +1,7 @@
 //! Requests that were present at several crashes of upstreams are quarantined. Requests that were present at fewer, or
 //! whose responses were lost without a crash, are not.
 
-use lentilhitch_policy::suspects::{Suspect, Suspects};
+use lentilhitch_policy::suspects::{QuarantinedRequest, Suspect, Suspects};
 use lentilhitch_types::Fingerprint;
 
 fn incarnation(upstream: &str, started_ms: u64) -> (lentilhitch_types::UpstreamName, u64) {
@@ -83,3 +83,32 @@
         "the connection broke too long before the crash"
     );
 }
+
+/// Guards against nodes that are told of a quarantine only once.
+#[test]
+fn quarantined_requests_are_reported_again_and_again() {
+    const REMINDERS_MAX: usize = 8;
+    const REMINDER_INTERVAL_MS: u64 = 1_000;
+    let (mut local, mut peer) = (Suspects::default(), Suspects::default());
+    let requests: Vec<_> = (0..2 * REMINDERS_MAX as u128).map(Fingerprint).collect();
+    for request in &requests {
+        for crash in 0..3 {
+            local.insert_evidence(*request, crash);
+        }
+    }
+    let mut now_ms = 10_000;
+    for _ in 0..3 {
+        let reminders = local.take_reminders(now_ms);
+        let latest = requests.iter().rev().take(REMINDERS_MAX).copied();
+        assert_eq!(reminders, latest.map(QuarantinedRequest).collect::<Vec<_>>());
+        assert_eq!(local.take_reminders(now_ms + REMINDER_INTERVAL_MS - 1), []);
+        let is_first = !peer.is_quarantined(requests[REMINDERS_MAX]);
+        for it in reminders {
+            assert_eq!(peer.on_quarantined(it), is_first);
+        }
+        now_ms += REMINDER_INTERVAL_MS;
+    }
+    assert!(requests[REMINDERS_MAX..].iter().all(|it| peer.is_quarantined(*it)));
+    assert!(peer.is_stopped(&suspect(requests[REMINDERS_MAX])));
+    assert!(!peer.is_quarantined(requests[0]));
+}
