Silent nodes are charged their equal share of a team's rate

What callers saw: a team got more than its rate (QUOTA, 1.3 to 6.4% over what is allowed) when its demand jumped while single nodes were each cut off from all others. Cause: a node treats the others of its zone, and each other zone, as one peer with a sum. The sum counted silent nodes as members that admit nothing, so nobody was charged for them, while each of them went on with its equal share: with two of eight nodes cut off, a quarter of the rate was spent twice. Change: a peer counts the nodes that have reported to it recently. The rest of the nodes that are known to run is charged equal shares, once also of a full bucket and of the time until the silence was noticed. What returned nodes have admitted is set off against that.

--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -515,14 +515,21 @@
     /// Handles the total cost that the nodes of a zone have admitted for each team. In the own zone, this is the cost
     /// that the other nodes have admitted.
     fn apply_zone_rates(&mut self, rates: &ZoneRates, local_zone: u32, as_of_ms: u64, now_ms: u64) {
-        let n_nodes = self.gossip.n_nodes_in(rates.zone, now_ms);
-        let n_nodes = n_nodes.saturating_sub(usize::from(rates.zone == local_zone));
+        let (n_live, silence_ms) = self.gossip.n_live_in(rates.zone, now_ms);
+        let n_nodes = n_live.saturating_sub(usize::from(rates.zone == local_zone));
         let (peer, source) = (u64::from(rates.zone), rates.source);
         for (team, admitted) in &rates.admitted {
             let rate = self.team_names.get(team).and_then(|it| self.rates.get_mut(it));
             if let Some(rate) = rate {
                 let admitted = *admitted;
-                rate.handle_report(PeerReport { peer, n_nodes, source, admitted, as_of_ms });
+                rate.handle_report(PeerReport {
+                    peer,
+                    n_nodes,
+                    silence_ms,
+                    source,
+                    admitted,
+                    as_of_ms,
+                });
             }
         }
     }
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -371,6 +371,18 @@
         known.map_or(n_listed, |it| it.state.n_nodes.max(1) as usize)
     }
 
+    /// Returns the number of nodes of a zone that have reported recently to its delegate, and the time without a report after
+    /// which it no longer counts a node.
+    pub fn n_live_in(&self, zone: u32, now_ms: u64) -> (usize, u64) {
+        match self.zones.get(&zone) {
+            Some(it) => {
+                let silence_ms = SILENT_INTERVALS * it.state.interval_ms + DELAY_ALLOWANCE_MS;
+                (it.state.n_live as usize, silence_ms)
+            }
+            None => (self.n_nodes_in(zone, now_ms), 0),
+        }
+    }
+
     /// Returns the number of nodes that have reported recently in reachable zones, including this node.
     pub fn n_live_nodes(&self, now_ms: u64) -> usize {
         let reachable = self.zones.values().filter(|it| it.is_reachable(now_ms));
--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -7,7 +7,8 @@
 //! and the next report settles the difference. For a peer without a report within the timeout
 //! ([`ClusterView::peer_timeout_ms`]), a node debits the equal shares of the peer's nodes in the rate and in the content
 //! of the bucket. The peer does the same for this node, so the cost admitted by all nodes together stays at the rate
-//! while nodes are cut off from each other.
+//! while nodes are cut off from each other. The same applies to single nodes that are known to run and that no peer counts,
+//! because they have fallen silent.
 //!
 //! If requests shift from one node to another between two reports, the total may exceed the rate, at most by the cost
 //! of the shifted requests. A node reports to its peers immediately if it has admitted more than its equal share of the
@@ -79,8 +80,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PeerReport {
     pub peer: u64,
-    /// Number of nodes of the peer.
+    /// Number of nodes of the peer that have reported to it recently. Nodes that are known to run beyond these are silent.
     pub n_nodes: usize,
+    /// Time without a report after which the peer no longer counts a node.
+    pub silence_ms: u64,
     /// Identifies who has added the cost up. Totals of different sources do not continue each other.
     pub source: u64,
     pub admitted: f64,
@@ -201,6 +204,10 @@
     /// Value of `admitted` in the last report to the peers.
     reported: f64,
     n_nodes: usize,
+    /// Number of nodes that are known to run and that no responsive peer counts.
+    n_silent: usize,
+    /// Cost debited for silent nodes.
+    silent_debited: f64,
     /// View of the last refill.
     view: Option<ClusterView>,
     peers: FxHashMap<u64, Peer>,
@@ -222,6 +229,8 @@
             admitted: 0.0,
             reported: 0.0,
             n_nodes: 1,
+            n_silent: 0,
+            silent_debited: 0.0,
             view: None,
             peers: FxHashMap::default(),
         }
@@ -258,7 +267,7 @@
 
     /// Handles a report of the total cost that a peer has admitted.
     pub fn handle_report(&mut self, report: PeerReport) {
-        let PeerReport { peer, n_nodes, source, admitted, as_of_ms } = report;
+        let PeerReport { peer, n_nodes, silence_ms, source, admitted, as_of_ms } = report;
         // A node that gets no requests of the team must not set off the cost in the report against content that did not
         // fit into the bucket in the meantime.
         if self.refilled_until_ms + IDLE_REFILL_INTERVAL_MS <= as_of_ms {
@@ -268,9 +277,26 @@
             // Cost that the peer admitted before its first report is not debited.
             Peer { source, admitted, last_received_ms: as_of_ms, ..Peer::default() }
         });
-        known.n_nodes = n_nodes;
+        let n_before = std::mem::replace(&mut known.n_nodes, n_nodes);
+        let n_silenced = n_before.saturating_sub(n_nodes) as f64;
+        let n_returned = n_nodes.saturating_sub(n_before);
+        let n_all = self.n_nodes.max(1) as f64;
+        // A node that has fallen silent may have used its share of a full bucket, and of the rate since its last report.
+        let silenced_share = self.settings.bucket_capacity(self.rate)
+            + self.rate.per_s / 1_000.0 * silence_ms as f64;
+        let silenced_debit = n_silenced * silenced_share / n_all;
+        self.level -= silenced_debit;
+        self.silent_debited += silenced_debit;
         if known.source == source {
-            self.level += known.settle(admitted, as_of_ms);
+            let settled = known.settle(admitted, as_of_ms);
+            self.level += settled;
+            if 0 < n_returned && 0 < self.n_silent {
+                // What the returned nodes have admitted meanwhile is in the total now, and was debited before.
+                let part = (n_returned as f64 / self.n_silent as f64).min(1.0);
+                let debited = self.silent_debited * part;
+                self.silent_debited -= debited;
+                self.level += debited.min((-settled).max(0.0));
+            }
         } else {
             // What was debited since the last report of the other source stands.
             known.admitted = admitted;
@@ -329,9 +355,13 @@
         self.n_nodes = n_nodes;
         let equal_per_ms = per_ms / n_nodes as f64;
         let peer_timeout_ms = view.map_or(u64::MAX, |it| it.peer_timeout_ms);
-        // Nodes that are known to run but have not reported yet are treated like unresponsive ones.
-        let mut n_unresponsive = n_nodes.saturating_sub(n_reported);
-        self.level -= equal_per_ms * n_unresponsive as f64 * elapsed_ms as f64;
+        // Nodes that are known to run but have not reported, or no longer do, are treated like unresponsive ones.
+        self.n_silent = n_nodes.saturating_sub(n_reported);
+        let mut n_unresponsive = self.n_silent;
+        let silent_debit = equal_per_ms * self.n_silent as f64 * elapsed_ms as f64;
+        self.level -= silent_debit;
+        self.silent_debited =
+            if self.n_silent == 0 { 0.0 } else { self.silent_debited + silent_debit };
         let is_isolated = view.is_some_and(|it| it.is_isolated);
         // While most peers are reachable, an unresponsive one may have used its share of a full bucket. An isolated
         // node debits for the others their share of the present content of its copy only.
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -396,11 +396,13 @@
 
     fn apply_rates(&mut self, rates: &ZoneRates, as_of_ms: u64, now_ms: u64) {
         let is_own = rates.zone == self.address.zone;
-        let n_nodes = self.gossip.n_nodes_in(rates.zone, now_ms) - usize::from(is_own);
+        let (n_live, silence_ms) = self.gossip.n_live_in(rates.zone, now_ms);
+        let n_nodes = n_live.saturating_sub(usize::from(is_own));
         for (_, admitted) in &rates.admitted {
             self.rate.handle_report(PeerReport {
                 peer: u64::from(rates.zone),
                 n_nodes,
+                silence_ms,
                 source: rates.source,
                 admitted: *admitted,
                 as_of_ms,
@@ -843,3 +845,73 @@
         assert!(worst <= allowed, "{size:?}: {worst} admitted, {allowed} allowed");
     }
 }
+
+/// Guards against a team that gets more than its rate while other single nodes are cut off every few seconds, and its
+/// demand moves between these and the others.
+#[test]
+fn shared_rate_holds_while_demand_follows_changing_cuts_of_single_nodes() {
+    const WINDOW_MS: u64 = 8_000;
+    const DURATION_MS: u64 = 20_000;
+    /// Time after which other nodes are cut off, and the demand moves.
+    const ROUND_MS: u64 = 2_500;
+    const DEMAND: f64 = 4.0;
+    const EXCESS_FRACTION: f64 = 0.1;
+    const EXCESS_FIXED: f64 = 140_000.0;
+    const COST: f64 = 12_000.0;
+    /// Part of the rate that is used at least while all nodes reach each other, from some time after the cuts on.
+    const USED_MIN: f64 = 0.97;
+    const HEALED_MS: u64 = 10_000;
+    fn round(simulation: &Simulation) -> u64 {
+        simulation.now_ms / ROUND_MS
+    }
+    fn is_cut_off(idx: usize, it: &Simulation) -> bool {
+        (idx as u64 * 7 + round(it) * 3) % 5 < 2
+    }
+    fn is_cut(a: usize, b: usize, it: &Simulation) -> bool {
+        is_cut_off(a, it) || is_cut_off(b, it)
+    }
+    let window_s = WINDOW_MS as f64 / 1_000.0;
+    let allowed = (RATE.per_s * window_s + RATE.burst) * (1.0 + EXCESS_FRACTION) + EXCESS_FIXED;
+    for size in SIZES {
+        let mut simulation = Simulation::start(size, 31);
+        simulation.run_for(SETTLED_MS);
+        simulation.is_cut = is_cut;
+        let start_ms = simulation.now_ms;
+        let mut admitted_ms: Vec<u64> = Vec::new();
+        let mut pending = 0.0;
+        let cuts_end_ms = start_ms + DURATION_MS;
+        let end_ms = cuts_end_ms + HEALED_MS + WINDOW_MS;
+        while simulation.now_ms < end_ms {
+            if simulation.now_ms == cuts_end_ms {
+                simulation.is_cut = |_, _, _| false;
+            }
+            simulation.step();
+            pending += DEMAND * RATE.per_s * STEP_MS as f64 / 1_000.0;
+            while COST <= pending {
+                pending -= COST;
+                let idx = simulation.rng.random_range(0..size.0);
+                // In every second round, the clients are at the nodes that are cut off.
+                let wants_cut_off = round(&simulation).is_multiple_of(2);
+                let has_client = cuts_end_ms <= simulation.now_ms
+                    || is_cut_off(idx, &simulation) == wants_cut_off;
+                if has_client && simulation.try_admit(idx, COST) {
+                    admitted_ms.push(simulation.now_ms);
+                }
+            }
+        }
+        let starts = (start_ms..end_ms - WINDOW_MS).step_by(100);
+        let n_from = |from: u64| {
+            admitted_ms.iter().filter(|it| (from..from + WINDOW_MS).contains(*it)).count()
+        };
+        let worst = starts.map(n_from).max().unwrap_or_default() as f64 * COST;
+        let used_from =
+            |from: u64| n_from(from) as f64 * COST / (RATE.per_s * WINDOW_MS as f64 / 1_000.0);
+        let (used_cut, used) = (used_from(start_ms + WINDOW_MS), used_from(end_ms - WINDOW_MS));
+        let fraction = worst / allowed;
+        println!(
+            "{size:?}: worst {fraction:.3}, used {used_cut:.3} during the cuts, {used:.3} after"
+        );
+        assert!(worst <= allowed, "{size:?}: {worst} admitted, {allowed} allowed");
+        assert!(USED_MIN <= used, "{size:?}: {used} used after the cuts");
+    }
+}
--- a/crates/lentilhitch_policy/tests/shared_rate.rs
+++ b/crates/lentilhitch_policy/tests/shared_rate.rs
@@ -193,6 +193,7 @@
             node.handle_report(PeerReport {
                 peer: from as u64,
                 n_nodes: 1,
+                silence_ms: 0,
                 source: incarnation,
                 admitted,
                 as_of_ms: now_ms,
