A node that the store turns away asks a node that has announced the configuration

Cause: an announcement names a version, not who has it. A node whose reads fail asked only zones whose last summary showed a newer version, and those come seconds apart at this size; with the primary lost they stop for some intervals. Change: a node remembers up to four nodes that announced the newest version, and asks one of them, drawn at random, once it is half a second late. Why it works: announcements reach each node of the zone three times, 150 ms apart, whatever becomes of the primary.

--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -152,6 +152,11 @@
             if let Some(zone) = newer.choose(&mut state.rng) {
                 return Some(zone.state.exchange);
             }
+            let announcer = state.config_announcements.announcer(version, &mut state.rng);
+            let mut nodes = state.gossip.node_addresses();
+            if let Some(node) = nodes.find(|it| Some(it.gossip) == announcer) {
+                return Some(node.exchange);
+            }
         }
         // `u64::MAX` means that the list of upstreams was never read or confirmed.
         let read_age_ms = state.catalog.age_ms(now_ms).unwrap_or(u64::MAX);
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -189,7 +189,7 @@
         let now_ms = self.now_ms();
         let state = self.state.borrow();
         let Some(route_table) = &state.route_table else { return true };
-        if route_table.config.version < state.announced_config_version {
+        if state.config_announcements.has_newer(route_table.config.version) {
             return true;
         }
         let mut reachable = state.gossip.zones().filter(|it| it.is_reachable(now_ms));
@@ -387,8 +387,7 @@
                 }
             }
             Datagram::ConfigVersion(version) => {
-                let mut state = self.state.borrow_mut();
-                state.announced_config_version = version.max(state.announced_config_version);
+                self.state.borrow_mut().config_announcements.record(version, from);
             }
             Datagram::UpstreamUpdates(updates) => self.apply_updates(updates),
             Datagram::StreamOrigin(message) => self.on_origin_message(message, from),
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -15,6 +15,7 @@
 use lentilhitch_policy::{
     brittle,
     catalog::{self, Catalog, Change, Upstream},
+    config_announcements::ConfigAnnouncements,
     gossip::{self, Gossip, message::NodeAddress, relay::Relay},
     placement::{self, LoadTable},
     restrictions::Restrictions,
@@ -105,8 +106,8 @@
     pub(crate) local_config_read_ms: u64,
     /// When this node itself last read the list of upstreams from the store, or 0 if it never did.
     pub(crate) local_list_read_ms: u64,
-    /// Highest version of a configuration that a node of the zone has announced.
-    pub(crate) announced_config_version: u64,
+    /// Configurations that nodes of the zone have announced.
+    pub(crate) config_announcements: ConfigAnnouncements,
     /// Version of the configuration that this node announces to its zone, and the number of times that it is still to be
     /// sent.
     pub(crate) config_announcement: Option<(u64, u8)>,
@@ -238,7 +239,7 @@
             config_read_ms: 0,
             local_config_read_ms: 0,
             local_list_read_ms: 0,
-            announced_config_version: 0,
+            config_announcements: ConfigAnnouncements::default(),
             config_announcement: None,
             store_era: EraTracker::default(),
             catalog: Catalog::new(catalog::Settings::default()),
--- /dev/null
+++ b/crates/lentilhitch_policy/src/config_announcements.rs
@@ -0,0 +1,52 @@
+//! Announcements of new configurations by other nodes, and whom of these to ask for one.
+//!
+//! A node that hears of a new configuration reads it from the store. If the store turns it away, it asks a node that has
+//! announced the configuration. Summaries would name another one too, but in a large deployment only seconds later.
+
+use std::{collections::VecDeque, net::SocketAddr};
+
+use rand::{Rng, seq::IteratorRandom as _};
+
+/// Number of nodes that are remembered as having announced the newest configuration.
+const ANNOUNCERS_MAX: usize = 4;
+
+/// The newest configuration that was announced.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigAnnouncements {
+    version: u64,
+    /// Gossip addresses of the nodes that have announced it last.
+    announcers: VecDeque<SocketAddr>,
+}
+
+impl ConfigAnnouncements {
+    /// Records that a node has announced a version.
+    pub fn record(&mut self, version: u64, from: SocketAddr) {
+        if version < self.version {
+            return;
+        }
+        if self.version < version {
+            self.version = version;
+            self.announcers.clear();
+        }
+        if !self.announcers.contains(&from) {
+            self.announcers.push_back(from);
+        }
+        if ANNOUNCERS_MAX < self.announcers.len() {
+            self.announcers.pop_front();
+        }
+    }
+
+    /// Returns whether a newer version than this one was announced.
+    pub fn has_newer(&self, version: u64) -> bool {
+        version < self.version
+    }
+
+    /// Returns the gossip address of a node that has announced a newer version than this one, drawn at random. A delegate
+    /// announces what it knows to exist, so it need not have it itself.
+    pub fn announcer(&self, version: u64, rng: &mut impl Rng) -> Option<SocketAddr> {
+        if !self.has_newer(version) {
+            return None;
+        }
+        self.announcers.iter().copied().choose(rng)
+    }
+}
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod brittle;
 pub mod catalog;
 pub mod checkpoint;
+pub mod config_announcements;
 pub mod cursor;
 pub mod duty;
 pub mod events;
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -7,6 +7,8 @@
 };
 
 use lentilhitch_policy::{
+    config_announcements::ConfigAnnouncements,
+    cursor::Lag,
     gossip::{
         Gossip, Output, Role, Settings, Update,
         message::{Evidence, Loads, LocalState, Message, NodeAddress, StoreCopy, ZoneRates},
@@ -59,6 +61,10 @@
     frozen_until_ms: u64,
     is_dead: bool,
     config_version: u64,
+    announcements: ConfigAnnouncements,
+    /// Whether the store serves the node. Otherwise, it asks other nodes for configurations.
+    has_store: bool,
+    lag: Lag,
     bytes_sent: usize,
     bytes_received: usize,
 }
@@ -159,6 +165,9 @@
             frozen_until_ms: 0,
             is_dead: false,
             config_version: 1,
+            announcements: ConfigAnnouncements::default(),
+            has_store: true,
+            lag: Lag::default(),
             bytes_sent: 0,
             bytes_received: 0,
         }
@@ -286,19 +295,39 @@
         for it in output.announcements {
             let SocketAddr::V4(to) = it.to else { continue };
             let to = (to.ip().to_bits() - 0x7F00_0001) as usize;
-            self.announce(to, it.config_version);
+            self.announce(idx, to, it.config_version);
         }
         if 0 < summary_bytes {
             self.nodes[idx].gossip.on_summary_sent(summary_bytes as u64);
         }
     }
 
-    /// Announces a configuration to a node, which then reads it, unless the announcement is lost.
-    fn announce(&mut self, to: usize, config_version: u64) {
+    /// Lets nodes that the store turns away ask a node that has announced a newer configuration.
+    fn ask_announcers(&mut self) {
+        let now_ms = self.now_ms;
+        for idx in 0..self.nodes.len() {
+            let node = &mut self.nodes[idx];
+            let is_behind = node.announcements.has_newer(node.config_version);
+            if node.has_store || !node.lag.update(is_behind, now_ms) {
+                continue;
+            }
+            let announcer = node.announcements.announcer(node.config_version, &mut self.rng);
+            let asked = self.nodes.iter().find(|it| Some(it.address.gossip) == announcer);
+            let version = asked.map_or(0, |it| it.config_version);
+            let node = &mut self.nodes[idx];
+            node.config_version = version.max(node.config_version);
+        }
+    }
+
+    /// Announces a configuration to a node, unless the announcement is lost. The node then reads it, if the store serves it.
+    fn announce(&mut self, from: usize, to: usize, config_version: u64) {
         let is_lost = self.rng.random_bool(self.loss);
         let node = &mut self.nodes[to];
         if !is_lost && !node.is_dead && node.frozen_until_ms <= self.now_ms {
-            node.config_version = config_version.max(node.config_version);
+            node.announcements.record(config_version, address(from, self.n_zones).gossip);
+            if node.has_store {
+                node.config_version = config_version.max(node.config_version);
+            }
         }
     }
 
@@ -648,7 +677,7 @@
                 let reader = in_zone[in_zone.len() - 1];
                 simulation.nodes[reader].config_version = NEW_VERSION;
                 for to in &in_zone {
-                    simulation.announce(*to, NEW_VERSION);
+                    simulation.announce(reader, *to, NEW_VERSION);
                 }
             }
             simulation.loss = 0.05;
@@ -680,6 +709,65 @@
     }
 }
 
+/// Guards against nodes that serve by an older configuration because the store turns them away and they learn only from
+/// summaries who has the new one.
+#[test]
+fn new_configuration_reaches_nodes_that_the_store_turns_away() {
+    /// Bound of the users for a configuration to be in force at 295 nodes, without the read of the store by another node.
+    const BOUND_MS: u64 = 4_000;
+    const STORE_READ_MS: u64 = 1_000;
+    /// Interval at which a node checks whether it has to ask another one.
+    const CHECK_INTERVAL_MS: u64 = 250;
+    const NEW_VERSION: u64 = 2;
+    const FREEZE_MS: u64 = 2_500;
+    for size in SIZES {
+        for seed in 0..3 {
+            let mut simulation = Simulation::start(size, 40 + seed);
+            simulation.run_for(SETTLED_MS);
+            let mut readers = Vec::new();
+            for zone in 1..=size.1 as u32 {
+                let mut in_zone: Vec<_> =
+                    (0..size.0).filter(|it| simulation.nodes[*it].address.zone == zone).collect();
+                in_zone.sort_by_key(|it| simulation.nodes[*it].address.node);
+                // The primary and the reader are turned away, and a third of the others. One node of the zone is served.
+                let served = in_zone[in_zone.len() / 2];
+                for (rank, idx) in in_zone.iter().enumerate() {
+                    let is_last = rank + 1 == in_zone.len();
+                    let is_refused = rank == 0 || is_last || rank % 3 == 0;
+                    simulation.nodes[*idx].has_store = *idx == served || !is_refused;
+                }
+                readers.push((served, in_zone));
+            }
+            for zone in 1..=size.1 as u32 {
+                // The primary stands still, and another one takes its place meanwhile.
+                for idx in simulation.primaries_of(zone) {
+                    simulation.nodes[idx].frozen_until_ms = simulation.now_ms + FREEZE_MS;
+                }
+            }
+            simulation.loss = 0.05;
+            for (reader, in_zone) in &readers {
+                simulation.nodes[*reader].config_version = NEW_VERSION;
+                for to in in_zone {
+                    for _ in 0..3 {
+                        simulation.announce(*reader, *to, NEW_VERSION);
+                    }
+                }
+            }
+            let end_ms = simulation.now_ms + BOUND_MS - STORE_READ_MS;
+            while simulation.now_ms < end_ms {
+                simulation.step();
+                if simulation.now_ms % CHECK_INTERVAL_MS < STEP_MS {
+                    simulation.ask_announcers();
+                }
+            }
+            // A node that stood still has not been in touch for long enough.
+            let in_touch = simulation.nodes.iter().filter(|it| it.frozen_until_ms == 0);
+            let n_old = in_touch.filter(|it| it.config_version < NEW_VERSION).count();
+            assert_eq!(n_old, 0, "{size:?}, seed {seed}: nodes with the older configuration");
+        }
+    }
+}
+
 #[test]
 fn traffic_of_a_node_does_not_grow_with_the_nodes() {
     /// Bytes per second that a node may use for control at the target size.
