--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -15,8 +15,6 @@
 //! capacity since its last report, or anything from a bucket whose level is below 25 % of the capacity
 //! ([`SharedRate::needs_urgent_report`]).
 
-use std::collections::VecDeque;
-
 use rustc_hash::FxHashMap;
 
 use crate::traffic::TeamRate;
@@ -210,8 +208,6 @@
     n_silent: usize,
     /// Cost debited for silent nodes.
     silent_debited: f64,
-    /// Content that did not fit into the bucket.
-    unused: UnusedContent,
     /// View of the last refill.
     view: Option<ClusterView>,
     peers: FxHashMap<u64, Peer>,
@@ -235,7 +231,6 @@
             n_nodes: 1,
             n_silent: 0,
             silent_debited: 0.0,
-            unused: UnusedContent::default(),
             view: None,
             peers: FxHashMap::default(),
         }
@@ -286,12 +281,10 @@
         let n_silenced = n_before.saturating_sub(n_nodes) as f64;
         let n_returned = n_nodes.saturating_sub(n_before);
         let n_all = self.n_nodes.max(1) as f64;
-        // A node that has fallen silent may have used its share of a full bucket, and of the rate since its last report. What
-        // nobody used in that time did not fit into the bucket, and covers the latter.
-        let bucket_share = n_silenced * self.settings.bucket_capacity(self.rate) / n_all;
-        let rate_share = n_silenced * self.rate.per_s / 1_000.0 * silence_ms as f64 / n_all;
-        let covered = self.unused.take(rate_share, as_of_ms.saturating_sub(silence_ms));
-        let silenced_debit = bucket_share + rate_share - covered;
+        // A node that has fallen silent may have used its share of a full bucket, and of the rate since its last report.
+        let silenced_share = self.settings.bucket_capacity(self.rate)
+            + self.rate.per_s / 1_000.0 * silence_ms as f64;
+        let silenced_debit = n_silenced * silenced_share / n_all;
         self.level -= silenced_debit;
         self.silent_debited += silenced_debit;
         if known.source == source {
@@ -387,7 +380,6 @@
         let responsive_fraction =
             n_nodes.saturating_sub(n_unresponsive).max(1) as f64 / n_nodes as f64;
         self.capacity = self.settings.bucket_capacity(self.rate) * responsive_fraction;
-        self.unused.add(self.level - self.capacity, now_ms);
         self.level = self.level.min(self.capacity);
     }
 
@@ -396,41 +388,3 @@
         self.peers.retain(|peer, _| is_running(*peer));
     }
 }
-
-/// Content that did not fit into a full bucket in the last seconds.
-#[derive(Clone, Debug, Default)]
-struct UnusedContent {
-    /// Start of each span of time, and the content in it.
-    spans: VecDeque<(u64, f64)>,
-}
-
-/// Length of the spans in which unused content is added up, and the time for which it is kept.
-const UNUSED_SPAN_MS: u64 = 100;
-const UNUSED_RETENTION_MS: u64 = 15_000;
-
-impl UnusedContent {
-    /// Adds content that does not fit, if it is positive.
-    fn add(&mut self, content: f64, now_ms: u64) {
-        if content <= 0.0 {
-            return;
-        }
-        match self.spans.back_mut() {
-            Some(last) if now_ms < last.0 + UNUSED_SPAN_MS => last.1 += content,
-            _ => self.spans.push_back((now_ms, content)),
-        }
-        while self.spans.front().is_some_and(|it| it.0 + UNUSED_RETENTION_MS < now_ms) {
-            self.spans.pop_front();
-        }
-    }
-
-    /// Removes up to `content_max` of the content since a time. Returns how much it was.
-    fn take(&mut self, content_max: f64, from_ms: u64) -> f64 {
-        let mut taken = 0.0;
-        for (_, content) in self.spans.iter_mut().filter(|it| from_ms <= it.0) {
-            let part = content.min(content_max - taken);
-            *content -= part;
-            taken += part;
-        }
-        taken
-    }
-}
