A question about a stream is forgotten when its client leaves

It is now removed when the wait ends in any way. No test: nothing outside of the node shows the entry.

--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -328,17 +328,17 @@
         let service = &self.admitted.service;
         let origin = self.origin;
         let blocked = state.blocked_upstreams(service, now_ms);
-        let may_continue = |it: &&Upstream| {
+        let may_run = |it: &&Upstream| {
             origin.is_none_or(|origin| StreamOrigin::of(&it.entry) == origin)
                 && !blocked.contains(&it.entry.id)
         };
         let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
-        let candidates = candidates.filter(may_continue);
+        let candidates = candidates.filter(may_run);
         let mut assigned =
             state.load_table.assign(prompt, candidates, &self.excluded, now_ms, &mut state.rng);
         if assigned.is_none() && self.admitted.route.repeat.may_repeat() {
             let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
-            let candidates = candidates.filter(may_continue);
+            let candidates = candidates.filter(may_run);
             assigned = state.load_table.assign(prompt, candidates, &[], now_ms, &mut state.rng);
         }
         let assigned = assigned?;
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -2,7 +2,11 @@
 //!
 //! What is known, who is told and who is asked is decided by [`lentilhitch_policy::stream_origins`].
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -75,31 +79,40 @@
 /// Questions of this node whose answers are awaited, by number.
 #[derive(Default)]
 pub(crate) struct Inquiries {
-    waiting: RefCell<(u64, FxHashMap<u64, mpsc::UnboundedSender<Answer>>)>,
+    n_started: Cell<u64>,
+    waiting: RefCell<FxHashMap<u64, mpsc::UnboundedSender<Answer>>>,
 }
 
 impl Inquiries {
-    fn start(&self) -> (u64, mpsc::UnboundedReceiver<Answer>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.0 += 1;
-        let number = waiting.0;
-        waiting.1.insert(number, sender);
-        (number, receiver)
-    }
-
-    fn end(&self, number: u64) {
-        self.waiting.borrow_mut().1.remove(&number);
+    fn start(&self) -> Inquiry<'_> {
+        let number = self.n_started.get() + 1;
+        self.n_started.set(number);
+        let (sender, answers) = mpsc::unbounded_channel();
+        self.waiting.borrow_mut().insert(number, sender);
+        Inquiry { inquiries: self, number, answers }
     }
 
     fn on_answer(&self, answer: Answer) {
-        if let Some(sender) = self.waiting.borrow().1.get(&answer.number) {
+        if let Some(sender) = self.waiting.borrow().get(&answer.number) {
             // The receiver may have just given up.
             let _ = sender.send(answer);
         }
     }
 }
 
+/// A question whose answers are awaited until this is dropped, also when the client has left.
+struct Inquiry<'a> {
+    inquiries: &'a Inquiries,
+    number: u64,
+    answers: mpsc::UnboundedReceiver<Answer>,
+}
+
+impl Drop for Inquiry<'_> {
+    fn drop(&mut self) {
+        self.inquiries.waiting.borrow_mut().remove(&self.number);
+    }
+}
+
 /// How the origin of a resumed stream was found out, for the logs.
 #[derive(Clone, Copy, Debug)]
 enum Source {
@@ -215,14 +228,13 @@
         service: &ServiceName,
     ) -> Option<(StreamOrigin, Source)> {
         let (first, zone) = self.nodes_to_ask(key);
-        let (number, mut answers) = self.inquiries.start();
-        let question = Question { number, key, service: service_hash(service) };
-        let mut found = self.ask(question, &first, FIRST_ANSWERS_TIMEOUT, &mut answers).await;
-        if found.is_none() {
-            found = self.ask(question, &zone, ZONE_ANSWERS_TIMEOUT, &mut answers).await;
+        let mut inquiry = self.inquiries.start();
+        let question = Question { number: inquiry.number, key, service: service_hash(service) };
+        let answers = &mut inquiry.answers;
+        match self.ask(question, &first, FIRST_ANSWERS_TIMEOUT, answers).await {
+            Some(it) => Some(it),
+            None => self.ask(question, &zone, ZONE_ANSWERS_TIMEOUT, answers).await,
         }
-        self.inquiries.end(number);
-        found
     }
 
     /// Returns the gossip addresses of the nodes that are asked first, and of those and all others of the zone.
