Crashes of several upstreams are not taken for a partition of the node

With up to five of nine engines crashed, a node logs 'cut off from the upstreams', and probes of refused upstreams follow each other within microseconds.

--- a/crates/lentilhitch_gateway/src/peer_relay.rs
+++ b/crates/lentilhitch_gateway/src/peer_relay.rs
@@ -109,10 +109,7 @@
         };
         let result = response.headers_mut().remove(RESULT);
         match result.as_ref().map(HeaderValue::as_bytes) {
-            Some(it) if it == RESULT_PASSED.as_bytes() => {
-                self.on_peer_served();
-                SendResult::Response(response)
-            }
+            Some(it) if it == RESULT_PASSED.as_bytes() => SendResult::Response(response),
             Some(it) if it == RESULT_NOT_SENT.as_bytes() => {
                 self.on_peer_failed(peer);
                 SendResult::NotSent
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -187,7 +187,7 @@
             }
             RelayOutcome::Broken(BreakCause::ConnectionLost, _) => {
                 let suspect = &self.attempts.admitted.suspect;
-                record_broken_connection_and_probe(node, suspect, &entry, &connection);
+                record_broken_connection_and_probe(node, suspect, &entry);
             }
             _ => {}
         }
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -167,7 +167,7 @@
             Ok(SendResult::Broken(err)) => {
                 log::info!(request = admitted.head.id.as_str(), upstream = entry.id.as_str(), error:% = err; "connection to upstream broke");
                 assignment.set_result(AttemptResult::Failed);
-                record_broken_connection_and_probe(node, &admitted.suspect, entry, &connection);
+                record_broken_connection_and_probe(node, &admitted.suspect, entry);
                 AttemptOutcome::Unknown("the connection broke")
             }
             Ok(SendResult::Response(response)) => {
@@ -186,18 +186,13 @@
 /// The probe opens a connection after [`PROBE_DELAY`], because a crashed process needs a moment until its port is
 /// closed. Only a refused connection counts as a crash, because it shows that no process listens at the address. Any
 /// other error may have other causes. No probe is made if the last probe of the upstream was scheduled less than
-/// [`PROBE_INTERVAL_MS`] ago, or if this node is cut off from the upstreams, in which case a connection of its own that
-/// breaks says nothing of the upstream.
+/// [`PROBE_INTERVAL_MS`] ago, or if this node is cut off from the upstreams.
 pub(crate) fn record_broken_connection_and_probe<P: Platform>(
     node: &Rc<Node<P>>,
     suspect: &Suspect,
     entry: &UpstreamEntry,
-    connection: &Connection,
 ) {
     let is_cut_off = node.cut_off_since_ms().is_some();
-    if is_cut_off && connection.peer.is_none() {
-        return;
-    }
     let now_ms = node.now_ms();
     let mut state = node.state.borrow_mut();
     let incarnation = (entry.id.clone(), entry.started_ms);
--- a/crates/lentilhitch_policy/src/suspects.rs
+++ b/crates/lentilhitch_policy/src/suspects.rs
@@ -92,8 +92,9 @@
     }
 
     /// Forgets the requests whose connections broke from the given time on, because this was no fault of the upstreams.
-    pub fn forget_broken_connections(&mut self, from_ms: u64) {
-        self.broken_requests.retain(|it| it.broken_ms < from_ms);
+    /// Those to the given incarnations are kept.
+    pub fn forget_broken_connections(&mut self, from_ms: u64, kept: &[UpstreamIncarnation]) {
+        self.broken_requests.retain(|it| it.broken_ms < from_ms || kept.contains(&it.incarnation));
     }
 
     /// Records that an incarnation of an upstream ended in a crash. Returns the requests that were present, each with
--- a/crates/lentilhitch_policy/src/upstream_paths.rs
+++ b/crates/lentilhitch_policy/src/upstream_paths.rs
@@ -7,8 +7,8 @@
 //! from the others still reaches its own upstreams, so failures in other zones alone say nothing.
 //!
 //! A refused connection shows that an upstream has crashed, but only if the refusal does not come from a partition.
-//! Refusals are therefore held back until a connection to another upstream is opened, and dropped if it turns out that
-//! a peer reaches the upstreams.
+//! Refusals are therefore held back until a connection to another upstream is opened. If the node counted as cut off until
+//! then, either may be the case, so the upstreams that refused have to be tried again.
 
 use std::net::SocketAddr;
 
@@ -32,11 +32,11 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { n_failed_min: 3, n_failed_local_min: 2, peer_pause_ms: 1_000 }
+        Self { n_failed_min: 8, n_failed_local_min: 2, peer_pause_ms: 1_000 }
     }
 }
 
-/// Numbers of known upstreams.
+/// Numbers of ready upstreams.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamCounts {
     pub n_all: usize,
@@ -56,10 +56,10 @@
 /// What follows from a connection that was opened.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Connected {
-    /// Whether the node was cut off before.
-    pub was_cut_off: bool,
-    /// Upstreams that have crashed, since they refused connections while others can be reached.
-    pub crashed: Vec<UpstreamIncarnation>,
+    /// Since when the node was cut off, if it was. The upstreams that refused connections may then be sound.
+    pub cut_off_since_ms: Option<u64>,
+    /// Upstreams that have refused connections.
+    pub refused: Vec<UpstreamIncarnation>,
 }
 
 /// Paths of a node to the upstreams.
@@ -75,8 +75,6 @@
     /// Time of the first of these failures.
     first_failed_ms: Option<u64>,
     is_cut_off: bool,
-    /// Whether a peer has passed a request on since the first of these failures.
-    has_peer_served: bool,
     /// Until when each peer is not asked.
     paused_peers: FxHashMap<SocketAddr, u64>,
 }
@@ -99,15 +97,12 @@
 
     /// Records that this node itself has opened a connection to an upstream.
     pub fn on_connected(&mut self) -> Connected {
-        let refused = std::mem::take(&mut self.refused);
+        let cut_off_since_ms = self.cut_off_since_ms();
         self.failed.clear();
         self.n_failed_local = 0;
         self.first_failed_ms = None;
-        let has_peer_served = std::mem::take(&mut self.has_peer_served);
-        Connected {
-            was_cut_off: std::mem::take(&mut self.is_cut_off),
-            crashed: if has_peer_served { Vec::new() } else { refused },
-        }
+        self.is_cut_off = false;
+        Connected { cut_off_since_ms, refused: std::mem::take(&mut self.refused) }
     }
 
     /// Records that a connection to an upstream could not be opened. Returns whether the node counts as cut off from now
@@ -132,14 +127,6 @@
         is_cut_off && !std::mem::replace(&mut self.is_cut_off, true)
     }
 
-    /// Records that a peer has passed a request on to an upstream. The first time while this node is cut off, returns since
-    /// when it is: what has failed since then was no fault of the upstreams.
-    pub fn on_peer_served(&mut self) -> Option<u64> {
-        let since_ms = self.cut_off_since_ms()?;
-        let is_first = !std::mem::replace(&mut self.has_peer_served, true);
-        is_first.then_some(since_ms)
-    }
-
     /// Records that a peer could not pass a request on.
     pub fn on_peer_failed(&mut self, peer: SocketAddr, now_ms: u64) {
         self.paused_peers.retain(|_, until_ms| now_ms < *until_ms);
