Log how long store calls took and how long an outage lasted

On-call could not tell a read that waits on a dead connection from a store that turns a node away: the lines on the start and the end of an outage now state how long the first failed call took, the whole outage, the number of failed calls and the longest one. No line is added.

--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -44,26 +44,44 @@
 /// Availability of a topic of the store. Logs the start and the end of an outage once each.
 struct TopicStatus {
     topic: &'static str,
-    is_failing: bool,
+    outage: Option<Outage>,
+}
+
+/// Calls that have failed since the last one that succeeded.
+struct Outage {
+    /// When the first call that failed was sent.
+    since_ms: u64,
+    n_failed: u32,
+    longest_call_ms: u64,
 }
 
 impl TopicStatus {
     fn new(topic: &'static str) -> Self {
-        Self { topic, is_failing: false }
+        Self { topic, outage: None }
     }
 
-    fn on_result<P, T>(&mut self, node: &Node<P>, res: &Result<T, CallError>) {
-        node.metrics.record_store_call(self.topic, res.is_ok());
+    /// Handles the result of a call that was sent at `sent_ms`.
+    fn on_result<P, T>(&mut self, node: &Node<P>, sent_ms: u64, res: &Result<T, CallError>) {
+        let (topic, now_ms) = (self.topic, node.now_ms());
+        let call_ms = now_ms - sent_ms;
+        node.metrics.record_store_call(topic, res.is_ok());
         match res {
-            Err(err) if !self.is_failing => {
-                self.is_failing = true;
-                log::warn!(topic = self.topic, error:% = err; "store calls fail");
+            Err(err) => {
+                let outage = self.outage.get_or_insert_with(|| {
+                    log::warn!(topic, call_ms, error:% = err; "store calls fail");
+                    Outage { since_ms: sent_ms, n_failed: 0, longest_call_ms: 0 }
+                });
+                outage.n_failed += 1;
+                outage.longest_call_ms = outage.longest_call_ms.max(call_ms);
             }
-            Ok(_) if self.is_failing => {
-                self.is_failing = false;
-                log::info!(topic = self.topic; "store calls succeed again");
+            Ok(_) => {
+                let Some(Outage { since_ms, n_failed, longest_call_ms }) = self.outage.take()
+                else {
+                    return;
+                };
+                let outage_ms = now_ms - since_ms;
+                log::info!(topic, outage_ms, n_failed, longest_call_ms, call_ms; "store calls succeed again");
             }
-            _ => {}
         }
     }
 }
@@ -81,9 +99,10 @@
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        let sent_ms = node.now_ms();
         let res =
             fetch_records(&node, Topic::Config, cursor.next_call(), CONFIG_READ_WAIT_MS).await;
-        topic_status.on_result(&node, &res);
+        topic_status.on_result(&node, sent_ms, &res);
         let result = match res {
             Ok(FetchResult::Records { records, next, .. }) => {
                 node.record_config_read();
@@ -117,8 +136,9 @@
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        let sent_ms = node.now_ms();
         let res = fetch_records(&node, Topic::Upstreams, cursor.next_call(), 0).await;
-        topic_status.on_result(&node, &res);
+        topic_status.on_result(&node, sent_ms, &res);
         let result = match res {
             Ok(FetchResult::Records { records, next, is_complete }) => {
                 if is_complete {
@@ -213,8 +233,9 @@
     let mut topic_status = TopicStatus::new("nodes");
     let mut restored = node.store_restored.subscribe();
     loop {
+        let sent_ms = node.now_ms();
         let res = node.refresh_nodes().await;
-        topic_status.on_result(&node, &res);
+        topic_status.on_result(&node, sent_ms, &res);
         node.drop_expired_nodes(res.is_ok());
         let interval_ms =
             if res.is_ok() { node.nodes_poll_interval_ms() } else { NODES_POLL_INTERVAL_MS / 5 };
