--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -24,11 +24,6 @@
     platform::{CallError, Listing, Platform, ReadResult, Record, Topic},
 };
 
-/// Time for which the store holds a read of the configuration open until there is a new record. A node notices a dead
-/// connection to the store only after this time.
-const CONFIG_READ_WAIT_MS: u64 = 3_000;
-/// Interval between reads of the configuration, for the case that a read returns immediately without a new record.
-const CONFIG_POLL_INTERVAL_MS: u64 = 50;
 /// Interval between reads of the list of upstreams. Each upstream writes about once a second, so a read that waits for
 /// a new record would return almost immediately. Nodes read at different times, and a node that reads a changed entry
 /// sends it to the other nodes of its zone.
@@ -89,19 +84,15 @@
 /// Reads the configuration repeatedly and applies the newest one.
 pub(crate) async fn follow_config<P: Platform>(node: Rc<Node<P>>) {
     let mut topic_status = TopicStatus::new("config");
-    let settings = cursor::Settings {
-        poll_interval_ms: CONFIG_POLL_INTERVAL_MS,
-        ..cursor::Settings::default()
-    };
+    let settings = cursor::Settings::for_config(node.settings.bounds.contact_ms);
     let mut cursor = Cursor::new(settings);
     loop {
-        if node.is_config_confirmed() {
+        if node.is_config_confirmed(settings.read_wait_ms) {
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
         let sent_ms = node.now_ms();
-        let res =
-            fetch_records(&node, Topic::Config, cursor.next_call(), CONFIG_READ_WAIT_MS).await;
+        let res = fetch_records(&node, Topic::Config, cursor.next_call()).await;
         topic_status.on_result(&node, sent_ms, &res);
         let result = match res {
             Ok(FetchResult::Records { records, next, .. }) => {
@@ -137,7 +128,7 @@
             continue;
         }
         let sent_ms = node.now_ms();
-        let res = fetch_records(&node, Topic::Upstreams, cursor.next_call(), 0).await;
+        let res = fetch_records(&node, Topic::Upstreams, cursor.next_call()).await;
         topic_status.on_result(&node, sent_ms, &res);
         let result = match res {
             Ok(FetchResult::Records { records, next, is_complete }) => {
@@ -175,14 +166,13 @@
     node: &Node<P>,
     topic: Topic,
     call: NextCall,
-    wait_ms: u64,
 ) -> Result<FetchResult, CallError> {
     match call {
         NextCall::List => {
             let Listing { records, next } = node.list(topic).await?;
             Ok(FetchResult::Records { records, next, is_complete: true })
         }
-        NextCall::Read(from) => Ok(match node.read(topic, from, wait_ms).await? {
+        NextCall::Read { from, wait_ms } => Ok(match node.read(topic, from, wait_ms).await? {
             ReadResult::Records { records, next } => {
                 FetchResult::Records { records, next, is_complete: false }
             }
@@ -284,11 +274,11 @@
 
     /// Returns whether another node is the store reader and this node's configuration was confirmed recently. A node
     /// that knows of a peer with a newer configuration reads the configuration from the store itself, because the store
-    /// can take that load better than the few nodes that already have the newer configuration.
-    fn is_config_confirmed(&self) -> bool {
+    /// can take that load better than the few nodes that already have the newer configuration. `read_wait_ms` is the time
+    /// that a read of the store reader takes at most while nothing changes.
+    fn is_config_confirmed(&self, read_wait_ms: u64) -> bool {
         let read_ms = self.state.borrow().config_read_ms;
-        let is_fresh =
-            self.now_ms() <= read_ms + CONFIG_READ_WAIT_MS + self.confirmation_age_max_ms();
+        let is_fresh = self.now_ms() <= read_ms + read_wait_ms + self.confirmation_age_max_ms();
         is_fresh && !self.is_config_outdated() && !self.is_store_reader()
     }
 }
--- a/crates/lentilhitch_policy/src/cursor.rs
+++ b/crates/lentilhitch_policy/src/cursor.rs
@@ -9,11 +9,22 @@
 
 use lentilhitch_types::LogPosition;
 
+/// Time within which the store answers a call, in addition to the time for which the call asks it to wait.
+pub const CALL_LIMIT_MS: u64 = 1_200;
+/// Time for which the store holds a read of the configuration open until there is a new record.
+const CONFIG_READ_WAIT_MS: u64 = 3_000;
+/// Interval between reads of the configuration, for the case that a read returns immediately without a new record.
+const CONFIG_POLL_INTERVAL_MS: u64 = 50;
+
 /// Call to the store to make next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextCall {
     List,
-    Read(LogPosition),
+    /// Read from a position. If there is no newer record, the store answers after `wait_ms` at the latest.
+    Read {
+        from: LogPosition,
+        wait_ms: u64,
+    },
 }
 
 /// Result of a call to the store.
@@ -37,11 +48,25 @@
     pub backoff_min_ms: u64,
     /// Maximum delay after a failure.
     pub backoff_max_ms: u64,
+    /// Time for which the store holds a read open until there is a new record.
+    pub read_wait_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { poll_interval_ms: 0, backoff_min_ms: 100, backoff_max_ms: 800 }
+        Self { poll_interval_ms: 0, backoff_min_ms: 100, backoff_max_ms: 800, read_wait_ms: 0 }
+    }
+}
+
+impl Settings {
+    /// Returns the settings for the configuration, whose reads wait for a new record. `contact_ms` is the time after a
+    /// disruption within which nodes know of changes again.
+    pub fn for_config(contact_ms: u64) -> Self {
+        Self {
+            poll_interval_ms: CONFIG_POLL_INTERVAL_MS,
+            read_wait_ms: CONFIG_READ_WAIT_MS.min(contact_ms),
+            ..Self::default()
+        }
     }
 }
 
@@ -62,12 +87,13 @@
 
     /// Returns the call to make next.
     pub fn next_call(&self) -> NextCall {
-        self.next.map_or(NextCall::List, NextCall::Read)
+        let Some(from) = self.next else { return NextCall::List };
+        NextCall::Read { from, wait_ms: self.settings.read_wait_ms }
     }
 
     /// Handles the result of a call and returns the delay before the next one in milliseconds.
     pub fn on_result(&mut self, result: CallResult, rng: &mut impl Rng) -> u64 {
-        let Settings { poll_interval_ms, backoff_min_ms, backoff_max_ms } = self.settings;
+        let Settings { poll_interval_ms, backoff_min_ms, backoff_max_ms, .. } = self.settings;
         match result {
             CallResult::UpTo(next) => {
                 self.next = Some(next);
