--- a/crates/lentilhitch/tests/edge_config.rs
+++ b/crates/lentilhitch/tests/edge_config.rs
@@ -1,9 +1,25 @@
 //! How nodes follow the configuration while the store misbehaves.
 
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use lentilhitch_adapter::{PlatformAdapter, PlatformSettings, read_settings};
+use lentilhitch_gateway::platform::{Store as _, Topic};
 use lentilhitch_standin::{
     harness::until,
     users_platform::{Site, SiteOptions, StoreFault},
 };
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    sync::Barrier,
+};
 
 const TOPIC: &str = "keyed.op";
 /// Time after a disruption within which nodes know of changes again, if the settings do not state it.
@@ -29,7 +45,7 @@
     assert!(unanswered_ms[1..].iter().all(|it| *it == 0), "{unanswered_ms:?}");
 
     store.set_fault(StoreFault::None);
-    site.put_config(|it| it["tenants"][0]["apiKeys"] = serde_json::json!(["another-key"]));
+    site.put_config(|it| it["tenants"][0]["apiKeys"] = json!(["another-key"]));
     until("the old key is rejected", || async {
         site.call(0, "k", "/book/x").await.unwrap().status == 401
     })
@@ -41,3 +57,80 @@
     .await
     .unwrap();
 }
+
+/// Guards against calls that hang one after the other on idle connections that have fallen silent.
+#[tokio::test]
+async fn one_call_at_most_hangs_after_connections_to_the_store_have_fallen_silent() {
+    const N_CONNECTIONS: usize = 3;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let n_silent = Arc::new(AtomicUsize::new(0));
+    let all_called = Arc::new(Barrier::new(N_CONNECTIONS));
+    let server = tokio::spawn({
+        let n_silent = n_silent.clone();
+        async move {
+            for number in 1.. {
+                let (stream, _) = listener.accept().await.unwrap();
+                let is_awaited = number <= N_CONNECTIONS;
+                let barrier = is_awaited.then(|| all_called.clone());
+                tokio::spawn(serve_connection(stream, number, n_silent.clone(), barrier));
+            }
+        }
+    });
+    let adapter = PlatformAdapter::new(&settings(address)).unwrap();
+    // The server answers only once all connections are in use.
+    let list = || adapter.list(Topic::Nodes);
+    let (first, second, third) = tokio::join!(list(), list(), list());
+    assert!(first.is_ok() && second.is_ok() && third.is_ok(), "{first:?} {second:?} {third:?}");
+
+    n_silent.store(N_CONNECTIONS, Ordering::Relaxed);
+    let hanging = list().await;
+    assert!(hanging.is_err(), "{hanging:?}");
+    let next = list().await;
+    assert!(next.is_ok(), "{next:?}");
+    server.abort();
+}
+
+/// Answers calls on a connection as an empty topic does, the first one when the barrier allows. The connection is silent
+/// while `n_silent` is at least its number.
+async fn serve_connection(
+    mut stream: TcpStream,
+    number: usize,
+    n_silent: Arc<AtomicUsize>,
+    barrier: Option<Arc<Barrier>>,
+) {
+    let mut barrier = barrier;
+    let mut received = Vec::new();
+    loop {
+        let mut buffer = [0; 1_024];
+        let n_bytes = stream.read(&mut buffer).await.unwrap_or_default();
+        if n_bytes == 0 {
+            return;
+        }
+        received.extend_from_slice(&buffer[..n_bytes]);
+        if !received.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        received.clear();
+        if number <= n_silent.load(Ordering::Relaxed) {
+            continue;
+        }
+        if let Some(barrier) = barrier.take() {
+            barrier.wait().await;
+        }
+        let body = r#"{"items":[],"truncated":false,"end":0}"#;
+        let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        stream.write_all(response.as_bytes()).await.unwrap();
+    }
+}
+
+fn settings(store: SocketAddr) -> PlatformSettings {
+    let settings = json!({
+        "nodeName": "edge-a-0", "zone": "a", "ip": "127.0.0.1", "portRange": [7_600, 7_615],
+        "listen": { "frontend": "127.0.0.1:8221", "ready": "127.0.0.1:8224" },
+        "limits": { "memoryMb": 260 }, "bounds": {}, "platform": { "address": store.to_string() },
+    });
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), settings.to_string()).unwrap();
+    read_settings(file.path()).unwrap()
+}
