Origins of streams are kept in the store while versions are mixed

Cause: the version that began a stream is known to the node where it began and to two holders, all of them nodes; nothing outlives them together.

Change: what the holders are told is passed on to one node of the zone, its primary, which appends it to a topic of the store every 250 ms. A node that starts in a running deployment reads the topic (stream_archive). What was not written yet is rejected as before. Nothing is written while a service has one version. read_all moves from the usage duty to the calls to the store.

The harness now starts nodes again without bootstrap, as the platform does.

--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -162,3 +162,58 @@
         }
     }
 }
+
+/// Guards against streams that go on at another version, or not at all, after all nodes were killed at once: no node
+/// knows any more where they began.
+#[tokio::test]
+async fn streams_go_on_at_their_version_after_all_nodes_were_killed() {
+    let mut site = start(OPTIONS).await;
+    set_streams(&site, 50, None);
+    let begin = |idx: usize| {
+        let request = site.request(idx % OPTIONS.n_nodes, &format!("s{idx}"), "/review/x");
+        async move {
+            let mut response = request.send().await.unwrap();
+            response.chunk().await.unwrap();
+            response
+        }
+    };
+    let responses = join_all((0..N_STREAMS).map(begin)).await;
+    until("the store has the origins of the streams", || async {
+        let written = site.nodes.iter().map(|it| n_streams_written(&it.process.log_text()));
+        N_STREAMS <= written.sum::<usize>()
+    })
+    .await
+    .unwrap();
+    for node in &mut site.nodes {
+        node.process.kill();
+    }
+    drop(responses);
+    for idx in 0..OPTIONS.n_nodes {
+        site.restart(idx).unwrap();
+    }
+    site.until_ready().await.unwrap();
+    set_streams(&site, 1, None);
+    for idx in 0..N_STREAMS {
+        let (first, second) = (format!("s{idx}"), format!("t{idx}"));
+        // The streams are taken up at other nodes than those where they began.
+        let resume = || async {
+            let request = site.request((idx + 1) % OPTIONS.n_nodes, &second, "/review/x");
+            let request = request.header("resumes", &first).header("last-event-id", "1");
+            site.send(request).await.unwrap()
+        };
+        // A node that has just started may still be reading.
+        until("the stream goes on", || async { resume().await.status == 200 }).await.unwrap();
+        let versions = versions_of(&site, &[&first, &second]);
+        assert_eq!(versions.len(), 1, "{second} ran at {versions:?}");
+    }
+    let unnamed = site.request(0, "u", "/review/x").header("last-event-id", "1");
+    let unnamed = site.send(unnamed).await.unwrap();
+    assert_eq!(unnamed.status, 503, "a stream that its client doesn't name: {unnamed:?}");
+}
+
+/// Returns the number of streams whose origins a node has written to the store, from its log.
+fn n_streams_written(log: &str) -> usize {
+    let lines = log.lines().filter(|it| it.contains("origins of streams written"));
+    let counts = lines.filter_map(|it| it.split("\"n_streams\":\"").nth(1)?.split('"').next());
+    counts.filter_map(|it| it.parse::<usize>().ok()).sum()
+}
--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -60,23 +60,17 @@
         let (topic, now_ms) = (self.topic, node.now_ms());
         let call_ms = now_ms - sent_ms;
         node.metrics.record_store_call(topic, res.is_ok());
-        match res {
-            Err(err) => {
-                let outage = self.outage.get_or_insert_with(|| {
-                    log::warn!(topic, call_ms, error:% = err; "store calls fail");
-                    Outage { since_ms: sent_ms, n_failed: 0, longest_call_ms: 0 }
-                });
-                outage.n_failed += 1;
-                outage.longest_call_ms = outage.longest_call_ms.max(call_ms);
-            }
-            Ok(_) => {
-                let Some(Outage { since_ms, n_failed, longest_call_ms }) = self.outage.take()
-                else {
-                    return;
-                };
-                let outage_ms = now_ms - since_ms;
-                log::info!(topic, outage_ms, n_failed, longest_call_ms, call_ms; "store calls succeed again");
-            }
+        if let Err(err) = res {
+            let outage = self.outage.get_or_insert_with(|| {
+                log::warn!(topic, call_ms, error:% = err; "store calls fail");
+                Outage { since_ms: sent_ms, n_failed: 0, longest_call_ms: 0 }
+            });
+            outage.n_failed += 1;
+            outage.longest_call_ms = outage.longest_call_ms.max(call_ms);
+        } else if let Some(outage) = self.outage.take() {
+            let Outage { since_ms, n_failed, longest_call_ms } = outage;
+            let outage_ms = now_ms - since_ms;
+            log::info!(topic, outage_ms, n_failed, longest_call_ms, call_ms; "store calls succeed again");
         }
     }
 }
--- a/crates/lentilhitch_gateway/src/duties/usage.rs
+++ b/crates/lentilhitch_gateway/src/duties/usage.rs
@@ -10,9 +10,7 @@
 use crate::{
     duties::{SharedDuty, decode, encode, result_label},
     node::Node,
-    platform::{
-        AppendResult, CallError, DutyLease, DutyResult, Platform, ReadResult, Record, Topic,
-    },
+    platform::{AppendResult, CallError, DutyLease, DutyResult, Platform, Topic},
 };
 
 /// Interval at which a node sends its counts to the holder.
@@ -121,7 +119,7 @@
     if ledger.decisions().next().is_none() {
         return Ok(());
     }
-    let records = read_all(node, Topic::Decisions, &mut LogPosition::default()).await?;
+    let records = node.read_all(Topic::Decisions, &mut LogPosition::default()).await?;
     let present: Vec<Decision> = records.iter().filter_map(decode).collect();
     let is_present = |window: WindowNumber| present.iter().any(|it| it.window == window);
     let lost: Vec<_> = ledger.decisions().filter(|it| !is_present(it.window)).collect();
@@ -173,7 +171,7 @@
         if !ledger.has_pending_window(synced_ms) {
             return Ok(());
         }
-        for record in read_all(node, Topic::Usage, &mut self.next_counts).await? {
+        for record in node.read_all(Topic::Usage, &mut self.next_counts).await? {
             let counts: Option<Vec<NodeCounts>> = decode(&record);
             for it in counts.into_iter().flatten() {
                 ledger.insert_counts(it);
@@ -212,7 +210,7 @@
         node: &Rc<Node<P>>,
         ledger: &mut UsageLedger,
     ) -> Result<(), CallError> {
-        for record in read_all(node, Topic::Decisions, &mut self.next_decisions).await? {
+        for record in node.read_all(Topic::Decisions, &mut self.next_decisions).await? {
             if let Some(decision) = decode(&record) {
                 ledger.insert_decision(decision);
             }
@@ -239,30 +237,3 @@
         }
     }
 }
-
-/// Reads a topic from `next` up to its end and sets `next` to the end.
-async fn read_all<P: Platform>(
-    node: &Rc<Node<P>>,
-    topic: Topic,
-    next: &mut LogPosition,
-) -> Result<Vec<Record>, CallError> {
-    let mut all = Vec::new();
-    loop {
-        match node.read(topic, *next, 0).await? {
-            ReadResult::Expired { first } if *next < first => *next = first,
-            ReadResult::Expired { .. } => return Ok(all),
-            ReadResult::Records { records, next: end } => {
-                let is_end = records.is_empty() || end == *next;
-                all.extend(records);
-                *next = end;
-                if is_end || all.len() < READ_PAGE_MIN {
-                    return Ok(all);
-                }
-            }
-        }
-    }
-}
-
-/// Number of records below which a read has reached the end of the topic. A read that was limited by the size of its
-/// response has more records.
-const READ_PAGE_MIN: usize = 500;
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod run_transfer;
 mod settings;
 mod store;
+mod stream_archive;
 mod stream_versions;
 mod upstream_attempt;
 mod upstream_paths;
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -22,6 +22,7 @@
     retry::{self, RetryBudget},
     shared_rate::{self, SharedRate},
     store_era::EraTracker,
+    stream_archive::OriginArchive,
     stream_origins::StreamOrigins,
     suspects::{
         QuarantinedRequest, Suspects, UpstreamIncarnation,
@@ -135,6 +136,8 @@
     pub(crate) synced_clock: SyncedClock,
     /// Software versions of the services, and which of them began each stream.
     pub(crate) stream_origins: StreamOrigins,
+    /// Origins of streams of the zone that this node is to write to the store.
+    pub(crate) origin_archive: OriginArchive,
     /// Requests that were present at crashes of upstreams, and so may have caused them.
     pub(crate) suspects: Suspects,
     /// For each upstream, when this node last probed whether it still accepts connections after a connection broke.
@@ -259,6 +262,7 @@
             usage_counter: UsageCounter::new(settings.bounds.usage_window_ms),
             synced_clock: SyncedClock::default(),
             stream_origins: StreamOrigins::default(),
+            origin_archive: OriginArchive::default(),
             suspects: Suspects::new(segments::Settings {
                 objection_ms: settings.bounds.contact_ms / OBJECTION_CONTACT_DIVISOR,
                 reminder_interval_ms: settings.bounds.contact_ms / OBJECTION_CONTACT_DIVISOR,
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -179,6 +179,8 @@
     Decisions,
     /// Claims, renewals and releases of the duty lease.
     Duty,
+    /// Software versions that began streams, while a service has several.
+    StreamOrigins,
 }
 
 /// One record of a topic.
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -15,7 +15,7 @@
     node::{Node, NodePhase},
     platform::Platform,
     settings::NodeSettings,
-    upstream_paths,
+    stream_archive, upstream_paths,
 };
 
 /// Time after which the load balancer sends no more clients to a stopping node. It checks readiness once a second and
@@ -56,6 +56,8 @@
     spawn_local(discovery::tick(node.clone()));
     spawn_local(exchange::run(node.clone()));
     spawn_local(upstream_paths::watch(node.clone()));
+    spawn_local(stream_archive::load(node.clone()));
+    spawn_local(stream_archive::write(node.clone()));
     if settings.has_usage_duty || settings.has_scaling_duty {
         spawn_local(duties::keep_lease(node.clone(), duty.clone()));
     }
--- a/crates/lentilhitch_gateway/src/store.rs
+++ b/crates/lentilhitch_gateway/src/store.rs
@@ -12,6 +12,10 @@
     platform::{AppendResult, CallError, Listing, Platform, ReadResult, Record, Topic},
 };
 
+/// Number of records below which a read has reached the end of the topic. A read that was limited by the size of its
+/// response has more records.
+const READ_PAGE_MIN: usize = 500;
+
 impl<P: Platform> Node<P> {
     /// Returns the newest record of each key of a topic.
     pub(crate) async fn list(&self, topic: Topic) -> Result<Listing, CallError> {
@@ -41,6 +45,29 @@
         Ok(ReadResult::Expired { first })
     }
 
+    /// Reads a topic from `next` up to its end and sets `next` to the end.
+    pub(crate) async fn read_all(
+        &self,
+        topic: Topic,
+        next: &mut LogPosition,
+    ) -> Result<Vec<Record>, CallError> {
+        let mut all = Vec::new();
+        loop {
+            match self.read(topic, *next, 0).await? {
+                ReadResult::Expired { first } if *next < first => *next = first,
+                ReadResult::Expired { .. } => return Ok(all),
+                ReadResult::Records { records, next: end } => {
+                    let is_end = records.is_empty() || end == *next;
+                    all.extend(records);
+                    *next = end;
+                    if is_end || all.len() < READ_PAGE_MIN {
+                        return Ok(all);
+                    }
+                }
+            }
+        }
+    }
+
     /// Appends a record, if `at` is given only at that position. The result is a conflict if the store has returned from
     /// a copy since, although the record may then have been appended in the later era.
     pub(crate) async fn append(
--- /dev/null
+++ b/crates/lentilhitch_gateway/src/stream_archive.rs
@@ -0,0 +1,121 @@
+//! Keeps the origins of streams in the store, and reads them when the node starts in a running deployment.
+//!
+//! What is written, and why, is decided by [`lentilhitch_policy::stream_archive`].
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use tokio::time::sleep;
+
+use lentilhitch_policy::{
+    gossip::Role, send_queue::Urgency, stream_archive::OriginBatch, stream_origins::OriginRecord,
+};
+use lentilhitch_types::LogPosition;
+
+use crate::{
+    gossip::Datagram,
+    node::Node,
+    platform::{CallError, Platform, Record, Topic},
+    stream_versions::{OriginMessage, RECORDS_PER_MESSAGE_MAX},
+};
+
+/// Interval at which a node passes the origins of its streams on, and at which they are written to the store.
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay after a failed read of the topic.
+const LOAD_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Writes the origins of streams to the store while a service has several versions.
+pub(crate) async fn write<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        sleep(WRITE_INTERVAL).await;
+        node.pass_on_origins();
+        if let Err(err) = node.write_origins().await {
+            log::info!(error:% = err; "failed to write the origins of streams; will be retried");
+        }
+    }
+}
+
+/// Reads the origins of the streams that began before this node started.
+pub(crate) async fn load<P: Platform>(node: Rc<Node<P>>) {
+    if node.settings.is_first_start {
+        return;
+    }
+    loop {
+        match node.load_origins().await {
+            Ok(n_streams) => {
+                let uptime_ms = node.clock.uptime_ms();
+                log::info!(n_streams, uptime_ms; "origins of streams read from the store");
+                return;
+            }
+            Err(err) => {
+                log::info!(error:% = err; "failed to read the origins of streams; will be retried");
+            }
+        }
+        sleep(LOAD_RETRY_DELAY).await;
+    }
+}
+
+impl<P: Platform> Node<P> {
+    /// Passes the origins of streams that began at this node on to the node of the zone that writes them.
+    fn pass_on_origins(&self) {
+        let now_ms = self.now_ms();
+        let records = self.state.borrow_mut().stream_origins.take_unwritten(now_ms);
+        let Some(writer) = self.origin_writer() else {
+            self.state.borrow_mut().origin_archive.push(records);
+            return;
+        };
+        for it in records.chunks(RECORDS_PER_MESSAGE_MAX) {
+            let message = OriginMessage::ToWriter(it.to_vec());
+            self.send_to(&Datagram::StreamOrigin(message), &[writer], Urgency::Normal);
+        }
+    }
+
+    /// Returns the gossip address of the node that writes the origins of streams for the zone, or `None` if this node
+    /// does or knows of none.
+    fn origin_writer(&self) -> Option<SocketAddr> {
+        let now_ms = self.now_ms();
+        let state = self.state.borrow();
+        match state.gossip.role() {
+            Role::Primary => None,
+            Role::Member | Role::Standby => state.gossip.primary(now_ms).map(|it| it.gossip),
+        }
+    }
+
+    async fn write_origins(&self) -> Result<(), CallError> {
+        let synced_ms = self.synced_ms();
+        let Some(batch) = self.state.borrow_mut().origin_archive.next_batch(synced_ms) else {
+            return Ok(());
+        };
+        let mut value = Vec::new();
+        if let Err(err) = ciborium::into_writer(&batch, &mut value) {
+            return Err(CallError::NotDone(err.to_string()));
+        }
+        let record = Record { value: Some(Bytes::from(value)), ..Record::default() };
+        self.append(Topic::StreamOrigins, record, None).await?;
+        let n_streams = self.state.borrow_mut().origin_archive.on_written();
+        log::info!(n_streams; "origins of streams written");
+        Ok(())
+    }
+
+    /// Returns the number of streams whose origins were read.
+    async fn load_origins(&self) -> Result<usize, CallError> {
+        let records = self.read_all(Topic::StreamOrigins, &mut LogPosition::default()).await?;
+        let (now_ms, synced_ms) = (self.now_ms(), self.synced_ms());
+        let batches = records.iter().filter_map(decode);
+        let origins: Vec<OriginRecord> =
+            batches.flat_map(|it| it.into_records(synced_ms)).collect();
+        let mut state = self.state.borrow_mut();
+        for it in &origins {
+            state.stream_origins.insert(*it, now_ms);
+        }
+        Ok(origins.len())
+    }
+}
+
+fn decode(record: &Record) -> Option<OriginBatch> {
+    let decoded = ciborium::from_reader(&record.value.as_ref()?[..]);
+    if let Err(err) = &decoded {
+        log::warn!(error:% = err; "failed to decode origins of streams");
+    }
+    decoded.ok()
+}
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -33,7 +33,7 @@
 /// Time limit for the answers of all nodes of the zone, which are asked next.
 const ZONE_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of records in one message, so that the message fits into one packet.
-const RECORDS_PER_MESSAGE_MAX: usize = 32;
+pub(crate) const RECORDS_PER_MESSAGE_MAX: usize = 32;
 /// `Retry-After` of a resumed stream whose version no node knows.
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -47,6 +47,9 @@
     Question(Question),
     #[serde(rename = "a")]
     Answer(Answer),
+    /// From a node at which streams have begun to the node of its zone that writes them to the store.
+    #[serde(rename = "w")]
+    ToWriter(Vec<OriginRecord>),
 }
 
 /// Asks where a stream began.
@@ -298,6 +301,9 @@
                 self.send_to(&Datagram::StreamOrigin(answer), &[from], Urgency::Urgent);
             }
             OriginMessage::Answer(answer) => self.inquiries.on_answer(answer),
+            OriginMessage::ToWriter(records) => {
+                self.state.borrow_mut().origin_archive.push(records);
+            }
         }
     }
 }
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod send_queue;
 pub mod shared_rate;
 pub mod store_era;
+pub mod stream_archive;
 pub mod stream_end;
 pub mod stream_origins;
 pub mod suspects;
--- a/crates/lentilhitch_policy/src/stream_origins.rs
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -8,7 +8,7 @@
 //!
 //! While a service has a single version, nothing is told: a node that has seen only this version for as long as a stream
 //! may last knows that it began the stream. When a second version appears, a node tells the holders of all streams that it
-//! has begun.
+//! has begun. What the holders are told is kept in the store too ([`crate::stream_archive`]).
 
 use std::collections::VecDeque;
 
@@ -102,6 +102,8 @@
     services: FxHashMap<u32, ServiceVersions>,
     /// Streams to tell their holders of.
     due: Vec<StreamKey>,
+    /// Streams of which the store is to be told.
+    unwritten: Vec<StreamKey>,
 }
 
 /// Lifetime of a stream if nothing states one.
@@ -116,6 +118,7 @@
             expiring: VecDeque::new(),
             services: FxHashMap::default(),
             due: Vec::new(),
+            unwritten: Vec::new(),
         }
     }
 }
@@ -146,7 +149,8 @@
         for it in self.services.values_mut() {
             it.gone_ms.retain(|_, it| it.is_none_or(|it| now_ms < it + lifetime_ms));
             if it.is_mixed() {
-                self.due.extend(it.untold.drain(..));
+                self.due.extend(&it.untold);
+                self.unwritten.extend(it.untold.drain(..));
             }
         }
     }
@@ -157,6 +161,7 @@
         let versions = self.services.entry(origin.service).or_default();
         if versions.is_mixed() {
             self.due.push(key);
+            self.unwritten.push(key);
         } else {
             versions.untold.push_back(key);
         }
@@ -195,7 +200,17 @@
     /// Returns the streams to tell their holders of. Each is returned once.
     pub fn take_due(&mut self, now_ms: u64) -> Vec<OriginRecord> {
         let due = std::mem::take(&mut self.due);
-        let records = due.into_iter().filter_map(|key| {
+        self.records_of(due, now_ms)
+    }
+
+    /// Returns the streams to tell the store of. Each is returned once.
+    pub fn take_unwritten(&mut self, now_ms: u64) -> Vec<OriginRecord> {
+        let unwritten = std::mem::take(&mut self.unwritten);
+        self.records_of(unwritten, now_ms)
+    }
+
+    fn records_of(&self, keys: Vec<StreamKey>, now_ms: u64) -> Vec<OriginRecord> {
+        let records = keys.into_iter().filter_map(|key| {
             let Known { origin, began_ms } = *self.known.get(&key)?;
             Some(OriginRecord { key, origin, age_ms: now_ms.saturating_sub(began_ms) })
         });
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -202,9 +202,13 @@
         Ok(())
     }
 
-    /// Starts a node again whose process has ended.
+    /// Starts a node again whose process has ended. Its settings no longer say that the deployment starts for the first
+    /// time.
     pub fn restart(&mut self, idx: usize) -> anyhow::Result<()> {
         let node = &mut self.nodes[idx];
+        let mut settings: Value = serde_json::from_str(&fs::read_to_string(&node.settings)?)?;
+        settings["bootstrap"] = json!(false);
+        fs::write(&node.settings, settings.to_string())?;
         let name = node.process.name.clone();
         node.process = start_process(&name, &node.settings)?;
         Ok(())
