Origins of streams are written within 0.2 s; rejections tell which stream was resumed

A node now collects for 50 ms, the writer writes 0.15 s after the first origin that waits, and neither wakes while nothing is due. What else turns such streams away could not be told from the log: lines on rejections name the stream that is resumed.

--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -27,31 +27,46 @@
     let (parts, body) = request.into_parts();
     let in_flight = InFlightGuard::new(&node.n_in_flight);
     let response = match P::decode_request(&parts) {
-        Err(invalid) => reject(&node, "", "", Rejection::Malformed(invalid.0), arrived_ms),
+        Err(invalid) => {
+            let rejected = Rejected { id: "", resumed: None, route: "", arrived_ms };
+            reject(&node, rejected, Rejection::Malformed(invalid.0))
+        }
         Ok(head) => {
-            let id = head.id.clone();
+            let (id, resumed) = (head.id.clone(), head.resumed_id.clone());
             match admit(&node, parts, head, body, arrived_ms).await {
                 Ok(admitted) => serve_admitted(&node, admitted).await,
-                Err(rejection) => reject(&node, &id, "", rejection, arrived_ms),
+                Err(rejection) => {
+                    let resumed = resumed.as_deref();
+                    reject(&node, Rejected { id: &id, resumed, route: "", arrived_ms }, rejection)
+                }
             }
         }
     };
     response.map(|it| it.with_in_flight(in_flight))
 }
 
+/// Request that is rejected, for the log.
+#[derive(Clone, Copy, Debug)]
+struct Rejected<'a> {
+    id: &'a str,
+    /// Identifier of the client's earlier sending whose stream the request resumes.
+    resumed: Option<&'a str>,
+    route: &'a str,
+    arrived_ms: u64,
+}
+
 /// Returns the node's own response to a request that gets none from an upstream. Rejections are logged as warnings, so
 /// that they are kept when log lines have to be dropped.
 fn reject<P: Platform>(
     node: &Rc<Node<P>>,
-    request_id: &str,
-    route: &str,
+    rejected: Rejected<'_>,
     rejection: Rejection,
-    arrived_ms: u64,
 ) -> Response<ResponseBody> {
+    let Rejected { id: request, resumed, route, arrived_ms } = rejected;
     let elapsed_ms = node.now_ms() - arrived_ms;
     let status = rejection.status().as_u16();
     let config_version = node.config_version();
-    log::warn!(request = request_id, route, status, reason = rejection.reason(), elapsed_ms, config_version; "request rejected");
+    log::warn!(request, resumed, route, status, reason = rejection.reason(), elapsed_ms, config_version; "request rejected");
     node.metrics.record_request(route, status, elapsed_ms);
     rejection.response::<P>()
 }
@@ -83,7 +98,13 @@
             if matches!(rejection, Rejection::Unavailable { .. } | Rejection::Quarantined) {
                 node.refund(&admitted);
             }
-            reject(node, &admitted.head.id, &admitted.route.name, rejection, admitted.arrived_ms)
+            let rejected = Rejected {
+                id: &admitted.head.id,
+                resumed: admitted.head.resumed_id.as_deref(),
+                route: &admitted.route.name,
+                arrived_ms: admitted.arrived_ms,
+            };
+            reject(node, rejected, rejection)
         }
     }
 }
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -90,6 +90,10 @@
     pub(crate) updates_due: Notify,
     /// Notified when the peers should immediately receive the cost of the requests that this node has admitted.
     pub(crate) rates_due: Notify,
+    /// Notified when there are origins of streams to pass on to the node that writes them to the store.
+    pub(crate) origins_due: Notify,
+    /// Notified when this node has origins of streams to write to the store.
+    pub(crate) archive_due: Notify,
     /// Era of the store, notified whenever the store has returned from a copy.
     pub(crate) store_restored: watch::Sender<StoreEra>,
     /// Notified whenever an upstream starts to leave or is removed.
@@ -308,6 +312,8 @@
             inquiries: Inquiries::default(),
             updates_due: Notify::new(),
             rates_due: Notify::new(),
+            origins_due: Notify::new(),
+            archive_due: Notify::new(),
             store_restored,
             upstreams_leaving,
         })
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -42,6 +42,11 @@
 }
 
 impl RequestHead {
+    /// Returns whether the client has a part of the answer, and asks for the rest.
+    pub fn is_resumed(&self) -> bool {
+        self.resume_after.is_some() || self.resumed_id.is_some()
+    }
+
     /// Returns the sum of the prompt tokens and the maximum of output tokens, if the request states them.
     pub fn total_tokens(&self) -> Option<u64> {
         self.prompt.as_ref().map(|it| it.input_tokens + it.output_tokens_max)
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -57,6 +57,7 @@
     spawn_local(exchange::run(node.clone()));
     spawn_local(upstream_paths::watch(node.clone()));
     spawn_local(stream_archive::load(node.clone()));
+    spawn_local(stream_archive::pass_on(node.clone()));
     spawn_local(stream_archive::write(node.clone()));
     if settings.has_usage_duty || settings.has_scaling_duty {
         spawn_local(duties::keep_lease(node.clone(), duty.clone()));
--- a/crates/lentilhitch_gateway/src/stream_archive.rs
+++ b/crates/lentilhitch_gateway/src/stream_archive.rs
@@ -19,16 +19,29 @@
     stream_versions::{OriginMessage, RECORDS_PER_MESSAGE_MAX},
 };
 
-/// Interval at which a node passes the origins of its streams on, and at which they are written to the store.
-const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a node collects the origins of its streams before it passes them on.
+const COLLECT_TIME: Duration = Duration::from_millis(50);
+/// Time from the first origin that waits until a batch is written, and between batches.
+const WRITE_INTERVAL: Duration = Duration::from_millis(150);
 /// Delay after a failed read of the topic.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Writes the origins of streams to the store while a service has several versions.
+/// Passes the origins of streams that began at this node on while a service has several versions.
+pub(crate) async fn pass_on<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        node.origins_due.notified().await;
+        sleep(COLLECT_TIME).await;
+        node.pass_on_origins();
+    }
+}
+
+/// Writes the origins of streams of the zone to the store.
 pub(crate) async fn write<P: Platform>(node: Rc<Node<P>>) {
     loop {
+        if !node.state.borrow().origin_archive.has_waiting() {
+            node.archive_due.notified().await;
+        }
         sleep(WRITE_INTERVAL).await;
-        node.pass_on_origins();
         if let Err(err) = node.write_origins().await {
             log::info!(error:% = err; "failed to write the origins of streams; will be retried");
         }
@@ -61,7 +74,7 @@
         let now_ms = self.now_ms();
         let records = self.state.borrow_mut().stream_origins.take_unwritten(now_ms);
         let Some(writer) = self.origin_writer() else {
-            self.state.borrow_mut().origin_archive.push(records);
+            self.archive(records);
             return;
         };
         for it in records.chunks(RECORDS_PER_MESSAGE_MAX) {
@@ -112,6 +125,14 @@
     }
 }
 
+impl<P> Node<P> {
+    /// Adds origins to those that this node writes to the store.
+    pub(crate) fn archive(&self, records: Vec<OriginRecord>) {
+        self.state.borrow_mut().origin_archive.push(records);
+        self.archive_due.notify_one();
+    }
+}
+
 fn decode(record: &Record) -> Option<OriginBatch> {
     let decoded = ciborium::from_reader(&record.value.as_ref()?[..]);
     if let Err(err) = &decoded {
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -131,8 +131,7 @@
     node: &Node<P>,
     admitted: &mut AdmittedRequest,
 ) -> Result<(), Rejection> {
-    let is_resumed = admitted.head.resume_after.is_some() || admitted.head.resumed_id.is_some();
-    if !admitted.route.repeat.is_stream() || !is_resumed {
+    if !admitted.route.repeat.is_stream() || !admitted.head.is_resumed() {
         return Ok(());
     }
     let key = admitted.head.resumed_id.as_deref().map(StreamKey::of);
@@ -203,12 +202,16 @@
         self.tell_holders();
     }
 
+    /// Tells the holders of the streams that are due, which are to be written to the store too.
     fn tell_holders(&self) {
         let now_ms = self.now_ms();
         let mut by_holder: FxHashMap<SocketAddr, Vec<OriginRecord>> = FxHashMap::default();
         {
             let mut state = self.state.borrow_mut();
             let state = &mut *state;
+            if state.stream_origins.has_unwritten() {
+                self.origins_due.notify_one();
+            }
             for record in state.stream_origins.take_due(now_ms) {
                 let (zone, others) = (state.gossip.local_zone(), state.gossip.node_addresses());
                 for holder in stream_origins::holders(record.key, zone, others) {
@@ -301,9 +304,7 @@
                 self.send_to(&Datagram::StreamOrigin(answer), &[from], Urgency::Urgent);
             }
             OriginMessage::Answer(answer) => self.inquiries.on_answer(answer),
-            OriginMessage::ToWriter(records) => {
-                self.state.borrow_mut().origin_archive.push(records);
-            }
+            OriginMessage::ToWriter(records) => self.archive(records),
         }
     }
 }
--- a/crates/lentilhitch_policy/src/stream_archive.rs
+++ b/crates/lentilhitch_policy/src/stream_archive.rs
@@ -2,7 +2,7 @@
 //!
 //! The holders of a stream are other nodes, so when all of them are lost at once, none knows which version began the
 //! streams that clients then take up. While a service has several versions, each node therefore passes the origins of
-//! its streams on to one node of its zone, which appends them to a topic of the store, several times a second. A node
+//! its streams on to one node of its zone, which appends them to a topic of the store, some times a second. A node
 //! that starts in a running deployment reads the topic. What was not written yet when all nodes were lost stays unknown.
 
 use std::collections::VecDeque;
@@ -54,6 +54,11 @@
         self.n_writing = self.n_writing.saturating_sub(n_excess);
     }
 
+    /// Returns whether origins wait to be written.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Returns the batch to write now, if any origin waits. The caller states with [`Self::on_written`] that it was.
     pub fn next_batch(&mut self, synced_ms: u64) -> Option<OriginBatch> {
         self.n_writing = self.waiting.len().min(BATCH_STREAMS_MAX);
--- a/crates/lentilhitch_policy/src/stream_origins.rs
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -203,6 +203,11 @@
         self.records_of(due, now_ms)
     }
 
+    /// Returns whether there are streams to tell the store of.
+    pub fn has_unwritten(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
     /// Returns the streams to tell the store of. Each is returned once.
     pub fn take_unwritten(&mut self, now_ms: u64) -> Vec<OriginRecord> {
         let unwritten = std::mem::take(&mut self.unwritten);
