--- a/crates/lentilhitch_policy/tests/shared_rate.rs
+++ b/crates/lentilhitch_policy/tests/shared_rate.rs
@@ -261,3 +261,24 @@
     assert!((rate.admitted() - 120_000.0).abs() < 1.0);
     assert_eq!(rate.try_admit(10_000.0, SINGLE_NODE, 0), Err(300));
 }
+
+/// Guards against requests that are refused when another delegate adds up for a zone and has not heard all of its nodes
+/// yet: these were not cut off, so their shares of a full bucket are not charged.
+#[test]
+fn nodes_that_another_source_does_not_count_yet_are_not_charged_as_silent() {
+    const N_NODES: usize = 3;
+    let view = ClusterView { n_nodes: N_NODES, ..SINGLE_NODE };
+    let mut rate = SharedRate::new(Settings::default(), LARGE, 0, 0);
+    let report = |source: u64, n_nodes: usize, as_of_ms: u64| PeerReport {
+        peer: 1,
+        n_nodes,
+        silence_ms: 480,
+        source,
+        admitted: 0.0,
+        as_of_ms,
+    };
+    rate.handle_report(report(1, N_NODES - 1, 100));
+    assert_eq!(rate.try_admit(200.0, view, 110), Ok(()));
+    rate.handle_report(report(2, 0, 120));
+    assert_eq!(rate.try_admit(200.0, view, 125), Ok(()), "after the change of the source");
+}
