A new delegate of a zone does not make nodes look silent that it has not heard yet

Cause: the number of nodes that a delegate counts was compared with the one of the delegate before it. A new one that has not heard all of them counts fewer, and the difference was charged an equal share of a full bucket.

Change: while a new source has not had the time in which it would notice silence, nodes that the earlier one counted are kept; what it does not count then is charged as before.

--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -95,7 +95,12 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
     n_nodes: usize,
+    /// Number of nodes that have not fallen silent: while a new source has not had the time to hear all of them, also those
+    /// that only the earlier one counted.
+    n_counted: usize,
     source: u64,
+    /// When the source first reported.
+    source_since_ms: u64,
     /// Total cost that the peer has admitted, as counted by the source.
     admitted: f64,
     /// When the last reported total was current.
@@ -131,6 +136,16 @@
 }
 
 impl Peer {
+    /// Handles the number of nodes that a source has counted, and returns how many have fallen silent since.
+    fn count(&mut self, n_nodes: usize, silence_ms: u64, as_of_ms: u64) -> usize {
+        if as_of_ms < self.source_since_ms + silence_ms {
+            self.n_counted = self.n_counted.max(n_nodes);
+            return 0;
+        }
+        let n_counted = std::mem::replace(&mut self.n_counted, n_nodes);
+        n_counted.saturating_sub(n_nodes)
+    }
+
     /// Compares a reported total with the cost that was debited since the last report. Returns the cost to refund, which
     /// is negative if too little was debited.
     fn settle(&mut self, admitted: f64, as_of_ms: u64) -> f64 {
@@ -275,10 +290,14 @@
         }
         let known = self.peers.entry(peer).or_insert_with(|| {
             // Cost that the peer admitted before its first report is not debited.
-            Peer { source, admitted, last_received_ms: as_of_ms, ..Peer::default() }
+            let (source_since_ms, last_received_ms) = (as_of_ms, as_of_ms);
+            Peer { source, source_since_ms, admitted, last_received_ms, ..Peer::default() }
         });
         let n_before = std::mem::replace(&mut known.n_nodes, n_nodes);
-        let n_silenced = n_before.saturating_sub(n_nodes) as f64;
+        if known.source != source {
+            known.source_since_ms = as_of_ms;
+        }
+        let n_silenced = known.count(n_nodes, silence_ms, as_of_ms) as f64;
         let n_returned = n_nodes.saturating_sub(n_before);
         let n_all = self.n_nodes.max(1) as f64;
         // A node that has fallen silent may have used its share of a full bucket, and of the rate since its last report.
