--- a/crates/lentilhitch_gateway/src/peer_relay.rs
+++ b/crates/lentilhitch_gateway/src/peer_relay.rs
@@ -22,7 +22,7 @@
     node::{Node, NodePhase},
     platform::{Platform, ResponseKind},
     pool::{Connection, SendError, SendResult},
-    upstream_attempt::{end_marker, keep_alive_ms},
+    upstream_attempt::{FOREIGN_RESPONSE, end_marker, keep_alive_ms},
     upstream_paths::CONNECT_TIMEOUT_MS,
 };
 
@@ -259,11 +259,10 @@
     let (parts, body) = response.into_parts();
     node.on_upstream_heard();
     let head = P::decode_response(&parts);
-    let is_expected = node.on_response_head(upstream, &head, request_id);
-    if !is_expected && head.kind == ResponseKind::Ran {
-        let reason = "the answer belongs to another request";
-        return Err(Failure { result: RESULT_BROKEN, reason });
+    if !node.on_response_head(upstream, &head, request_id) {
+        return Err(Failure { result: RESULT_BROKEN, reason: FOREIGN_RESPONSE });
     }
+    let is_from_upstream = head.kind != ResponseKind::Misdirected;
     let mut headers = P::client_headers(&parts.headers);
     headers.insert(RESULT, HeaderValue::from_static(RESULT_PASSED));
     if end_marker(&parts, &body) == EndMarker::ConnectionEnd {
@@ -275,7 +274,7 @@
     *relayed.headers_mut() = headers;
     let (node, id) = (node.clone(), upstream.id.clone());
     tokio::task::spawn_local(async move {
-        if relay_body(&node, body, chunks).await && is_expected {
+        if relay_body(&node, body, chunks).await && is_from_upstream {
             node.pool.put(&id, connection, keep_alive_ms(&parts), node.clock);
         }
     });
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -281,58 +281,54 @@
     }
     let head = P::decode_response(&parts);
     let entry = params.entry;
-    let is_other_id = !node.on_response_head(&entry, &head, &params.admitted.head.id);
-    match head.kind {
+    if !node.on_response_head(&entry, &head, &params.admitted.head.id) {
+        assignment.set_result(AttemptResult::Failed);
+        return AttemptOutcome::Unknown(FOREIGN_RESPONSE);
+    }
+    let outcome = match head.kind {
+        ResponseKind::Ran => {
+            assignment.on_response_start();
+            None
+        }
         ResponseKind::NotRun => {
             assignment.set_result(AttemptResult::Full);
-            let response =
-                UpstreamResponse { parts, body, connection, assignment, entry, end_marker };
-            let node = node.clone();
-            tokio::task::spawn_local(async move { response.discard(&node).await });
-            AttemptOutcome::NotRun("the upstream is full")
+            Some(AttemptOutcome::NotRun("the upstream is full"))
         }
         ResponseKind::Misdirected => {
             assignment.set_result(AttemptResult::Unreachable);
-            AttemptOutcome::NotRun("another upstream has the address")
+            return AttemptOutcome::NotRun("another upstream has the address");
         }
-        ResponseKind::Ran if is_other_id => {
-            assignment.set_result(AttemptResult::Failed);
-            AttemptOutcome::Unknown("the answer belongs to another request")
-        }
-        ResponseKind::Ran => {
-            assignment.on_response_start();
-            AttemptOutcome::Responded(Box::new(UpstreamResponse {
-                parts,
-                body,
-                connection,
-                assignment,
-                entry,
-                end_marker,
-            }))
-        }
-    }
+    };
+    let response = UpstreamResponse { parts, body, connection, assignment, entry, end_marker };
+    let Some(outcome) = outcome else { return AttemptOutcome::Responded(Box::new(response)) };
+    let node = node.clone();
+    tokio::task::spawn_local(async move { response.discard(&node).await });
+    outcome
 }
 
+/// Reason for which a response is not used that has the id of another request or none. An upstream may send a copy of
+/// an earlier response where the response to a request is due.
+pub(crate) const FOREIGN_RESPONSE: &str = "the answer belongs to another request";
+
 impl<P: Platform> Node<P> {
     /// Handles what the head of the response to a request states, if it comes from the upstream that the request was sent
-    /// to. Returns whether it is the response to this request from this upstream.
+    /// to. Returns whether it is the response to this request.
     pub(crate) fn on_response_head(
         &self,
         entry: &UpstreamEntry,
         head: &ResponseHead,
         request_id: &str,
     ) -> bool {
-        let is_from_entry = match head.kind {
-            ResponseKind::NotRun => true,
-            ResponseKind::Ran => head.id.as_deref() == Some(request_id),
-            ResponseKind::Misdirected => false,
-        };
-        if is_from_entry {
+        let is_own = head.id.as_deref() == Some(request_id);
+        if !is_own {
+            log::warn!(request = request_id, upstream = entry.id.as_str(), response_id = head.id.as_deref(), kind:? = head.kind; "response to another request");
+        }
+        if is_own && head.kind != ResponseKind::Misdirected {
             self.on_upstream_statements(entry, head);
             self.on_limit_statement(entry, head);
             self.on_brittle_statement(entry, head);
         }
-        is_from_entry
+        is_own
     }
 
     /// Returns the result of an attempt for which no connection could be opened. A node that is cut off from the upstreams
--- a/crates/lentilhitch_standin/src/users_platform/raw_upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/raw_upstream.rs
@@ -38,6 +38,11 @@
     Reset,
     /// Closes the connection in order when the transfer of the run's KV cache has been requested.
     CloseOnTransfer,
+    /// Keeps the connection open for the next request.
+    KeepOpen,
+    /// Keeps the connection open. When the next request has arrived on it, sends the response once more, before the
+    /// response to that request.
+    RepeatLate,
 }
 
 /// The responses of an upstream.
@@ -73,7 +78,7 @@
 pub struct RawUpstream {
     id: String,
     service: String,
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     shared: Arc<Shared>,
     task: tokio::task::JoinHandle<()>,
 }
@@ -114,6 +119,11 @@
 
     /// Writes the upstream's entry to the store, with the fields of `extra` added or replaced.
     pub fn write_entry(&self, store: &LogStore, extra: &Value) {
+        self.write_entry_to(store, "keyed.servers", extra);
+    }
+
+    /// Writes the upstream's entry to a topic of the store.
+    pub(super) fn write_entry_to(&self, store: &LogStore, topic: &str, extra: &Value) {
         let mut entry = json!({
             "service": self.service, "address": self.address.to_string(), "zone": "a",
             "version": "v1", "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1,
@@ -121,7 +131,7 @@
         for (name, value) in extra.as_object().into_iter().flatten() {
             entry[name] = value.clone();
         }
-        store.put("keyed.servers", &self.id, &entry);
+        store.put(topic, &self.id, &entry);
     }
 
     /// Lets the upstream reset connections. A reset discards what its peer has not read yet, so a test calls this when
@@ -147,35 +157,42 @@
     }
 }
 
-/// Reads one request and sends the response. Does nothing if the connection ends before a complete request.
+/// Reads requests and sends the responses until one of them ends the connection, or the node does.
 async fn respond(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
-    let Some(head) = read_request(&mut stream).await? else { return Ok(()) };
-    if head.contains(KV_TRANSFER_PATH) {
-        stream.write_all(shared.script.kv_transfer.as_bytes()).await?;
-        shared.is_transfer_requested.send_replace(true);
-        return Ok(());
-    }
-    let responses = &shared.script.responses;
-    let index = {
-        let mut state = shared.state.lock();
-        state.n_requests += 1;
-        (state.n_requests - 1).min(responses.len() - 1)
-    };
-    let response = responses[index];
-    let id = header(&head, "x-attempt-id").unwrap_or_default();
-    stream.write_all(response.start.replace("{id}", id).as_bytes()).await?;
-    match response.end {
-        RawEnd::Repeat(text) => loop {
-            stream.write_all(text.as_bytes()).await?;
-        },
-        RawEnd::Close => close(stream).await,
-        RawEnd::Reset => {
-            until_true(&shared.are_resets_allowed).await?;
-            SockRef::from(&stream).set_linger(Some(Duration::ZERO))
+    let mut late_copy = String::new();
+    loop {
+        let Some(head) = read_request(&mut stream).await? else { return Ok(()) };
+        if head.contains(KV_TRANSFER_PATH) {
+            stream.write_all(shared.script.kv_transfer.as_bytes()).await?;
+            shared.is_transfer_requested.send_replace(true);
+            return Ok(());
         }
-        RawEnd::CloseOnTransfer => {
-            until_true(&shared.is_transfer_requested).await?;
-            close(stream).await
+        let responses = &shared.script.responses;
+        let index = {
+            let mut state = shared.state.lock();
+            state.n_requests += 1;
+            (state.n_requests - 1).min(responses.len() - 1)
+        };
+        let response = responses[index];
+        let id = header(&head, "x-attempt-id").unwrap_or_default();
+        let start = response.start.replace("{id}", id);
+        let copy = std::mem::take(&mut late_copy);
+        stream.write_all(format!("{copy}{start}").as_bytes()).await?;
+        match response.end {
+            RawEnd::Repeat(text) => loop {
+                stream.write_all(text.as_bytes()).await?;
+            },
+            RawEnd::Close => return close(stream).await,
+            RawEnd::Reset => {
+                until_true(&shared.are_resets_allowed).await?;
+                return SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            }
+            RawEnd::CloseOnTransfer => {
+                until_true(&shared.is_transfer_requested).await?;
+                return close(stream).await;
+            }
+            RawEnd::KeepOpen => {}
+            RawEnd::RepeatLate => late_copy = start,
         }
     }
 }
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     harness::{Process, free_address, until},
-    users_platform::{Behavior, Cut, Link, LogStore, Upstream},
+    users_platform::{Behavior, Cut, Link, LogStore, RawUpstream, Upstream},
 };
 
 /// `Host` header of every request.
@@ -151,6 +151,15 @@
         Ok(self.store.listen_with("keyed.servers", LINKED_UPSTREAMS_TOPIC).await?)
     }
 
+    /// Starts a link of the first node to an upstream that is not among those of the site.
+    pub async fn link(&mut self, upstream: &RawUpstream) -> anyhow::Result<()> {
+        let link = Link::start(upstream.address).await?;
+        let extra = json!({ "address": link.address.to_string() });
+        upstream.write_entry_to(&self.store, LINKED_UPSTREAMS_TOPIC, &extra);
+        self.links.push(link);
+        Ok(())
+    }
+
     /// Cuts all links of the first node to the upstreams.
     pub async fn cut_links(&self, cut: Cut) -> anyhow::Result<()> {
         for it in &self.links {
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -282,8 +282,9 @@
         return Some(on_kv_transfer(state, &body));
     }
     let header = |name: &str| parts.headers.get(name).and_then(|it| it.to_str().ok());
+    let id = header("x-attempt-id").unwrap_or_default().to_owned();
     if header("x-expect-instance").is_some_and(|it| it != own_id) {
-        return Some(with_status(421, full("")));
+        return Some(with_status(421, &id, ""));
     }
     let behavior = state.lock().behavior;
     let statements = Statements::of(&state.lock());
@@ -291,14 +292,13 @@
     let _slot = (has_room && statements.rejections_max.is_some()).then(|| Slot(state.clone()));
     let behavior = if has_room { behavior } else { Behavior::Full };
     if matches!(behavior, Behavior::Full | Behavior::Pause) {
-        let mut response = with_status(503, full(""));
+        let mut response = with_status(503, &id, "");
         response.headers_mut().insert("x-not-executed", "1".parse().ok()?);
         if behavior == Behavior::Pause {
             response.headers_mut().insert("retry-after", PAUSE_S.parse().ok()?);
         }
         return Some(statements.add_to(response));
     }
-    let id = header("x-attempt-id").unwrap_or_default().to_owned();
     let index = {
         let mut state = state.lock();
         state.executed.push(ExecutedRequest {
@@ -334,7 +334,7 @@
         Behavior::Stream { n_events, interval_ms, break_after } => {
             Response::new(events(state.clone(), index, (after, n_events), interval_ms, break_after))
         }
-        Behavior::Fail => with_status(500, full("no")),
+        Behavior::Fail => with_status(500, &id, "no"),
         Behavior::OtherId => return stamped(Response::new(full("another's")), "another", own_id),
         Behavior::Drop | Behavior::Full | Behavior::Pause => return None,
         Behavior::Hang => std::future::pending().await,
@@ -383,10 +383,10 @@
     Response::new(full(json!({ "handle": "h1", "created": 1 }).to_string()))
 }
 
-fn with_status(code: u16, body: StandInBody) -> Response<StandInBody> {
-    let mut response = Response::new(body);
-    *response.status_mut() = code.try_into().expect("valid status code");
-    response
+/// Returns a response of a status to the request with the given id.
+fn with_status(code: u16, id: &str, body: &'static str) -> Response<StandInBody> {
+    let response = Response::builder().status(code).header("x-attempt-id", id);
+    response.body(full(body)).expect("valid status code and id")
 }
 
 fn stamped(
