--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -42,6 +42,19 @@
     }
 }
 
+/// Begins streams, each at the given node, and reads the first event of each.
+async fn begin_streams(site: &Site, node: impl Fn(usize) -> usize) -> Vec<reqwest::Response> {
+    let begin = |idx: usize| {
+        let request = site.request(node(idx), &format!("s{idx}"), "/review/x");
+        async move {
+            let mut response = request.send().await.unwrap();
+            response.chunk().await.unwrap();
+            response
+        }
+    };
+    join_all((0..N_STREAMS).map(begin)).await
+}
+
 /// Returns the versions of the engines that executed one of the requests.
 fn versions_of<'a>(site: &'a Site, ids: &[&str]) -> BTreeSet<&'a str> {
     let has_run = |it: &&Upstream| it.executed().iter().any(|it| ids.contains(&it.id.as_str()));
@@ -87,16 +100,7 @@
     for case in cases {
         let mut site = start(OPTIONS).await;
         set_streams(&site, 50, None);
-        let begin = |idx: usize| {
-            let request = site.request(0, &format!("s{idx}"), "/review/x");
-            async move {
-                let mut response = request.send().await.unwrap();
-                response.chunk().await.unwrap();
-                response
-            }
-        };
-        let responses = join_all((0..N_STREAMS).map(begin)).await;
-        drop(responses);
+        drop(begin_streams(&site, |_| 0).await);
         if case.kills_first_node {
             site.nodes[0].process.kill();
         }
@@ -169,15 +173,7 @@
 async fn streams_go_on_at_their_version_after_all_nodes_were_killed() {
     let mut site = start(OPTIONS).await;
     set_streams(&site, 50, None);
-    let begin = |idx: usize| {
-        let request = site.request(idx % OPTIONS.n_nodes, &format!("s{idx}"), "/review/x");
-        async move {
-            let mut response = request.send().await.unwrap();
-            response.chunk().await.unwrap();
-            response
-        }
-    };
-    let responses = join_all((0..N_STREAMS).map(begin)).await;
+    let responses = begin_streams(&site, |idx| idx % OPTIONS.n_nodes).await;
     until("the store has the origins of the streams", || async {
         let written = site.nodes.iter().map(|it| n_streams_written(&it.process.log_text()));
         N_STREAMS <= written.sum::<usize>()
@@ -211,6 +207,31 @@
     assert_eq!(unnamed.status, 503, "a stream that its client doesn't name: {unnamed:?}");
 }
 
+/// Guards against streams of a lost node that no other lets go on, because all nodes were restarted not long ago and none
+/// has followed the versions since.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_of_a_killed_node_go_on_after_all_nodes_were_restarted_in_turn() {
+    let options = SiteOptions { n_versions: 1, ..OPTIONS };
+    let mut site = start(options).await;
+    for idx in 0..options.n_nodes {
+        site.nodes[idx].process.terminate();
+        assert_eq!(site.nodes[idx].process.wait().unwrap(), Some(0));
+        site.restart(idx).unwrap();
+        site.until_ready().await.unwrap();
+    }
+    set_streams(&site, 50, None);
+    let responses = begin_streams(&site, |_| 0).await;
+    site.nodes[0].process.kill();
+    drop(responses);
+    set_streams(&site, 1, None);
+    for idx in 0..N_STREAMS {
+        let request = site.request(1 + idx % 3, &format!("t{idx}"), "/review/x");
+        let request = request.header("resumes", format!("s{idx}")).header("last-event-id", "1");
+        let response = site.send(request).await.unwrap();
+        assert_eq!(response.status, 200, "t{idx}: {response:?}");
+    }
+}
+
 /// Returns the number of streams whose origins a node has written to the store, from its log.
 fn n_streams_written(log: &str) -> usize {
     let lines = log.lines().filter(|it| it.contains("origins of streams written"));
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -3,16 +3,19 @@
 //! A node serves its cluster state, which is what it knows of the cluster (the configuration, the upstream entries and
 //! the addresses of the other nodes), and for operators its status and its metrics. A node fetches the cluster state of
 //! a peer if its store calls fail, if it starts while the store is unavailable, or if a peer has a newer configuration
-//! that the store has not delivered in time.
+//! that the store has not delivered in time. A node that starts in a running deployment fetches the software versions of
+//! the services from a peer.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use rand::seq::IteratorRandom as _;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time::sleep;
 
-use lentilhitch_policy::{cursor::Lag, gossip::message::NodeAddress};
+use lentilhitch_policy::{
+    cursor::Lag, gossip::message::NodeAddress, stream_origins::VersionHistory,
+};
 
 use crate::{
     gossip::UpstreamUpdate,
@@ -21,6 +24,7 @@
 };
 
 const CLUSTER_STATE_PATH: &str = "/v1/knowledge";
+const VERSIONS_PATH: &str = "/v1/versions";
 const METRICS_PATH: &str = "/metrics";
 const STATUS_PATH: &str = "/v1/status";
 /// Interval at which a node checks whether it has to query a peer.
@@ -63,21 +67,25 @@
 ) -> anyhow::Result<Option<Bytes>> {
     Ok(match path {
         CLUSTER_STATE_PATH => Some(node.cluster_state()?),
+        VERSIONS_PATH => node.version_histories().map(|it| encode(&it)).transpose()?,
         METRICS_PATH => Some(Bytes::from(node.metrics.render()?)),
         STATUS_PATH => Some(node.status()?),
         _ => None,
     })
 }
 
+/// Returns a client for queries to peers.
+pub(crate) fn client() -> Option<reqwest::Client> {
+    let client = reqwest::Client::builder().no_proxy().timeout(QUERY_TIMEOUT).build();
+    if let Err(err) = &client {
+        log::error!(error:% = err; "failed to create the HTTP client for queries to peers");
+    }
+    client.ok()
+}
+
 /// Queries a peer whenever a newer configuration is overdue or the store is unavailable.
 pub(crate) async fn run<P: Platform>(node: Rc<Node<P>>) {
-    let client = match reqwest::Client::builder().no_proxy().timeout(QUERY_TIMEOUT).build() {
-        Ok(it) => it,
-        Err(err) => {
-            log::error!(error:% = err; "failed to create the HTTP client for queries to peers");
-            return;
-        }
-    };
+    let Some(client) = client() else { return };
     let mut queried_ms = 0;
     let mut lag = Lag::default();
     loop {
@@ -86,22 +94,37 @@
         let is_overdue = lag.update(node.is_config_outdated(), now_ms);
         let Some(address) = node.peer_to_query(is_overdue, queried_ms, now_ms) else { continue };
         queried_ms = now_ms;
-        match fetch_cluster_state(&client, address).await {
+        match fetch::<ClusterState>(&client, address, CLUSTER_STATE_PATH).await {
             Ok(cluster_state) => node.apply_cluster_state(&cluster_state),
             Err(err) => log::info!(peer:% = address, error:% = err; "failed to query a peer"),
         }
     }
 }
 
-async fn fetch_cluster_state(
+/// Returns the software versions of the services that a peer knows of.
+pub(crate) async fn fetch_versions(
     client: &reqwest::Client,
-    address: SocketAddr,
-) -> anyhow::Result<ClusterState> {
-    let response = client.get(format!("http://{address}{CLUSTER_STATE_PATH}")).send().await?;
+    peer: SocketAddr,
+) -> anyhow::Result<Vec<VersionHistory>> {
+    fetch(client, peer, VERSIONS_PATH).await
+}
+
+async fn fetch<T: DeserializeOwned>(
+    client: &reqwest::Client,
+    peer: SocketAddr,
+    path: &str,
+) -> anyhow::Result<T> {
+    let response = client.get(format!("http://{peer}{path}")).send().await?;
     let bytes = response.error_for_status()?.bytes().await?;
     Ok(ciborium::from_reader(&bytes[..])?)
 }
 
+fn encode<T: Serialize>(value: &T) -> anyhow::Result<Bytes> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes)?;
+    Ok(bytes.into())
+}
+
 impl<P: Platform> Node<P> {
     /// Returns this node's cluster state, encoded as CBOR.
     fn cluster_state(&self) -> anyhow::Result<Bytes> {
@@ -113,9 +136,7 @@
             upstreams_age_ms: state.catalog.age_ms(now_ms).unwrap_or(u64::MAX),
             nodes: state.gossip.node_addresses().copied().collect(),
         };
-        let mut bytes = Vec::new();
-        ciborium::into_writer(&cluster_state, &mut bytes)?;
-        Ok(bytes.into())
+        encode(&cluster_state)
     }
 
     /// Returns the status of this node as JSON.
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod stream_versions;
 mod upstream_attempt;
 mod upstream_paths;
+mod version_histories;
 
 pub use run::run;
 pub use settings::{Bounds, NodeSettings};
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -15,7 +15,7 @@
     node::{Node, NodePhase},
     platform::Platform,
     settings::NodeSettings,
-    stream_archive, upstream_paths,
+    stream_archive, upstream_paths, version_histories,
 };
 
 /// Time after which the load balancer sends no more clients to a stopping node. It checks readiness once a second and
@@ -56,6 +56,7 @@
     spawn_local(discovery::tick(node.clone()));
     spawn_local(exchange::run(node.clone()));
     spawn_local(upstream_paths::watch(node.clone()));
+    spawn_local(version_histories::learn(node.clone()));
     spawn_local(stream_archive::load(node.clone()));
     spawn_local(stream_archive::pass_on(node.clone()));
     spawn_local(stream_archive::write(node.clone()));
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -175,10 +175,16 @@
 
     fn sole_origin(&self, service: u32) -> Option<StreamOrigin> {
         let now_ms = self.now_ms();
-        let state = self.state.borrow();
-        let is_current =
-            state.catalog.age_ms(now_ms).is_some_and(|it| it <= self.settings.bounds.contact_ms);
-        if is_current { state.stream_origins.sole_origin(service, now_ms) } else { None }
+        if !self.is_list_current(now_ms) {
+            return None;
+        }
+        self.state.borrow().stream_origins.sole_origin(service, now_ms)
+    }
+
+    /// Returns whether the list of upstreams was read or confirmed recently enough to rely on the versions in it.
+    pub(crate) fn is_list_current(&self, now_ms: u64) -> bool {
+        let age_ms = self.state.borrow().catalog.age_ms(now_ms);
+        age_ms.is_some_and(|it| it <= self.settings.bounds.contact_ms)
     }
 
     /// Handles a change of the upstreams and their versions.
@@ -203,7 +209,7 @@
     }
 
     /// Tells the holders of the streams that are due, which are to be written to the store too.
-    fn tell_holders(&self) {
+    pub(crate) fn tell_holders(&self) {
         let now_ms = self.now_ms();
         let mut by_holder: FxHashMap<SocketAddr, Vec<OriginRecord>> = FxHashMap::default();
         {
--- a/crates/lentilhitch_policy/src/stream_origins.rs
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -9,6 +9,9 @@
 //! While a service has a single version, nothing is told: a node that has seen only this version for as long as a stream
 //! may last knows that it began the stream. When a second version appears, a node tells the holders of all streams that it
 //! has begun. What the holders are told is kept in the store too ([`crate::stream_archive`]).
+//!
+//! A node that starts in a running deployment has not followed the versions yet. It takes over what another node knows of
+//! them ([`VersionHistory`]), so a series of planned restarts does not end with nodes of which none can tell.
 
 use std::collections::VecDeque;
 
@@ -68,6 +71,17 @@
     pub age_ms: u64,
 }
 
+/// The software versions of a service that have upstreams, or had some within the lifetime of a stream, as one node tells
+/// another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionHistory {
+    #[serde(rename = "s")]
+    service: u32,
+    /// For each version, the time in milliseconds since its last upstream was gone, or `None` while it has some.
+    #[serde(rename = "v")]
+    versions: Vec<(u32, Option<u64>)>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     origin: StreamOrigin,
@@ -145,6 +159,12 @@
             let StreamOrigin { service, version } = StreamOrigin::of(it);
             self.services.entry(service).or_default().gone_ms.insert(version, None);
         }
+        self.discard_past_versions(now_ms);
+    }
+
+    /// Discards versions that were gone before any stream began that may still run. The holders of streams of services
+    /// that are left with several versions are due to be told.
+    fn discard_past_versions(&mut self, now_ms: u64) {
         let lifetime_ms = self.lifetime_ms;
         for it in self.services.values_mut() {
             it.gone_ms.retain(|_, it| it.is_none_or(|it| now_ms < it + lifetime_ms));
@@ -197,6 +217,39 @@
         }
     }
 
+    /// Returns whether this node knows all versions that the services have had for as long as a stream may last.
+    pub fn is_complete(&self, now_ms: u64) -> bool {
+        self.complete_from_ms.is_some_and(|it| it <= now_ms)
+    }
+
+    /// Returns the versions of all services, for a node that has just started, or `None` if this node does not know all.
+    pub fn histories(&self, now_ms: u64) -> Option<Vec<VersionHistory>> {
+        let history = |(service, versions): (&u32, &ServiceVersions)| VersionHistory {
+            service: *service,
+            versions: versions
+                .gone_ms
+                .iter()
+                .map(|(version, gone_ms)| (*version, gone_ms.map(|it| now_ms.saturating_sub(it))))
+                .collect(),
+        };
+        self.is_complete(now_ms).then(|| self.services.iter().map(history).collect())
+    }
+
+    /// Takes over the versions that another node knows. A version that has no upstream in the list of this node counts as
+    /// gone since now.
+    pub fn adopt(&mut self, histories: &[VersionHistory], now_ms: u64) {
+        for VersionHistory { service, versions } in histories {
+            let known = &mut self.services.entry(*service).or_default().gone_ms;
+            for (version, gone_age_ms) in versions {
+                let told_ms = now_ms.saturating_sub(gone_age_ms.unwrap_or_default());
+                let gone_ms = known.entry(*version).or_insert(Some(told_ms));
+                *gone_ms = gone_ms.map(|it| it.max(told_ms));
+            }
+        }
+        self.complete_from_ms = Some(self.complete_from_ms.map_or(now_ms, |it| it.min(now_ms)));
+        self.discard_past_versions(now_ms);
+    }
+
     /// Returns the streams to tell their holders of. Each is returned once.
     pub fn take_due(&mut self, now_ms: u64) -> Vec<OriginRecord> {
         let due = std::mem::take(&mut self.due);
--- a/crates/lentilhitch_policy/tests/stream_origins.rs
+++ b/crates/lentilhitch_policy/tests/stream_origins.rs
@@ -120,6 +120,101 @@
     }
 }
 
+/// Guards against nodes of which none can tell, after all were restarted in turn, that a service has had a single version.
+#[test]
+fn versions_are_handed_on_through_restarts_of_all_nodes_in_turn() {
+    struct Case {
+        name: &'static str,
+        /// Versions that have upstreams from each time on, before the node starts that takes over.
+        changes: &'static [(u64, &'static [&'static str])],
+        /// Versions that have upstreams when it starts.
+        now: &'static [&'static str],
+        /// When it starts and takes over the versions.
+        start_ms: u64,
+        sole: Option<&'static str>,
+        /// Version that it takes for the only one when a stream's lifetime has passed since.
+        sole_later: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "one version",
+            changes: &[(START_MS, &["v1"])],
+            now: &["v1"],
+            start_ms: 5_000,
+            sole: Some("v1"),
+            sole_later: Some("v1"),
+        },
+        Case {
+            name: "two versions",
+            changes: &[(START_MS, &["v1", "v2"])],
+            now: &["v1", "v2"],
+            start_ms: 5_000,
+            sole: None,
+            sole_later: None,
+        },
+        Case {
+            name: "a version that is gone, but not for long enough",
+            changes: &[(START_MS, &["v1", "v2"]), (5_000, &["v2"])],
+            now: &["v2"],
+            start_ms: 5_000 + LIFETIME_MS - 1,
+            sole: None,
+            sole_later: Some("v2"),
+        },
+        Case {
+            name: "a version that is gone for long",
+            changes: &[(START_MS, &["v1", "v2"]), (5_000, &["v2"])],
+            now: &["v2"],
+            start_ms: 5_000 + LIFETIME_MS,
+            sole: Some("v2"),
+            sole_later: Some("v2"),
+        },
+        Case {
+            name: "a version that was gone during the restart",
+            changes: &[(START_MS, &["v1"])],
+            now: &["v2"],
+            start_ms: 5_000,
+            sole: None,
+            sole_later: Some("v2"),
+        },
+        Case {
+            name: "a version that has appeared during the restart",
+            changes: &[(START_MS, &["v1"])],
+            now: &["v1", "v2"],
+            start_ms: 5_000,
+            sole: None,
+            sole_later: None,
+        },
+    ];
+    const N_RESTARTS: u64 = 3;
+    for case in cases {
+        let mut first = new_origins();
+        for (at_ms, versions) in case.changes {
+            set_versions(&mut first, versions, true, *at_ms);
+        }
+        let mut previous = first;
+        // Each node takes over from the one that has started before it.
+        for restart in 0..N_RESTARTS {
+            let is_listed_first = restart % 2 == 0;
+            let mut started = new_origins();
+            assert_eq!(started.histories(case.start_ms), None, "{}: not complete", case.name);
+            if is_listed_first {
+                set_versions(&mut started, case.now, false, case.start_ms);
+            }
+            started.adopt(&previous.histories(case.start_ms).unwrap(), case.start_ms);
+            if !is_listed_first {
+                set_versions(&mut started, case.now, false, case.start_ms);
+            }
+            let service = origin("v1").service;
+            let sole = started.sole_origin(service, case.start_ms);
+            assert_eq!(sole, case.sole.map(origin), "{}, restart {restart}", case.name);
+            let later_ms = case.start_ms + LIFETIME_MS;
+            let sole = started.sole_origin(service, later_ms);
+            assert_eq!(sole, case.sole_later.map(origin), "{}, later", case.name);
+            previous = started;
+        }
+    }
+}
+
 /// Guards against streams that began just before a second version appears and whose holders never hear of them.
 #[test]
 fn holders_are_told_of_all_running_streams_when_a_second_version_appears() {
