--- a/crates/lentilhitch/tests/edge_store_eras.rs
+++ b/crates/lentilhitch/tests/edge_store_eras.rs
@@ -101,10 +101,52 @@
     let calls = reported();
     let tokens: Vec<u64> = calls.iter().map(|it| it.1).collect();
     assert!(tokens.is_sorted(), "{tokens:?}");
-    let mut counts: BTreeMap<u64, Value> = BTreeMap::new();
-    for (holder, token, report) in calls {
+    assert_windows_have_one_count(&calls);
+}
+
+/// Guards against a usage window that is reported again with other counts, because the store has lost the decision on it
+/// and the node that made it is gone.
+#[tokio::test]
+async fn reported_window_is_not_decided_again_after_its_holder_is_gone() {
+    const N_CALLS: u64 = 10;
+    // The window may still be reported when the next holder has the lease.
+    let options = SiteOptions {
+        n_nodes: 3,
+        usage_window_s: 2.0,
+        usage_delay_s: 10.0,
+        ..SiteOptions::default()
+    };
+    let mut site = Site::start(options).await.unwrap();
+    let store = site.store.clone();
+    let reported = || store.duty_calls("usage");
+    until("usage is reported", || async { 1 < reported().len() }).await.unwrap();
+    let holder = reported().last().unwrap().0.clone();
+    let holder_idx = site.nodes.iter().position(|it| it.process.name == holder).unwrap();
+    site.store.take_copy();
+    for idx in 0..N_CALLS {
+        let id = format!("d{idx}");
+        assert_eq!(site.call(holder_idx, &id, "/book/x").await.unwrap().status, 200);
+    }
+    let n_counted = || {
+        let counts = reported().into_iter().map(|it| it.2["counts"]["etna"].as_u64().unwrap_or(0));
+        counts.sum::<u64>()
+    };
+    until("the calls are reported", || async { N_CALLS <= n_counted() }).await.unwrap();
+    site.nodes[holder_idx].process.kill();
+    site.store.restore();
+    until("another node reports usage", || async {
+        2 <= reported().iter().filter(|it| it.0 != holder).count()
+    })
+    .await
+    .unwrap();
+    assert_windows_have_one_count(&reported());
+}
+
+fn assert_windows_have_one_count(reports: &[(String, u64, Value)]) {
+    let mut counts: BTreeMap<u64, &Value> = BTreeMap::new();
+    for (holder, token, report) in reports {
         let window = report["windowId"].as_u64().unwrap();
-        let first = counts.entry(window).or_insert_with(|| report["counts"].clone());
-        assert_eq!(*first, report["counts"], "window {window} by {holder} under {token}");
+        let first = counts.entry(window).or_insert(&report["counts"]);
+        assert_eq!(**first, report["counts"], "window {window} by {holder} under {token}");
     }
 }
--- a/crates/lentilhitch/tests/edge_unframed.rs
+++ b/crates/lentilhitch/tests/edge_unframed.rs
@@ -39,6 +39,7 @@
     n_versions: 1,
     has_links: false,
     usage_window_s: 1.0,
+    usage_delay_s: 4.0,
 };
 
 async fn start(service: &str, script: RawScript) -> (Site, RawUpstream) {
--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -19,6 +19,7 @@
     n_versions: 2,
     has_links: false,
     usage_window_s: 1.0,
+    usage_delay_s: 4.0,
 };
 
 /// Starts a site and waits until each node knows the others.
--- a/crates/lentilhitch_gateway/src/duties/usage.rs
+++ b/crates/lentilhitch_gateway/src/duties/usage.rs
@@ -4,7 +4,9 @@
 
 use tokio::time::sleep;
 
-use lentilhitch_policy::usage::{self, Decision, NodeCounts, UsageLedger, WindowNumber};
+use lentilhitch_policy::usage::{
+    self, Decision, DecisionRecord, NodeCounts, Tenure, UsageLedger, WindowNumber,
+};
 use lentilhitch_types::LogPosition;
 
 use crate::{
@@ -89,6 +91,7 @@
     let mut is_restore_pending = false;
     loop {
         sleep(USAGE_CHECK_INTERVAL).await;
+        note_era(&node, &mut ledger);
         is_restore_pending |= restored.has_changed().unwrap_or(false);
         restored.mark_unchanged();
         if is_restore_pending {
@@ -103,13 +106,26 @@
             term = None;
             continue;
         }
-        let current = term.get_or_insert_default();
+        let current = term.get_or_insert_with(|| UsageTerm::new(node.synced_ms()));
         if let Err(err) = current.step(&node, &duty, &mut ledger).await {
             log::info!(error:% = err; "failed to report usage; will be retried");
         }
     }
 }
 
+/// Notes since when the current era of the store is known. At the first start of the deployment there was no era before.
+fn note_era<P>(node: &Node<P>, ledger: &mut UsageLedger) {
+    let Some(era) = node.state.borrow().store_era.current() else { return };
+    let is_first = node.settings.is_first_start && ledger.knows_no_era();
+    ledger.on_era(era, if is_first { 0 } else { node.synced_ms() });
+}
+
+/// Returns a decision as it is written to the store now.
+fn record_of<P>(node: &Node<P>, decision: Decision) -> DecisionRecord {
+    let era = node.state.borrow().store_era.current();
+    DecisionRecord::new(decision, era.map(|it| (it, node.synced_ms())))
+}
+
 /// Writes the known decisions again that the store has lost.
 async fn write_lost_decisions<P: Platform>(
     node: &Rc<Node<P>>,
@@ -120,19 +136,20 @@
         return Ok(());
     }
     let records = node.read_all(Topic::Decisions, &mut LogPosition::default()).await?;
-    let present: Vec<Decision> = records.iter().filter_map(decode).collect();
+    let present: Vec<DecisionRecord> = records.iter().filter_map(decode).collect();
     let is_present = |window: WindowNumber| present.iter().any(|it| it.window == window);
     let lost: Vec<_> = ledger.decisions().filter(|it| !is_present(it.window)).collect();
     for decision in lost {
         log::info!(window = decision.window; "writing lost decision again");
-        node.append(Topic::Decisions, encode(&decision), None).await?;
+        node.append(Topic::Decisions, encode(&record_of(node, decision)), None).await?;
     }
     Ok(())
 }
 
 /// What this node has read of the usage counts and decisions since it acquired the duty lease.
-#[derive(Default)]
 struct UsageTerm {
+    /// Synchronized time from which on this node has held the lease.
+    held_since_ms: u64,
     /// Position in the usage topic from which to read next.
     next_counts: LogPosition,
     /// Position in the decisions topic from which to read next.
@@ -143,6 +160,16 @@
 }
 
 impl UsageTerm {
+    fn new(held_since_ms: u64) -> Self {
+        Self {
+            held_since_ms,
+            next_counts: LogPosition::default(),
+            next_decisions: LogPosition::default(),
+            has_read_decisions: false,
+            last_checkpoint_ms: 0,
+        }
+    }
+
     /// Collects the counts of all nodes, writes them to the store when that is due, and fixes and reports the final
     /// counts of the usage windows that are due.
     async fn step<P: Platform>(
@@ -163,7 +190,7 @@
             ledger.insert_counts(counts);
         }
         ledger.tick(synced_ms);
-        let (now_ms, n_nodes) = (node.now_ms(), node.n_nodes());
+        let now_ms = node.now_ms();
         if self.last_checkpoint_ms + CHECKPOINT_INTERVAL_MS <= now_ms {
             self.last_checkpoint_ms = now_ms;
             write_counts(node, ledger.undecided_counts()).await?;
@@ -180,7 +207,7 @@
         if !std::mem::replace(&mut self.has_read_decisions, true) {
             self.read_decisions(node, ledger).await?;
         }
-        while let Some(decision) = ledger.next_decision(n_nodes, node.synced_ms()) {
+        while let Some(decision) = self.next_decision(node, ledger) {
             if duty.borrow_mut().permit(node.now_ms()).is_none() {
                 return Ok(());
             }
@@ -204,6 +231,17 @@
         Ok(())
     }
 
+    /// Returns the next window to decide, with its counts. The era of the store may have changed since the last one.
+    fn next_decision<P>(&self, node: &Node<P>, ledger: &mut UsageLedger) -> Option<Decision> {
+        let synced_ms = node.synced_ms();
+        let era = node.state.borrow().store_era.current();
+        let tenure = Tenure { held_since_ms: self.held_since_ms, era };
+        for window in ledger.give_up_windows(tenure, synced_ms) {
+            log::warn!(window, held_since_ms = self.held_since_ms; "usage window is not decided, since the store may have lost a decision on it");
+        }
+        ledger.next_decision(node.n_nodes(), synced_ms)
+    }
+
     /// Reads the decisions (final counts of usage windows) that were written since the last read.
     async fn read_decisions<P: Platform>(
         &mut self,
@@ -211,8 +249,8 @@
         ledger: &mut UsageLedger,
     ) -> Result<(), CallError> {
         for record in node.read_all(Topic::Decisions, &mut self.next_decisions).await? {
-            if let Some(decision) = decode(&record) {
-                ledger.insert_decision(decision);
+            if let Some(record) = decode(&record) {
+                ledger.insert_record(record);
             }
         }
         Ok(())
@@ -227,7 +265,8 @@
         decision: Decision,
     ) -> Result<(), CallError> {
         let at = Some(self.next_decisions);
-        match node.append(Topic::Decisions, encode(&decision), at).await? {
+        let record = record_of(node, decision.clone());
+        match node.append(Topic::Decisions, encode(&record), at).await? {
             AppendResult::Appended(position) => {
                 self.next_decisions = position.next();
                 ledger.insert_decision(decision);
--- a/crates/lentilhitch_policy/src/usage.rs
+++ b/crates/lentilhitch_policy/src/usage.rs
@@ -6,13 +6,17 @@
 //! node that knows of no holder writes its own counts there. The holder decides on the final counts of a window, and
 //! writes this decision to a second topic before it reports the window to the platform, so that a successor reports the
 //! same counts.
+//!
+//! A store that returns from a copy may have lost decisions whose windows were reported. A new holder therefore decides
+//! only on windows on which no lost decision can exist: those that ended when the current era of the store had begun. A
+//! node that has held the lease since the end of a window has made any decision on it itself, and knows it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
-use lentilhitch_types::{InstanceName, TeamName};
+use lentilhitch_types::{InstanceName, StoreEra, TeamName};
 
 /// Number of requests of each team.
 pub type Counts = BTreeMap<TeamName, u64>;
@@ -82,13 +86,39 @@
     }
 }
 
-/// The final counts of one window, as written to the topic.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// The final counts of one window.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Decision {
     pub window: WindowNumber,
     pub counts: Counts,
 }
 
+/// A decision, as written to the topic.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DecisionRecord {
+    pub window: WindowNumber,
+    pub counts: Counts,
+    /// Era of the store in which this was written, as the writer knew it, and the synchronized time of the writing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub written: Option<(StoreEra, u64)>,
+}
+
+impl DecisionRecord {
+    pub fn new(decision: Decision, written: Option<(StoreEra, u64)>) -> Self {
+        let Decision { window, counts } = decision;
+        Self { window, counts, written }
+    }
+}
+
+/// What a holder knows of its lease and of the store when it decides on windows.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenure {
+    /// Synchronized time from which on this node has held the lease without interruption.
+    pub held_since_ms: u64,
+    /// Current era of the store, or `None` if the store has not been reached yet.
+    pub era: Option<StoreEra>,
+}
+
 /// Settings for decisions of the holder.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -115,6 +145,10 @@
     nodes: FxHashMap<(InstanceName, u64), NodeCounts>,
     decided: BTreeMap<WindowNumber, Counts>,
     reported: BTreeSet<WindowNumber>,
+    /// Windows that this node does not decide on, since a decision on them may be lost.
+    given_up: BTreeSet<WindowNumber>,
+    /// For each era of the store, the earliest time by which it is known to have begun.
+    era_known_ms: BTreeMap<StoreEra, u64>,
 }
 
 impl UsageLedger {
@@ -125,6 +159,8 @@
             nodes: FxHashMap::default(),
             decided: BTreeMap::new(),
             reported: BTreeSet::new(),
+            given_up: BTreeSet::new(),
+            era_known_ms: BTreeMap::new(),
         }
     }
 
@@ -154,6 +190,39 @@
         self.decided.entry(decision.window).or_insert(decision.counts);
     }
 
+    /// Inserts a decision that was read from the topic.
+    pub fn insert_record(&mut self, record: DecisionRecord) {
+        let DecisionRecord { window, counts, written } = record;
+        if let Some((era, written_ms)) = written {
+            self.on_era(era, written_ms);
+        }
+        self.insert_decision(Decision { window, counts });
+    }
+
+    /// Records that an era of the store had begun at the given time.
+    pub fn on_era(&mut self, era: StoreEra, synced_ms: u64) {
+        let known_ms = self.era_known_ms.entry(era).or_insert(synced_ms);
+        *known_ms = synced_ms.min(*known_ms);
+    }
+
+    /// Returns whether no era of the store is known yet.
+    pub fn knows_no_era(&self) -> bool {
+        self.era_known_ms.is_empty()
+    }
+
+    /// Gives up the windows on which a decision that is not known may exist. Returns those that were not given up before.
+    pub fn give_up_windows(&mut self, tenure: Tenure, synced_ms: u64) -> Vec<WindowNumber> {
+        let Tenure { held_since_ms, era } = tenure;
+        let era_known_ms = era.and_then(|it| self.era_known_ms.get(&it));
+        let safe_from_ms = era_known_ms.map_or(held_since_ms, |it| held_since_ms.min(*it));
+        let ended_before = |it: &WindowNumber| (it + 1) * self.settings.window_ms < safe_from_ms;
+        let due = self.first_to_decide(synced_ms)..synced_ms / self.settings.window_ms;
+        let lost = due.filter(|it| ended_before(it) && !self.decided.contains_key(it));
+        let lost: Vec<_> = lost.filter(|it| !self.given_up.contains(it)).collect();
+        self.given_up.extend(&lost);
+        lost
+    }
+
     /// Returns the known decisions.
     pub fn decisions(&self) -> impl Iterator<Item = Decision> {
         self.decided
@@ -163,9 +232,8 @@
 
     /// Returns the next window to decide, with its counts. `n_nodes` is the number of nodes that are known to run.
     pub fn next_decision(&self, n_nodes: usize, synced_ms: u64) -> Option<Decision> {
-        let Settings { window_ms, settle_ms, wait_max_ms, report_age_max_ms } = self.settings;
-        let current = synced_ms / window_ms;
-        let first = (synced_ms.saturating_sub(report_age_max_ms + window_ms) / window_ms) + 1;
+        let Settings { window_ms, settle_ms, wait_max_ms, .. } = self.settings;
+        let due = self.first_to_decide(synced_ms)..synced_ms / window_ms;
         // Earlier incarnations of a restarted node are not waited for. Their counts are still added up below.
         let mut latest_through_ms: FxHashMap<&InstanceName, u64> = FxHashMap::default();
         for ((node, _), it) in &self.nodes {
@@ -180,7 +248,8 @@
             let all_past = n_nodes.max(n_counted) <= n_past;
             end_ms + settle_ms <= synced_ms && (all_past || end_ms + wait_max_ms <= synced_ms)
         };
-        let window = (first..current).find(|it| !self.decided.contains_key(it) && is_due(it))?;
+        let is_open = |it: &WindowNumber| !self.is_settled(*it);
+        let window = due.filter(is_open).find(is_due)?;
         let mut counts = Counts::new();
         for node in self.nodes.values() {
             for (team, n) in node.windows.get(&window).into_iter().flatten() {
@@ -190,10 +259,21 @@
         Some(Decision { window, counts })
     }
 
+    /// Returns the first window that may still be decided.
+    fn first_to_decide(&self, synced_ms: u64) -> WindowNumber {
+        let Settings { window_ms, report_age_max_ms, .. } = self.settings;
+        synced_ms.saturating_sub(report_age_max_ms + window_ms) / window_ms + 1
+    }
+
+    /// Returns whether this node has nothing more to decide on a window.
+    fn is_settled(&self, window: WindowNumber) -> bool {
+        self.decided.contains_key(&window) || self.given_up.contains(&window)
+    }
+
     /// Returns whether the last window that ended is undecided, or any decided window is still to be reported.
     pub fn has_pending_window(&self, synced_ms: u64) -> bool {
         let last = (synced_ms / self.settings.window_ms).saturating_sub(1);
-        !self.decided.contains_key(&last) || self.next_report(synced_ms).is_some()
+        !self.is_settled(last) || self.next_report(synced_ms).is_some()
     }
 
     /// Returns the next decided window to report.
@@ -216,6 +296,7 @@
         let oldest = (synced_ms / self.settings.window_ms).saturating_sub(20);
         self.decided = self.decided.split_off(&oldest);
         self.reported = self.reported.split_off(&oldest);
+        self.given_up = self.given_up.split_off(&oldest);
         let oldest_ms = oldest * self.settings.window_ms;
         self.nodes.retain(|_, it| oldest_ms <= it.through_ms);
     }
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -32,6 +32,8 @@
     pub has_links: bool,
     /// Duration of a usage window in seconds.
     pub usage_window_s: f64,
+    /// Time after the end of a usage window until which it may be reported, in seconds.
+    pub usage_delay_s: f64,
 }
 
 impl Default for SiteOptions {
@@ -43,6 +45,7 @@
             n_versions: 1,
             has_links: false,
             usage_window_s: 1.0,
+            usage_delay_s: 4.0,
         }
     }
 }
@@ -194,7 +197,10 @@
             "listen": { "frontend": front.to_string(), "ready": ready.to_string() },
             "portRange": [first_port, first_port + 15], "seeds": [], "bootstrap": true,
             "limits": { "memoryMb": 260 },
-            "bounds": { "usageWindowS": options.usage_window_s, "usageDelayS": 4, "graceS": 6 },
+            "bounds": {
+                "usageWindowS": options.usage_window_s, "usageDelayS": options.usage_delay_s,
+                "graceS": 6,
+            },
             "platform": { "address": store_address.to_string() },
             "cloud": {
                 "address": self.store.cloud_address.to_string(),
