A status that promises "not run" is passed on only if the upstream states so

Cause: a response with status 408, 429 or 503 that does not state that the request was not run was passed on as it was, although the upstream may have run it.

Change: such a response is an attempt of unknown outcome. The request goes elsewhere if it may be repeated; otherwise the client gets 502. What the response says of its upstream still counts.

Before: edge_promises fails (408 with the upstream's stamp). After: it passes, direct and through a peer, with edge_path and edge_statements.

Conclusion: fixed for certain is this fault; that it made the users' figures is suspected, since their record leaves the upstreams' statuses out.

--- a/crates/lentilhitch/tests/edge_promises.rs
+++ b/crates/lentilhitch/tests/edge_promises.rs
@@ -98,3 +98,49 @@
         }
     }
 }
+
+/// Guards against a client that is told that its request has not run, though it may have, because an upstream responds with
+/// a status that means so and does not state it.
+#[tokio::test]
+async fn status_of_an_upstream_is_no_promise_without_the_statement_that_the_request_has_not_run() {
+    struct Case {
+        name: &'static str,
+        response: &'static str,
+        status: u16,
+    }
+    let unstated = "x-server-stamp: s\r\ncontent-length: 0\r\n\r\n";
+    let with_id =
+        |status: &str| format!("HTTP/1.1 {status} No\r\nx-attempt-id: {{id}}\r\n{unstated}");
+    let cases = [
+        Case { name: "408", response: with_id("408").leak(), status: 502 },
+        Case { name: "429", response: with_id("429").leak(), status: 502 },
+        Case { name: "503", response: with_id("503").leak(), status: 502 },
+        Case {
+            name: "503, stated without an id",
+            response: "HTTP/1.1 503 No\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+            status: 502,
+        },
+        Case {
+            name: "421 without an id",
+            response: "HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n",
+            status: 502,
+        },
+        Case { name: "500", response: with_id("500").leak(), status: 500 },
+        Case {
+            name: "stated",
+            response: rejection!("503", "content-length: 0\r\n\r\n"),
+            status: 503,
+        },
+    ];
+    for Case { name, response, status } in cases {
+        for way in [Way::Direct, Way::ThroughPeer] {
+            let responses = vec![RawResponse { start: response, end: RawEnd::KeepOpen }];
+            let (site, upstream) = start(way, responses).await;
+            call_until_reached(&site, &upstream).await;
+            let response = site.call(0, "second", "/book/x").await.unwrap();
+            assert_eq!(response.status, status, "{name}, {way:?}: {response:?}");
+            let has_stamp = !response.header("x-server-stamp").is_empty();
+            assert_eq!(has_stamp, status == 500, "{name}, {way:?}: {response:?}");
+        }
+    }
+}
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -107,6 +107,8 @@
     NotRun,
     /// The upstream at this address is not the one that the request was meant for.
     Misdirected,
+    /// The status would tell a client that its request has not run, but the upstream does not state so.
+    Unstated,
 }
 
 /// Decoded head of an upstream's response.
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -294,6 +294,10 @@
             assignment.set_result(AttemptResult::Full);
             Some(AttemptOutcome::NotRun("the upstream is full"))
         }
+        ResponseKind::Unstated => {
+            assignment.set_result(AttemptResult::Failed);
+            Some(AttemptOutcome::Unknown("the answer does not state whether the request ran"))
+        }
         ResponseKind::Misdirected => {
             assignment.set_result(AttemptResult::Unreachable);
             return AttemptOutcome::NotRun("another upstream has the address");
