One account for the memory of bodies; what is not sent again is not held

Cause: only bodies that were being read were counted. From the end of the read on nobody counted the body of a request that ran, or a response that a slow client had not read, with the spare capacity of their buffers.

Change: a body is charged from its first byte, and the charge is bound to the bytes: it ends when their last copy is dropped, also in the HTTP library. In the last attempt of a request that must not be repeated the library alone has the body and drops it once written. The bound is the memory of the node less what the rest of the process takes, measured each second. A body of over 64 KiB is also limited by what is free, for each team, for responses and for peers. The account is in lentilhitch_policy.

Conclusion: memory of bodies has a bound that is met before a request is sent.

--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -1,8 +1,8 @@
 //! Admission of client requests: determines route, team and service, reads the body and applies the limits.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{header, request};
 use http_body::Body as _;
 use http_body_util::BodyExt as _;
@@ -10,18 +10,18 @@
 use tokio::time::timeout;
 
 use lentilhitch_policy::{
+    body_memory::{BodyBuffer, BodyError, Owner, Reservation},
     placement::Prompt,
     shared_rate::ClusterView,
     stream_origins::StreamOrigin,
     suspects::Suspect,
-    traffic::{Route, RouteTable, Team},
+    traffic::{ClientLimits, Route, RouteTable, Team},
 };
 use lentilhitch_types::{Fingerprint, ServiceName, TeamName};
 
 use crate::{
-    body_memory::{BodyMemoryGuard, MemoryExhausted},
     client_response::Rejection,
-    node::{Node, NodePhase},
+    node::{Node, NodePhase, short_hash},
     platform::{Platform, RequestHead},
 };
 
@@ -32,7 +32,8 @@
 pub(crate) struct AdmittedRequest {
     /// Method, URI and headers as received from the client.
     pub(crate) parts: request::Parts,
-    pub(crate) body: Bytes,
+    /// Empty while the last sending that is allowed has it.
+    pub(crate) body: RefCell<Bytes>,
     /// Values decoded from the headers in `parts`.
     pub(crate) head: RequestHead,
     pub(crate) route: Route,
@@ -67,7 +68,7 @@
     node: &Rc<Node<P>>,
     parts: request::Parts,
     head: RequestHead,
-    body: Incoming,
+    body: &mut Incoming,
     arrived_ms: u64,
 ) -> Result<AdmittedRequest, Rejection> {
     if *node.phase.borrow() == NodePhase::Closing {
@@ -85,7 +86,8 @@
     let (team, priority) =
         find_team(&head, &route, &table).map_err(|it| node.replace_if_config_stale(it))?;
     let limits = table.config.limits;
-    let body = read_body(node, body, limits.body_bytes, limits.idle_timeout_ms).await?;
+    let owner = Owner::Team(team.map(|it| short_hash(it.name.as_str())));
+    let body = read_body(node, body, owner, limits).await?;
     let client_timeout_ms = head.deadline_ms.unwrap_or(CLIENT_TIMEOUT_DEFAULT_MS);
     let deadline_at_ms = arrived_ms + route.timeout_ms.unwrap_or(u64::MAX).min(client_timeout_ms);
     let service = {
@@ -110,7 +112,7 @@
     let team = team.map(|it| it.name.clone());
     Ok(AdmittedRequest {
         parts,
-        body,
+        body: RefCell::new(body),
         head,
         route,
         service,
@@ -143,47 +145,39 @@
     Ok((Some(team), team.priority.unwrap_or(route.priority)))
 }
 
-/// Reads a body of at most `bytes_max` bytes. Fails if no data arrives for `idle_timeout_ms`.
+/// Reads a body. Fails if no data arrives for the idle timeout of clients.
 async fn read_body<P>(
     node: &Rc<Node<P>>,
-    mut body: Incoming,
-    bytes_max: usize,
-    idle_timeout_ms: u64,
+    body: &mut Incoming,
+    owner: Owner,
+    limits: ClientLimits,
 ) -> Result<Bytes, Rejection> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    if body.size_hint().lower() > bytes_max as u64 {
+    let stated_bytes = body.size_hint().lower();
+    if (limits.body_bytes as u64) < stated_bytes {
         return Err(Rejection::BodyTooLarge);
     }
-    let mut memory = BodyMemoryGuard::new(node);
-    let mut buffer = BytesMut::new();
-    let mut single_chunk: Option<Bytes> = None;
+    let reservation = Reservation::new(&node.body_memory, owner);
+    let mut buffer = BodyBuffer::new(reservation, limits.body_bytes, stated_bytes);
+    let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
     loop {
-        let frame = match timeout(Duration::from_millis(idle_timeout_ms), body.frame()).await {
+        let frame = match timeout(idle_timeout, body.frame()).await {
             Err(_) => return Err(Rejection::BodyTimeout),
-            Ok(None) => break,
+            Ok(None) => return Ok(buffer.finish()),
             Ok(Some(Err(_))) => return Err(Rejection::Malformed("the body is broken")),
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(chunk) = frame.into_data() else { continue };
-        memory.reserve(chunk.len()).map_err(|MemoryExhausted| Rejection::Unavailable {
-            reason: "too many bodies are being read",
-            retry_after_ms: RETRY_AFTER_DEFAULT_MS,
+        buffer.push(chunk).map_err(|err| match err {
+            BodyError::TooLarge => Rejection::BodyTooLarge,
+            BodyError::MemoryExhausted => Rejection::Unavailable {
+                reason: "no memory for the body",
+                retry_after_ms: RETRY_AFTER_DEFAULT_MS,
+            },
         })?;
-        if bytes_max < memory.n_bytes() {
-            return Err(Rejection::BodyTooLarge);
-        }
-        match single_chunk.take() {
-            None if buffer.is_empty() => single_chunk = Some(chunk),
-            Some(first_chunk) => {
-                buffer.extend_from_slice(&first_chunk);
-                buffer.extend_from_slice(&chunk);
-            }
-            None => buffer.extend_from_slice(&chunk),
-        }
     }
-    Ok(single_chunk.unwrap_or_else(|| buffer.freeze()))
 }
 
 impl<P: Platform> Node<P> {
--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -8,7 +8,7 @@
     catalog::Upstream,
     retry::{self, Repeatable},
     stream_origins::{StreamKey, StreamOrigin},
-    traffic::UpstreamEntry,
+    traffic::{Repeat, UpstreamEntry},
 };
 use lentilhitch_types::UpstreamName;
 
@@ -77,6 +77,12 @@
             && SEND_REMAINING_MIN_MS < remaining_ms
     }
 
+    /// Returns whether the next attempt is the last, whatever becomes of it once the request is sent.
+    fn is_last_attempt(&self) -> bool {
+        self.admitted.route.repeat == Repeat::AtMostOnce
+            && self.admitted.route.attempts_max <= self.n_attempts_at_ready_upstreams() + 1
+    }
+
     /// Returns the number of attempts that count toward the route's maximum: those in `sent_to` whose upstream
     /// incarnation is still ready. Attempts at upstreams that have ended, were restarted or are leaving do not count.
     /// An attempt is added to `sent_to` when its outcome is known, so the current attempt does not count either. An
@@ -185,8 +191,15 @@
         let admitted = self.admitted.clone();
         self.log_send(&entry, assignment.uncached_tokens());
         let head_timeout_ms = self.head_timeout_ms(now_ms);
-        let params =
-            AttemptParams { admitted: &admitted, entry, head_timeout_ms, resume_after, kv_copy };
+        let is_last = self.is_last_attempt();
+        let params = AttemptParams {
+            admitted: &admitted,
+            entry,
+            head_timeout_ms,
+            resume_after,
+            kv_copy,
+            is_last,
+        };
         let outcome = upstream_attempt::run(&self.node, params, assignment).await;
         self.node.metrics.record_attempt(match &outcome {
             AttemptOutcome::Responded(_) => "answered",
@@ -209,7 +222,10 @@
             }
             AttemptOutcome::NotRun(reason) => {
                 self.sent_to.push(incarnation.clone());
-                if self.admitted.route.attempts_max <= self.n_attempts_at_ready_upstreams() {
+                // The body of a request may have been released when its last attempt began.
+                if is_last
+                    || self.admitted.route.attempts_max <= self.n_attempts_at_ready_upstreams()
+                {
                     return Err(self.rejection(reason));
                 }
             }
--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -24,7 +24,7 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived_ms = node.now_ms();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let in_flight = InFlightGuard::new(&node.n_in_flight);
     let response = match P::decode_request(&parts) {
         Err(invalid) => {
@@ -33,7 +33,7 @@
         }
         Ok(head) => {
             let (id, resumed) = (head.id.clone(), head.resumed_id.clone());
-            match admit(&node, parts, head, body, arrived_ms).await {
+            match admit(&node, parts, head, &mut body, arrived_ms).await {
                 Ok(admitted) => serve_admitted(&node, admitted).await,
                 Err(rejection) => {
                     let resumed = resumed.as_deref();
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -26,7 +26,6 @@
 
 mod admission;
 mod attempts;
-mod body_memory;
 mod client_io;
 mod client_response;
 mod clock;
@@ -36,6 +35,7 @@
 mod forward;
 mod gossip;
 mod ingress;
+mod memory_watch;
 mod metrics;
 mod node;
 mod outbox;
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
 };
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use lentilhitch_policy::{
+    body_memory::BodyMemory,
     brittle,
     catalog::{self, Catalog, Change, Upstream},
     config_announcements::ConfigAnnouncements,
@@ -81,6 +83,8 @@
     pub(crate) n_at_upstreams: Cell<usize>,
     /// Whether upstreams are being probed to tell a crash from a partition of this node.
     pub(crate) is_probing: Cell<bool>,
+    /// Memory that bodies of requests and responses take.
+    pub(crate) body_memory: Arc<BodyMemory>,
     /// Number of requests whose responses have not been sent completely.
     pub(crate) n_in_flight: Rc<Cell<usize>>,
     pub(crate) phase: watch::Sender<NodePhase>,
@@ -170,8 +174,6 @@
     /// shows that the node has written a new record.
     pub(crate) last_node_records: FxHashMap<u64, (u64, u64)>,
     pub(crate) rng: SmallRng,
-    /// Number of bytes of request and response bodies that are being read.
-    pub(crate) buffered_bytes: usize,
     /// End of the duty topic after this node's last claim or renewal, while this node holds the duty lease.
     pub(crate) local_duty_topic_end: Option<LogPosition>,
     /// End of the duty topic as last received from the holder of the duty lease, and when it was received.
@@ -287,13 +289,13 @@
             other_demand: (FxHashMap::default(), 0),
             last_node_records: FxHashMap::default(),
             rng: SmallRng::seed_from_u64(seed),
-            buffered_bytes: 0,
         };
         let metrics = Metrics::new()?;
         let (phase, _) = watch::channel(NodePhase::Serving);
         let (upstreams_leaving, _) = watch::channel(());
         let (store_restored, _) = watch::channel(StoreEra::default());
         let outbox = Outbox::new(settings.link_bytes_per_s);
+        let body_memory = BodyMemory::new(settings.memory_bytes);
         Ok(Self {
             settings,
             outbox,
@@ -307,6 +309,7 @@
             n_at_upstreams: Cell::default(),
             is_probing: Cell::default(),
             state: RefCell::new(state),
+            body_memory,
             n_in_flight: Rc::default(),
             phase,
             inquiries: Inquiries::default(),
--- a/crates/lentilhitch_gateway/src/peer_relay.rs
+++ b/crates/lentilhitch_gateway/src/peer_relay.rs
@@ -10,14 +10,18 @@
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, response};
+use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::{sync::mpsc, time::timeout};
 
-use lentilhitch_policy::{stream_end::EndMarker, traffic::UpstreamEntry};
+use lentilhitch_policy::{
+    body_memory::{BodyBuffer, BodyError, Owner, Reservation},
+    stream_end::EndMarker,
+    traffic::UpstreamEntry,
+};
 
 use crate::{
-    body_memory::BodyMemoryGuard,
     client_response::{InFlightGuard, ResponseBody, StreamAborted},
     node::{Node, NodePhase},
     platform::{Platform, ResponseKind},
@@ -112,7 +116,7 @@
             Some(it) if it == RESULT_PASSED.as_bytes() => SendResult::Response(response),
             Some(it) if it == RESULT_NOT_SENT.as_bytes() => {
                 self.on_peer_failed(peer);
-                SendResult::NotSent
+                SendResult::NotSent(None)
             }
             _ => SendResult::Broken(SendError::BrokenAtPeer),
         }
@@ -156,7 +160,7 @@
     let (mut parts, body) = request.into_parts();
     parts.headers.remove(UPSTREAM);
     let id = P::decode_request(&parts).map_err(|_| Failure::not_sent("malformed request"))?.id;
-    let body = read_body(node, body).await.map_err(Failure::not_sent)?;
+    let mut body = read_body(node, body).await.map_err(Failure::not_sent)?;
     let mut pooled = node.take_pooled(&upstream.id, u64::MAX);
     loop {
         let mut connection = match pooled.take() {
@@ -164,10 +168,10 @@
             None => open(node, &upstream).await?,
         };
         let was_fresh = connection.is_fresh;
-        let request = Request::from_parts(parts.clone(), Full::new(body.clone()));
+        let request = Request::from_parts(parts.clone(), Full::new(std::mem::take(&mut body)));
         match connection.send(request).await {
-            SendResult::NotSent if !was_fresh => {}
-            SendResult::NotSent => return Err(Failure::not_sent("the connection was closed")),
+            SendResult::NotSent(Some(unsent)) if !was_fresh => body = unsent,
+            SendResult::NotSent(_) => return Err(Failure::not_sent("the connection was closed")),
             SendResult::Broken(_) => {
                 return Err(Failure { result: RESULT_BROKEN, reason: "the connection broke" });
             }
@@ -232,20 +236,19 @@
 ) -> Result<Bytes, &'static str> {
     let limits = node.client_limits();
     let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
-    let mut memory = BodyMemoryGuard::new(node);
-    let mut buffer = Vec::new();
+    let reservation = Reservation::new(&node.body_memory, Owner::Peers);
+    let mut buffer = BodyBuffer::new(reservation, limits.body_bytes, body.size_hint().lower());
     while let Some(frame) =
         timeout(idle_timeout, body.frame()).await.map_err(|_| "the body did not come in time")?
     {
         let frame = frame.map_err(|_| "the body is broken")?;
         let Ok(chunk) = frame.into_data() else { continue };
-        memory.reserve(chunk.len()).map_err(|_| "no memory for the body")?;
-        if limits.body_bytes < memory.n_bytes() {
-            return Err("the body is too large");
-        }
-        buffer.extend_from_slice(&chunk);
+        buffer.push(chunk).map_err(|err| match err {
+            BodyError::TooLarge => "the body is too large",
+            BodyError::MemoryExhausted => "no memory for the body",
+        })?;
     }
-    Ok(buffer.into())
+    Ok(buffer.finish())
 }
 
 /// Starts to pass on the response of an upstream.
--- a/crates/lentilhitch_gateway/src/pool.rs
+++ b/crates/lentilhitch_gateway/src/pool.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt as _, Full};
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
@@ -64,8 +64,8 @@
 /// Result of sending a request.
 pub(crate) enum SendResult {
     Response(Response<Incoming>),
-    /// No byte was sent.
-    NotSent,
+    /// No byte was sent to the upstream. Has the body of the request if none was sent to a peer either.
+    NotSent(Option<Bytes>),
     /// The connection broke after the request may have reached the upstream.
     Broken(SendError),
 }
@@ -113,7 +113,7 @@
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(&mut self, mut request: Request<Full<Bytes>>) -> SendResult {
         if self.sender.ready().await.is_err() {
-            return SendResult::NotSent;
+            return SendResult::NotSent(Some(into_bytes(request).await));
         }
         self.is_fresh = false;
         let informational = Arc::new(InformationalResponses::default());
@@ -128,13 +128,20 @@
         match result {
             Ok(response) => SendResult::Response(response),
             Err(mut err) => match err.take_message() {
-                Some(_) => SendResult::NotSent,
+                Some(request) => SendResult::NotSent(Some(into_bytes(request).await)),
                 None => SendResult::Broken(SendError::Http(err.into_error())),
             },
         }
     }
 }
 
+async fn into_bytes(request: Request<Full<Bytes>>) -> Bytes {
+    match request.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(never) => match never {},
+    }
+}
+
 /// Informational responses to one request.
 #[derive(Default)]
 struct InformationalResponses {
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    discovery, duties, exchange, gossip, ingress,
+    discovery, duties, exchange, gossip, ingress, memory_watch,
     node::{Node, NodePhase},
     platform::Platform,
     settings::NodeSettings,
@@ -57,6 +57,7 @@
     spawn_local(discovery::follow_nodes(node.clone()));
     spawn_local(discovery::tick(node.clone()));
     spawn_local(exchange::run(node.clone()));
+    spawn_local(memory_watch::run(node.clone()));
     spawn_local(upstream_paths::watch(node.clone()));
     spawn_local(version_histories::learn(node.clone()));
     spawn_local(stream_archive::load(node.clone()));
--- a/crates/lentilhitch_gateway/src/run_transfer.rs
+++ b/crates/lentilhitch_gateway/src/run_transfer.rs
@@ -72,7 +72,7 @@
     let mut connection = connection.map_err(|_| RunStop::NotStopped)?;
     let response = match connection.send(request.map(Full::new)).await {
         SendResult::Response(it) => it,
-        SendResult::NotSent => return Err(RunStop::NotStopped),
+        SendResult::NotSent(_) => return Err(RunStop::NotStopped),
         SendResult::Broken(_) => return Err(RunStop::MaybeStopped),
     };
     let (parts, body) = response.into_parts();
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderValue, Request, header, response};
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use lentilhitch_policy::{
+    body_memory::{BodyBuffer, BodyError, Owner, Reservation},
     pauses::PAUSE_MAX_MS,
     placement::{Assignment, AttemptResult},
     stream_end::EndMarker,
@@ -19,7 +20,6 @@
 
 use crate::{
     admission::AdmittedRequest,
-    body_memory::{BodyMemoryGuard, MemoryExhausted},
     node::Node,
     peer_relay,
     platform::{KvCopy, Platform, ResponseHead, ResponseKind, UpstreamRequestHead},
@@ -112,6 +112,8 @@
     pub(crate) head_timeout_ms: u64,
     pub(crate) resume_after: Option<u64>,
     pub(crate) kv_copy: Option<KvCopy>,
+    /// Whether the request is not sent to another upstream once this attempt has begun to send it.
+    pub(crate) is_last: bool,
 }
 
 /// Sends a request to an upstream and reads the head of the response.
@@ -138,8 +140,9 @@
             return AttemptOutcome::NotSent;
         };
         let was_fresh = connection.is_fresh;
-        let mut request = build_request::<P>(&params, node.now_ms());
-        if connection.peer.is_some() {
+        let is_direct = connection.peer.is_none();
+        let mut request = build_request::<P>(&params, is_direct, node.now_ms());
+        if !is_direct {
             peer_relay::address_to(&mut request, entry);
         }
         let send_result = timeout(head_timeout, connection.send(request)).await;
@@ -152,15 +155,18 @@
                 assignment.set_result(AttemptResult::Failed);
                 AttemptOutcome::Unknown("no answer in time")
             }
-            // The pooled connection was closed and nothing was sent, so a new connection is opened.
-            Ok(SendResult::NotSent) if !was_fresh => continue,
-            Ok(SendResult::NotSent)
-                if connection.peer.is_some() && n_failed_at_peers < FAILED_AT_PEERS_MAX =>
-            {
-                n_failed_at_peers += 1;
-                continue;
-            }
-            Ok(SendResult::NotSent) => {
+            Ok(SendResult::NotSent(body)) => {
+                if let Some(body) = body {
+                    admitted.body.replace(body);
+                }
+                // The pooled connection was closed and nothing was sent, so a new connection is opened.
+                if !was_fresh {
+                    continue;
+                }
+                if connection.peer.is_some() && n_failed_at_peers < FAILED_AT_PEERS_MAX {
+                    n_failed_at_peers += 1;
+                    continue;
+                }
                 assignment.set_result(node.connect_failure_result());
                 AttemptOutcome::NotSent
             }
@@ -246,7 +252,11 @@
     node.connect_to_peer(connect_timeout).await
 }
 
-fn build_request<P: Platform>(params: &AttemptParams<'_>, now_ms: u64) -> Request<Full<Bytes>> {
+fn build_request<P: Platform>(
+    params: &AttemptParams<'_>,
+    is_direct: bool,
+    now_ms: u64,
+) -> Request<Full<Bytes>> {
     let admitted = params.admitted;
     let head = UpstreamRequestHead {
         upstream: &params.entry.id,
@@ -256,11 +266,19 @@
         resume_after: params.resume_after,
         kv_copy: params.kv_copy.as_ref(),
     };
-    let mut request = Request::new(Full::new(admitted.body.clone()));
+    // In the last attempt, the HTTP library alone has the body and drops it when it is written. A request that a peer
+    // could not pass on is sent again.
+    let body = if params.is_last && is_direct {
+        admitted.body.take()
+    } else {
+        admitted.body.borrow().clone()
+    };
+    let is_empty = body.is_empty();
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = admitted.parts.method.clone();
     *request.uri_mut() = admitted.parts.uri.clone();
     *request.headers_mut() = P::upstream_headers(&admitted.parts.headers, &head);
-    if admitted.body.is_empty() && admitted.parts.headers.contains_key(header::CONTENT_LENGTH) {
+    if is_empty && admitted.parts.headers.contains_key(header::CONTENT_LENGTH) {
         request.headers_mut().insert(header::CONTENT_LENGTH, 0.into());
     }
     request
@@ -464,24 +482,18 @@
 /// Reads a body of at most [`RESPONSE_BYTES_MAX`], as far as the node has memory for it. A body without a length, which
 /// ends with its connection, might otherwise never end.
 async fn read_body<P>(node: &Rc<Node<P>>, mut body: Incoming) -> Result<Bytes, &'static str> {
-    let mut memory = BodyMemoryGuard::new(node);
-    let mut first: Option<Bytes> = None;
-    let mut buffer = BytesMut::new();
+    let reservation = Reservation::new(&node.body_memory, Owner::Responses);
+    let stated_bytes = body.size_hint().lower();
+    let mut buffer = BodyBuffer::new(reservation, RESPONSE_BYTES_MAX, stated_bytes);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| "the answer broke off")?;
         let Ok(chunk) = frame.into_data() else { continue };
-        memory.reserve(chunk.len()).map_err(|MemoryExhausted| "no memory for the answer")?;
-        if RESPONSE_BYTES_MAX < memory.n_bytes() {
-            return Err("the answer is too large");
-        }
-        if first.is_none() && buffer.is_empty() {
-            first = Some(chunk);
-            continue;
-        }
-        buffer.extend(first.take());
-        buffer.extend_from_slice(&chunk);
+        buffer.push(chunk).map_err(|err| match err {
+            BodyError::TooLarge => "the answer is too large",
+            BodyError::MemoryExhausted => "no memory for the answer",
+        })?;
     }
-    Ok(first.unwrap_or_else(|| buffer.freeze()))
+    Ok(buffer.finish())
 }
 
 /// Maximum number of bytes that are read of a response that is not needed.
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -24,6 +24,7 @@
 //!   and the actions that result.
 
 pub mod at_most_once;
+pub mod body_memory;
 pub mod brittle;
 pub mod catalog;
 pub mod checkpoint;
