A response is in progress until it was written; rejected bodies are read on

Cause: the body of a response, and with it the guard that counts its request as in progress, was dropped when the HTTP library took the last part. A planned stop then ended the process, and the idle timeout of the connection began, while a slow client still received. And the connection of a request that was rejected before its body was read was closed with unread bytes, without notice: the next request on it, or the rejection itself, was lost.

Change: the connection is idle, and the request no longer in progress, when the library flushes the connection, which it does when it has written all. The rest of a rejected body is read and dropped, up to the body limit and the idle timeout; no timeout for heads applies meanwhile.

Conclusion: progress is counted to the last byte handed to the kernel.

--- a/crates/lentilhitch_gateway/src/client_io.rs
+++ b/crates/lentilhitch_gateway/src/client_io.rs
@@ -1,11 +1,11 @@
 //! Client connections with the timeouts that the HTTP library does not apply: between requests and for a request head.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, Waker},
     time::Duration,
 };
 
@@ -17,6 +17,8 @@
     time::{Instant, Sleep, sleep},
 };
 
+use crate::client_response::InFlightGuard;
+
 /// Phase of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -26,6 +28,10 @@
     Head,
     /// A request is being served.
     Busy,
+    /// The response is complete, and its last part may not have been written yet.
+    Writing,
+    /// The response was written, and the rest of the request's body is being discarded.
+    Discarding,
 }
 
 /// Tracks the phase of a connection, holds the timeouts of the phases, and decides whether the connection is reset at its
@@ -36,6 +42,11 @@
     /// Whether the end of the connection is the only mark of the end of a response.
     is_end_unmarked: Cell<bool>,
     is_reset_due: Cell<bool>,
+    is_body_unread: Cell<bool>,
+    /// Waits to read while no timeout applies, and has to read again once one does.
+    reader: RefCell<Option<Waker>>,
+    /// Counts the request as in progress whose response is being written.
+    in_flight: RefCell<Option<InFlightGuard>>,
     idle_timeout: Duration,
     head_timeout: Duration,
 }
@@ -46,6 +57,9 @@
             phase: Cell::new(Phase::Idle),
             is_end_unmarked: Cell::new(false),
             is_reset_due: Cell::new(false),
+            is_body_unread: Cell::new(false),
+            reader: RefCell::default(),
+            in_flight: RefCell::default(),
             idle_timeout: Duration::from_millis(idle_timeout_ms),
             head_timeout: Duration::from_millis(head_timeout_ms),
         }
@@ -64,9 +78,44 @@
         self.is_reset_due.set(self.is_end_unmarked.get());
     }
 
-    /// Marks the connection as idle. To be called when the response has been sent.
-    pub(crate) fn on_response_end(&self) {
+    /// To be called when the HTTP library has taken the whole response. The connection becomes idle, and the request is no
+    /// longer in progress, when the library has written it.
+    pub(crate) fn on_response_end(&self, in_flight: Option<InFlightGuard>) {
+        self.phase.set(Phase::Writing);
+        self.in_flight.replace(in_flight);
+    }
+
+    /// To be called when the response to a request is ready before the body of the request was read.
+    pub(crate) fn on_body_unread(&self) {
+        self.is_body_unread.set(true);
+    }
+
+    /// To be called when the rest of the body was read, or is given up.
+    pub(crate) fn on_body_discarded(&self) {
+        self.is_body_unread.set(false);
+        if self.phase.get() == Phase::Discarding {
+            self.become_idle();
+        }
+    }
+
+    /// To be called when nothing is left to write.
+    fn on_written(&self) {
+        if self.phase.get() != Phase::Writing {
+            return;
+        }
+        self.in_flight.take();
+        if self.is_body_unread.get() {
+            self.phase.set(Phase::Discarding);
+        } else {
+            self.become_idle();
+        }
+    }
+
+    fn become_idle(&self) {
         self.phase.set(Phase::Idle);
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
     }
 }
 
@@ -95,7 +144,7 @@
         let timeout = match phase {
             Phase::Idle => self.phase_tracker.idle_timeout,
             Phase::Head => self.phase_tracker.head_timeout,
-            Phase::Busy => return,
+            Phase::Busy | Phase::Writing | Phase::Discarding => return,
         };
         self.timer.as_mut().reset(Instant::now() + timeout);
     }
@@ -130,8 +179,13 @@
                 }
                 Poll::Ready(res)
             }
-            Poll::Pending if self.timer_phase == Phase::Busy => Poll::Pending,
-            Poll::Pending => self.timer.as_mut().poll(cx).map(Ok),
+            Poll::Pending if matches!(self.timer_phase, Phase::Idle | Phase::Head) => {
+                self.timer.as_mut().poll(cx).map(Ok)
+            }
+            Poll::Pending => {
+                self.phase_tracker.reader.replace(Some(cx.waker().clone()));
+                Poll::Pending
+            }
         }
     }
 }
@@ -145,8 +199,13 @@
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
+    /// The HTTP library flushes the connection only when it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if flushed.is_ready() {
+            self.phase_tracker.on_written();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/lentilhitch_gateway/src/client_response.rs
+++ b/crates/lentilhitch_gateway/src/client_response.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
 use crate::{client_io::PhaseTracker, platform::HttpCodec};
@@ -20,6 +21,7 @@
 pub(crate) struct StreamAborted;
 
 /// Counts a request as in progress until the guard is dropped.
+#[derive(Debug)]
 pub(crate) struct InFlightGuard(Rc<Cell<usize>>);
 
 impl InFlightGuard {
@@ -35,11 +37,14 @@
     }
 }
 
-/// Body of a response to a client. The client's connection counts as busy until the body is dropped.
+/// Body of a response to a client. The client's connection counts as busy, and the request as in progress, until the
+/// body was written.
 pub(crate) struct ResponseBody {
     source: Source,
     phase_tracker: Option<Rc<PhaseTracker>>,
     in_flight: Option<InFlightGuard>,
+    /// Body of the request as far as it was not read.
+    unread: Option<Incoming>,
 }
 
 enum Source {
@@ -49,20 +54,35 @@
 
 impl ResponseBody {
     pub(crate) fn complete(bytes: Bytes) -> Self {
-        Self { source: Source::Complete(Some(bytes)), phase_tracker: None, in_flight: None }
+        Self::new(Source::Complete(Some(bytes)))
     }
 
     pub(crate) fn chunks(chunks: mpsc::Receiver<Result<Bytes, StreamAborted>>) -> Self {
-        Self { source: Source::Chunks(chunks), phase_tracker: None, in_flight: None }
+        Self::new(Source::Chunks(chunks))
     }
 
-    /// Attaches the phase tracker of the connection, which becomes idle when the body is dropped.
+    fn new(source: Source) -> Self {
+        Self { source, phase_tracker: None, in_flight: None, unread: None }
+    }
+
+    /// Attaches the body of the request if it was not read to its end.
+    pub(crate) fn with_unread(mut self, body: Incoming) -> Self {
+        self.unread = (!body.is_end_stream()).then_some(body);
+        self
+    }
+
+    /// Returns the body of the request if it was not read to its end.
+    pub(crate) fn take_unread(&mut self) -> Option<Incoming> {
+        self.unread.take()
+    }
+
+    /// Attaches the phase tracker of the connection, which becomes idle when the body was written.
     pub(crate) fn with_phase_tracker(mut self, phase_tracker: Rc<PhaseTracker>) -> Self {
         self.phase_tracker = Some(phase_tracker);
         self
     }
 
-    /// Attaches the guard that counts the request as in progress until the body is dropped.
+    /// Attaches the guard that counts the request as in progress until the body was written.
     pub(crate) fn with_in_flight(mut self, in_flight: InFlightGuard) -> Self {
         self.in_flight = Some(in_flight);
         self
@@ -71,8 +91,9 @@
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
+        // The HTTP library may still hold the last part of the body.
         if let Some(phase_tracker) = &self.phase_tracker {
-            phase_tracker.on_response_end();
+            phase_tracker.on_response_end(self.in_flight.take());
         }
     }
 }
--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -37,7 +37,8 @@
                 Ok(admitted) => serve_admitted(&node, admitted).await,
                 Err(rejection) => {
                     let resumed = resumed.as_deref();
-                    reject(&node, Rejected { id: &id, resumed, route: "", arrived_ms }, rejection)
+                    let rejected = Rejected { id: &id, resumed, route: "", arrived_ms };
+                    reject(&node, rejected, rejection).map(|it| it.with_unread(body))
                 }
             }
         }
--- a/crates/lentilhitch_gateway/src/ingress.rs
+++ b/crates/lentilhitch_gateway/src/ingress.rs
@@ -4,10 +4,14 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 use lentilhitch_policy::traffic::ClientLimits;
 
@@ -76,6 +80,9 @@
         async move {
             phase_tracker.on_request_head(request.version());
             let mut response = forward::serve(node.clone(), request).await;
+            if let Some(body) = response.body_mut().take_unread() {
+                discard(body, limits, phase_tracker.clone());
+            }
             if *node.phase.borrow() != NodePhase::Serving {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -105,6 +112,18 @@
     }
 }
 
+/// Reads the rest of a request's body and drops it. Otherwise the connection would be reset, with the response in it.
+fn discard(body: Incoming, limits: ClientLimits, phase_tracker: Rc<PhaseTracker>) {
+    phase_tracker.on_body_unread();
+    let mut body = Limited::new(body, limits.body_bytes);
+    let read = async move { while let Some(Ok(_)) = body.frame().await {} };
+    tokio::task::spawn_local(async move {
+        // The connection ends if the client takes longer, or sends more than any body may have.
+        let _ = timeout(Duration::from_millis(limits.idle_timeout_ms), read).await;
+        phase_tracker.on_body_discarded();
+    });
+}
+
 /// Serves the readiness check of the load balancer.
 pub(crate) async fn serve_readiness<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     serve_internal(listener, move |request: Request<Incoming>| {
