--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -208,6 +208,46 @@
     assert_eq!(unnamed.status, 503, "a stream that its client doesn't name: {unnamed:?}");
 }
 
+/// Guards against a node whose list does not have a new version yet, and which takes the only version that it knows for that
+/// of a stream which began at the new one.
+#[tokio::test]
+async fn stream_of_a_version_that_is_not_listed_yet_does_not_go_on_at_another() {
+    // The first node is in zone a. Both nodes of zone b have another list.
+    let options = SiteOptions { n_engines: 1, n_versions: 1, has_links: true, ..OPTIONS };
+    let site = start(options).await;
+    let stream = Behavior::Stream { n_events: N_EVENTS, interval_ms: 50, break_after: None };
+    let new = Upstream::start_unlisted("engine-new", "draft", "v2", stream).await.unwrap();
+    site.list_for_first_node(&new);
+    until("the first node knows the new version", || async {
+        site.nodes[0].process.log_text().contains("engine-new")
+    })
+    .await
+    .unwrap();
+    set_streams(&site, 50, None);
+    drop(begin_streams(&site, |_| 0).await);
+    set_streams(&site, 1, None);
+    let (mut n_new, mut n_old) = (0, 0);
+    for idx in 0..N_STREAMS {
+        let (first, second) = (format!("s{idx}"), format!("t{idx}"));
+        let request = site.request([1, 3][idx % 2], &second, "/review/x");
+        let request = request.header("resumes", &first).header("last-event-id", "1");
+        let response = site.send(request).await.unwrap();
+        let began_at_new = new.executed().iter().any(|it| it.id == first);
+        let expected = if began_at_new { 503 } else { 200 };
+        assert_eq!(
+            response.status, expected,
+            "{second}, new version: {began_at_new}: {response:?}"
+        );
+        assert_eq!(site.n_runs(&second), usize::from(!began_at_new), "{second}");
+        n_new += usize::from(began_at_new);
+        n_old += usize::from(!began_at_new);
+    }
+    assert!(
+        1 < n_new && 1 < n_old,
+        "{n_new} streams began at the new version, {n_old} at the old one"
+    );
+}
+
 /// Guards against streams of a lost node that no other lets go on, because all nodes were restarted not long ago and none
 /// has followed the versions since.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -77,6 +77,25 @@
     /// Origin of all streams of the service, if it has had a single version for long enough.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     sole: Option<StreamOrigin>,
+    /// Whether the service has several versions, or had some not long ago.
+    #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
+    is_mixed: bool,
+}
+
+/// What nodes have answered to a question, and this node itself.
+#[derive(Debug, Default)]
+struct Answers {
+    known: Option<StreamOrigin>,
+    sole: Vec<StreamOrigin>,
+    is_mixed: bool,
+}
+
+impl Answers {
+    /// Returns the only version of the service, if all that state one agree and none knows of several.
+    fn sole_version(&self) -> Option<StreamOrigin> {
+        let first = *self.sole.first()?;
+        (!self.is_mixed && self.sole.iter().all(|it| *it == first)).then_some(first)
+    }
 }
 
 /// Questions of this node whose answers are awaited, by number.
@@ -135,8 +154,9 @@
         return Ok(());
     }
     let key = admitted.head.resumed_id.as_deref().map(StreamKey::of);
-    let found = match node.local_origin(key, &admitted.service) {
-        Some(it) => Some(it),
+    let known = key.and_then(|it| node.state.borrow().stream_origins.get(it));
+    let found = match known {
+        Some(it) => Some((it, Source::Local)),
         None => node.ask_for_origin(key, &admitted.service).await,
     };
     let request = admitted.head.id.as_str();
@@ -159,20 +179,8 @@
 }
 
 impl<P> Node<P> {
-    /// Returns the origin of a stream if this node knows it, or if its service has had a single version for long enough
-    /// and this node's list of upstreams is current.
-    fn local_origin(
-        &self,
-        key: Option<StreamKey>,
-        service: &ServiceName,
-    ) -> Option<(StreamOrigin, Source)> {
-        let known = key.and_then(|it| self.state.borrow().stream_origins.get(it));
-        if let Some(origin) = known {
-            return Some((origin, Source::Local));
-        }
-        Some((self.sole_origin(service_hash(service))?, Source::SoleVersion))
-    }
-
+    /// Returns the origin of all streams of a service, if it has had a single version for long enough and this node's list of
+    /// upstreams is current.
     fn sole_origin(&self, service: u32) -> Option<StreamOrigin> {
         let now_ms = self.now_ms();
         if !self.is_list_current(now_ms) {
@@ -233,20 +241,38 @@
         }
     }
 
-    /// Asks the nodes that may hold the stream, and then all nodes of the zone.
+    /// Asks the nodes that may hold the stream, and then all nodes of the zone. If none knows it, the only version of the
+    /// service is taken if there is one.
     async fn ask_for_origin(
         &self,
         key: Option<StreamKey>,
         service: &ServiceName,
     ) -> Option<(StreamOrigin, Source)> {
+        let service = service_hash(service);
+        let local = self.sole_origin(service);
+        if key.is_none() && local.is_some() {
+            // No node can know more of a stream without a name.
+            return local.map(|it| (it, Source::SoleVersion));
+        }
+        let source = if local.is_some() { Source::SoleVersion } else { Source::SoleVersionAtPeer };
+        let mut answers = Answers {
+            known: None,
+            sole: local.into_iter().collect(),
+            is_mixed: self.state.borrow().stream_origins.is_mixed(service, self.now_ms()),
+        };
         let (first, zone) = self.nodes_to_ask(key);
         let mut inquiry = self.inquiries.start();
-        let question = Question { number: inquiry.number, key, service: service_hash(service) };
-        let answers = &mut inquiry.answers;
-        match self.ask(question, &first, FIRST_ANSWERS_TIMEOUT, answers).await {
-            Some(it) => Some(it),
-            None => self.ask(question, &zone, ZONE_ANSWERS_TIMEOUT, answers).await,
+        let question = Question { number: inquiry.number, key, service };
+        for (nodes, time_limit) in [(first, FIRST_ANSWERS_TIMEOUT), (zone, ZONE_ANSWERS_TIMEOUT)] {
+            self.ask(question, &nodes, time_limit, &mut inquiry.answers, &mut answers).await;
+            if let Some(origin) = answers.known {
+                return Some((origin, Source::Peer));
+            }
+            if let Some(origin) = answers.sole_version() {
+                return Some((origin, source));
+            }
         }
+        None
     }
 
     /// Returns the gossip addresses of the nodes that are asked first, and of those and all others of the zone.
@@ -262,35 +288,31 @@
         (first, all)
     }
 
-    /// Asks nodes and waits until one of them knows the stream, all have answered or the time is over. Otherwise, the
-    /// only version of the service is taken if the nodes that state one agree.
+    /// Asks nodes and waits until one of them knows the stream, all have answered or the time is over.
     async fn ask(
         &self,
         question: Question,
         nodes: &[SocketAddr],
         time_limit: Duration,
-        answers: &mut mpsc::UnboundedReceiver<Answer>,
-    ) -> Option<(StreamOrigin, Source)> {
+        receiver: &mut mpsc::UnboundedReceiver<Answer>,
+        answers: &mut Answers,
+    ) {
         let message = OriginMessage::Question(question);
         self.send_to(&Datagram::StreamOrigin(message), nodes, Urgency::Urgent);
         let end = Instant::now() + time_limit;
-        let mut sole = Vec::new();
         let mut n_answers = 0;
         while n_answers < nodes.len()
-            && let Ok(Some(answer)) = timeout_at(end, answers.recv()).await
+            && let Ok(Some(answer)) = timeout_at(end, receiver.recv()).await
         {
             n_answers += 1;
-            if let Some(origin) = answer.known {
-                return Some((origin, Source::Peer));
-            }
-            sole.extend(answer.sole);
-            if question.key.is_none() && !sole.is_empty() {
-                // No node can know more of a stream without a name.
-                break;
+            answers.known = answer.known;
+            answers.sole.extend(answer.sole);
+            answers.is_mixed |= answer.is_mixed;
+            let is_enough = question.key.is_none() && !answers.sole.is_empty();
+            if answers.known.is_some() || is_enough {
+                return;
             }
         }
-        let first = *sole.first()?;
-        sole.iter().all(|it| *it == first).then_some((first, Source::SoleVersionAtPeer))
     }
 
     /// Handles a message of another node.
@@ -306,7 +328,8 @@
             OriginMessage::Question(Question { number, key, service }) => {
                 let known = key.and_then(|it| self.state.borrow().stream_origins.get(it));
                 let sole = if known.is_none() { self.sole_origin(service) } else { None };
-                let answer = OriginMessage::Answer(Answer { number, known, sole });
+                let is_mixed = self.state.borrow().stream_origins.is_mixed(service, self.now_ms());
+                let answer = OriginMessage::Answer(Answer { number, known, sole, is_mixed });
                 self.send_to(&Datagram::StreamOrigin(answer), &[from], Urgency::Urgent);
             }
             OriginMessage::Answer(answer) => self.inquiries.on_answer(answer),
--- a/crates/lentilhitch_policy/src/stream_origins.rs
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -6,8 +6,9 @@
 //! another, each the first in the hash order of the stream. A node that doesn't know a stream asks the first nodes of the
 //! same orders, see [`holders`] and [`nodes_to_ask`].
 //!
-//! While a service has a single version, nothing is told: a node that has seen only this version for as long as a stream
-//! may last knows that it began the stream. When a second version appears, a node tells the holders of all streams that it
+//! While a service has a single version, nothing is told: nodes that have seen only this version for as long as a stream
+//! may last infer that it began the stream. Lists of upstreams differ between nodes for a moment, so a node does so only
+//! after it has asked the holders, which know of a stream of a version that is not in its own list yet. When a second version appears, a node tells the holders of all streams that it
 //! has begun. What the holders are told is kept in the store too ([`crate::stream_archive`]).
 //!
 //! A node that starts in a running deployment has not followed the versions yet. It takes over what another node knows of
@@ -208,15 +209,31 @@
         if now_ms < self.complete_from_ms? {
             return None;
         }
-        let versions = self.services.get(&service)?.gone_ms.iter();
-        let mut recent =
-            versions.filter(|it| it.1.is_none_or(|gone_ms| now_ms < gone_ms + self.lifetime_ms));
+        let mut recent = self.recent_versions(self.services.get(&service)?, now_ms);
         match (recent.next(), recent.next()) {
-            (Some((version, _)), None) => Some(StreamOrigin { service, version: *version }),
+            (Some(version), None) => Some(StreamOrigin { service, version }),
             _ => None,
         }
     }
 
+    /// Returns whether a service has several versions, or had within the lifetime of a stream.
+    pub fn is_mixed(&self, service: u32, now_ms: u64) -> bool {
+        self.services.get(&service).is_some_and(|it| 1 < self.recent_versions(it, now_ms).count())
+    }
+
+    /// Returns the versions that have upstreams, or had some within the lifetime of a stream.
+    fn recent_versions(
+        &self,
+        versions: &ServiceVersions,
+        now_ms: u64,
+    ) -> impl Iterator<Item = u32> {
+        let lifetime_ms = self.lifetime_ms;
+        let recent = versions.gone_ms.iter();
+        recent
+            .filter(move |it| it.1.is_none_or(|gone_ms| now_ms < gone_ms + lifetime_ms))
+            .map(|it| *it.0)
+    }
+
     /// Returns whether this node knows all versions that the services have had for as long as a stream may last.
     pub fn is_complete(&self, now_ms: u64) -> bool {
         self.complete_from_ms.is_some_and(|it| it <= now_ms)
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -163,6 +163,11 @@
         Ok(())
     }
 
+    /// Lists an upstream that is not among those of the site for the first node only.
+    pub fn list_for_first_node(&self, upstream: &Upstream) {
+        upstream.write_entry_to(&self.store, LINKED_UPSTREAMS_TOPIC, &json!({}));
+    }
+
     /// Cuts all links of the first node to the upstreams.
     pub async fn cut_links(&self, cut: Cut) -> anyhow::Result<()> {
         for it in &self.links {
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -187,6 +187,18 @@
         Ok(upstream)
     }
 
+    /// Starts an upstream of zone `a` in addition to those of the site, which has no entry in the store yet.
+    pub async fn start_unlisted(
+        id: &str,
+        service: &str,
+        version: &str,
+        behavior: Behavior,
+    ) -> std::io::Result<Self> {
+        let mut upstream = Self::start(id, service, "a", behavior).await?;
+        upstream.version = version.to_owned();
+        Ok(upstream)
+    }
+
     /// Writes the upstream's entry to the store, with the fields of `extra` added or replaced.
     pub fn write_entry(&self, store: &LogStore, extra: &Value) {
         self.write_entry_to(store, "keyed.servers", extra);
