Connections that fall silent for good cost one attempt an upstream, not each

Cause: open connections may go silent for good while new ones work. A request on one of them waits for its time limit; its second attempt, and each request after it, took another idle connection that was as silent. Where all connections of a node are silent, it notices by itself; where some upstreams are heard it doesn't.

Change: when a request on a kept connection gets no answer in time, the other idle connections to that upstream, or to that peer, are closed, and a further attempt of the request opens a new one.

Before: edge_partitioned, the open connections to four upstreams fall silent while others are heard: the first repeatable call ends with 504. After: all 12 calls are served, at most one for each upstream slowly.

--- a/crates/lentilhitch/tests/edge_partitioned.rs
+++ b/crates/lentilhitch/tests/edge_partitioned.rs
@@ -117,6 +117,44 @@
     clients_are_served_while_cut(Cut::Silent).await;
 }
 
+/// Guards against a node that sends one request after the other on connections that have fallen silent for good, while new
+/// ones work and other upstreams are heard.
+#[tokio::test]
+async fn connections_that_fall_silent_for_good_cost_one_attempt_an_upstream() {
+    const N_CALLS: usize = 12;
+    let site = start().await;
+    for it in &site.applications {
+        it.set(Behavior::Serve { work_ms: 200 });
+    }
+    let warm_up = (0..2 * N_CALLS).map(|idx| {
+        let site = &site;
+        async move { site.call(0, &format!("w{idx}"), "/status/x").await.unwrap() }
+    });
+    assert!(join_all(warm_up).await.iter().all(|it| it.status == 200));
+    for it in &site.applications {
+        it.set(Behavior::Serve { work_ms: 1 });
+    }
+    for it in &site.engines {
+        it.set(Behavior::Stream { n_events: 400, interval_ms: 50, break_after: None });
+    }
+    let mut stream = site.request(0, "stream", "/ask/x").send().await.unwrap();
+    stream.chunk().await.unwrap();
+    for it in &site.links[site.engines.len()..] {
+        it.cut(Cut::SilenceOpen).await.unwrap();
+    }
+    let mut n_slow = 0;
+    for idx in 0..N_CALLS {
+        let start = Instant::now();
+        let response = site.call(0, &format!("s{idx}"), "/status/x").await.unwrap();
+        assert_eq!(response.status, 200, "s{idx}: {response:?}");
+        n_slow += usize::from(Duration::from_secs(1) < start.elapsed());
+    }
+    assert!(
+        n_slow <= site.applications.len(),
+        "{n_slow} of {N_CALLS} calls met a silent connection"
+    );
+}
+
 /// Guards against a node that takes the silence of sound upstreams for a partition, or their requests elsewhere.
 #[tokio::test]
 async fn upstreams_that_are_silent_for_a_second_are_left_alone() {
--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -17,7 +17,9 @@
     client_response::Rejection,
     node::{Node, available},
     platform::{KvCopy, Platform},
-    upstream_attempt::{self, AssignmentGuard, AttemptOutcome, AttemptParams, UpstreamResponse},
+    upstream_attempt::{
+        self, AssignmentGuard, AttemptOutcome, AttemptParams, NO_ANSWER, UpstreamResponse,
+    },
 };
 
 /// Minimum time before the deadline at which a request is still sent: about two round trips within a region.
@@ -48,6 +50,8 @@
     /// attempt is added when its outcome is known.
     sent_to: Vec<(UpstreamName, u64)>,
     n_connect_failures: u32,
+    /// Whether an attempt got no answer in time.
+    is_unanswered: bool,
     /// Whether an upstream has run the request or may have run it.
     may_have_run: bool,
     is_usage_counted: bool,
@@ -63,6 +67,7 @@
             excluded: Vec::new(),
             sent_to: Vec::new(),
             n_connect_failures: 0,
+            is_unanswered: false,
             may_have_run: false,
             is_usage_counted: false,
             origin: admitted.origin,
@@ -198,6 +203,7 @@
             head_timeout_ms,
             resume_after,
             kv_copy,
+            needs_fresh: self.is_unanswered,
             is_last,
         };
         let outcome = upstream_attempt::run(&self.node, params, assignment).await;
@@ -232,6 +238,7 @@
             AttemptOutcome::Unknown(reason) => {
                 self.sent_to.push(incarnation.clone());
                 self.may_have_run = true;
+                self.is_unanswered |= reason == NO_ANSWER;
                 if !self.admitted.route.repeat.is_stream() {
                     self.count_usage_once();
                 }
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one chosen upstream and reads the response. One such sending is called an attempt.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, header, response};
@@ -17,6 +17,7 @@
     suspects::Suspect,
     traffic::{Repeat, UpstreamEntry},
 };
+use lentilhitch_types::UpstreamName;
 
 use crate::{
     admission::AdmittedRequest,
@@ -112,6 +113,8 @@
     pub(crate) head_timeout_ms: u64,
     pub(crate) resume_after: Option<u64>,
     pub(crate) kv_copy: Option<KvCopy>,
+    /// Whether the request is sent on a new connection, since an earlier attempt got no answer on an idle one.
+    pub(crate) needs_fresh: bool,
     /// Whether the request is not sent to another upstream once this attempt has begun to send it.
     pub(crate) is_last: bool,
 }
@@ -128,7 +131,10 @@
         Repeat::AtMostOnce => AT_MOST_ONCE_IDLE_MAX_MS,
         _ => u64::MAX,
     };
-    let mut pooled = node.take_pooled(&entry.id, idle_max_ms);
+    let mut pooled = match params.needs_fresh {
+        true => None,
+        false => node.take_pooled(&entry.id, idle_max_ms),
+    };
     let mut n_failed_at_peers = 0;
     loop {
         let connection = match pooled.take() {
@@ -153,7 +159,10 @@
         return match send_result {
             Err(_) => {
                 assignment.set_result(AttemptResult::Failed);
-                AttemptOutcome::Unknown("no answer in time")
+                if !was_fresh {
+                    node.close_idle_like(&entry.id, connection.peer);
+                }
+                AttemptOutcome::Unknown(NO_ANSWER)
             }
             Ok(SendResult::NotSent(body)) => {
                 if let Some(body) = body {
@@ -183,6 +192,8 @@
     }
 }
 
+/// Reason of an attempt that ended without a response head.
+pub(crate) const NO_ANSWER: &str = "no answer in time";
 /// Number of peers that may fail to pass on a request of one attempt before the attempt ends.
 const FAILED_AT_PEERS_MAX: u32 = 3;
 
@@ -353,6 +364,15 @@
         is_own
     }
 
+    /// Closes the idle connections to an upstream or a peer after a request on one of them got no answer. Open connections
+    /// may all have fallen silent for good while new ones work.
+    fn close_idle_like(&self, upstream: &UpstreamName, peer: Option<SocketAddr>) {
+        match peer {
+            Some(peer) => self.peer_pool.close_idle(&peer),
+            None => self.pool.close_idle(upstream),
+        }
+    }
+
     /// Returns the result of an attempt for which no connection could be opened. A node that is cut off from the upstreams
     /// does not hold it against the upstream.
     fn connect_failure_result(&self) -> AttemptResult {
--- a/crates/lentilhitch_standin/src/users_platform/link.rs
+++ b/crates/lentilhitch_standin/src/users_platform/link.rs
@@ -19,6 +19,8 @@
     Close,
     /// Open connections fall silent, and new ones hang.
     Silent,
+    /// Open connections fall silent for good, and new ones work.
+    SilenceOpen,
 }
 
 /// Forwards connections to an upstream until it is cut.
@@ -26,6 +28,8 @@
     pub address: SocketAddr,
     target: SocketAddr,
     is_silent: watch::Sender<bool>,
+    /// How often the open connections have fallen silent for good.
+    n_silenced: watch::Sender<u64>,
     state: Mutex<State>,
 }
 
@@ -51,6 +55,7 @@
             address,
             target,
             is_silent: watch::Sender::new(false),
+            n_silenced: watch::Sender::new(0),
             state: Mutex::new(state),
         };
         link.accept(listener);
@@ -60,10 +65,11 @@
     fn accept(&self, listener: TcpListener) {
         let mut state = self.state.lock();
         let (target, connections) = (self.target, state.connections.clone());
-        let is_silent = self.is_silent.subscribe();
+        let (is_silent, n_silenced) = (self.is_silent.subscribe(), self.n_silenced.subscribe());
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                connections.lock().spawn(forward(stream, target, is_silent.clone()));
+                let silences = (is_silent.clone(), n_silenced.clone());
+                connections.lock().spawn(forward(stream, target, silences));
             }
         });
         state.accepting = Some(task.abort_handle());
@@ -71,6 +77,10 @@
 
     /// Cuts the link.
     pub async fn cut(&self, cut: Cut) -> std::io::Result<()> {
+        if cut == Cut::SilenceOpen {
+            self.n_silenced.send_modify(|it| *it += 1);
+            return Ok(());
+        }
         let accepting = self.state.lock().accepting.take();
         if let Some(task) = accepting {
             task.abort();
@@ -79,7 +89,7 @@
             }
         }
         match cut {
-            Cut::RefuseNew => {}
+            Cut::RefuseNew | Cut::SilenceOpen => {}
             Cut::Close => self.state.lock().connections.lock().abort_all(),
             Cut::Silent => {
                 self.is_silent.send_replace(true);
@@ -127,17 +137,28 @@
     }
 }
 
-/// Forwards a connection. While the link is silent, nothing passes.
-async fn forward(mut stream: TcpStream, target: SocketAddr, mut is_silent: watch::Receiver<bool>) {
+/// Forwards a connection. While the link is silent, nothing passes, and nothing ever once its open connections have fallen
+/// silent for good.
+async fn forward(
+    mut stream: TcpStream,
+    target: SocketAddr,
+    (mut is_silent, mut n_silenced): (watch::Receiver<bool>, watch::Receiver<u64>),
+) {
+    let n_before = *n_silenced.borrow();
     let Ok(mut upstream) = TcpStream::connect(target).await else { return };
     loop {
         if is_silent.wait_for(|it| !it).await.is_err() {
             return;
         }
-        tokio::select! {
+        let is_silenced = tokio::select! {
             // Either side may close at any time.
             _ = copy_bidirectional(&mut stream, &mut upstream) => return,
-            _ = is_silent.wait_for(|it| *it) => {}
+            _ = is_silent.wait_for(|it| *it) => false,
+            is_silenced = async { n_silenced.wait_for(|it| n_before < *it).await.is_ok() } => is_silenced,
+        };
+        if is_silenced {
+            // Both sides stay connected.
+            return std::future::pending().await;
         }
     }
 }
