--- a/crates/lentilhitch_gateway/src/memory_watch.rs
+++ b/crates/lentilhitch_gateway/src/memory_watch.rs
@@ -13,13 +13,11 @@
 /// Measures the memory again and again.
 pub(crate) async fn run<P>(node: Rc<Node<P>>) {
     loop {
-        match resident_bytes() {
-            Some(it) => node.body_memory.on_resident_bytes(it),
-            None => {
-                log::warn!(file = STATUS_FILE; "the memory of the process can't be read");
-                return;
-            }
-        }
+        let Some(resident_bytes) = resident_bytes() else {
+            log::warn!(file = STATUS_FILE; "the memory of the process can't be read");
+            return;
+        };
+        node.body_memory.on_resident_bytes(resident_bytes);
         sleep(MEASURE_INTERVAL).await;
     }
 }
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -131,10 +131,8 @@
         Repeat::AtMostOnce => AT_MOST_ONCE_IDLE_MAX_MS,
         _ => u64::MAX,
     };
-    let mut pooled = match params.needs_fresh {
-        true => None,
-        false => node.take_pooled(&entry.id, idle_max_ms),
-    };
+    let mut pooled =
+        if params.needs_fresh { None } else { node.take_pooled(&entry.id, idle_max_ms) };
     let mut n_failed_at_peers = 0;
     loop {
         let connection = match pooled.take() {
--- a/crates/lentilhitch_policy/tests/body_memory.rs
+++ b/crates/lentilhitch_policy/tests/body_memory.rs
@@ -156,11 +156,10 @@
             match it {
                 Step::Begin { owner } => reading.push((Reservation::new(&memory, team(owner)), 0)),
                 Step::Reserve { idx, n_bytes } => {
-                    if let Some((reservation, charged)) = reading.get_mut(idx) {
-                        match reservation.reserve(n_bytes) {
-                            Ok(()) => *charged += n_bytes,
-                            Err(MemoryExhausted) => {}
-                        }
+                    if let Some((reservation, charged)) = reading.get_mut(idx)
+                        && reservation.reserve(n_bytes) != Err(MemoryExhausted)
+                    {
+                        *charged += n_bytes;
                     }
                 }
                 Step::Hold { idx } if idx < reading.len() => {
--- a/crates/lentilhitch_policy/tests/stream_origins.rs
+++ b/crates/lentilhitch_policy/tests/stream_origins.rs
@@ -120,6 +120,9 @@
     }
 }
 
+/// Number of nodes that take over one after the other.
+const N_RESTARTS: u64 = 3;
+
 /// Guards against nodes of which none can tell, after all were restarted in turn, that a service has had a single version.
 #[test]
 fn versions_are_handed_on_through_restarts_of_all_nodes_in_turn() {
@@ -185,7 +188,6 @@
             sole_later: None,
         },
     ];
-    const N_RESTARTS: u64 = 3;
     for case in cases {
         let mut first = new_origins();
         for (at_ms, versions) in case.changes {
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -195,7 +195,7 @@
         behavior: Behavior,
     ) -> std::io::Result<Self> {
         let mut upstream = Self::start(id, service, "a", behavior).await?;
-        upstream.version = version.to_owned();
+        version.clone_into(&mut upstream.version);
         Ok(upstream)
     }
 
