--- a/crates/lentilhitch_standin/src/harness/process.rs
+++ b/crates/lentilhitch_standin/src/harness/process.rs
@@ -150,13 +150,17 @@
     line.and_then(|it| it.split_whitespace().next()?.parse().ok()).unwrap_or_default()
 }
 
-/// Returns a separate loopback address with a free port that the system chose.
+/// Returns a separate loopback address with a port that is free until the caller's process listens on it. The port is not
+/// one that the system gives out, so no other socket gets it meanwhile.
 pub(crate) fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((own_ip(), 0))?.local_addr()
+    let address = SocketAddr::new(own_ip(), SERVICE_PORT);
+    TcpListener::bind(address)?.local_addr()
 }
 
 /// Port of the listener that reserves a loopback address.
 const RESERVATION_PORT: u16 = 19_999;
+/// Port of the addresses that are returned as free. It lies below the range from which systems choose.
+const SERVICE_PORT: u16 = 19_998;
 
 /// Listeners that reserve the loopback addresses of this process until it exits.
 static RESERVATIONS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
