Resumed streams borrow from their team's rate, before new requests

Cause: nodes start with empty buckets, and two to three times what a team may have comes back in the first four seconds. Ruled out: debits that were not due.

Change: a request that resumes a stream may borrow up to a quarter of the bucket's capacity from what accrues next. New requests wait until it is paid back. The bound on all admitted cost grows by that quarter only.

--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -213,7 +213,12 @@
         });
         let view = ClusterView::new(gossip.n_nodes(now_ms), gossip.state_age_ms(now_ms), peers);
         let Some(rate) = state.rates.get_mut(team) else { return Ok(0.0) };
-        match rate.try_admit(cost, view, now_ms) {
+        let res = if head.is_resumed() {
+            rate.try_admit_resumed(cost, view, now_ms)
+        } else {
+            rate.try_admit(cost, view, now_ms)
+        };
+        match res {
             Ok(()) => {
                 // A report is urgent if this node has admitted more than its share since its last report, or anything
                 // while the bucket is low. The gossip task then sends it to all peers without waiting for the next
--- a/crates/lentilhitch_policy/src/shared_rate.rs
+++ b/crates/lentilhitch_policy/src/shared_rate.rs
@@ -203,6 +203,10 @@
 /// bucket to refill, and without the report several of them would admit requests from the same refill.
 const LOW_LEVEL_FRACTION: f64 = 0.25;
 
+/// Part of the capacity that requests which resume a stream may borrow. Without it, streams that were broken off together,
+/// as all are when all nodes are lost, compete with as many new requests for an empty bucket, and most are given up.
+const RESUMED_DEBT_FRACTION: f64 = 0.25;
+
 /// This node's copy of the token bucket of one team.
 #[derive(Clone, Debug)]
 pub struct SharedRate {
@@ -331,14 +335,36 @@
         };
     }
 
-    /// Admits a request of this cost and debits the cost, or returns the number of milliseconds after which the request
-    /// may be admitted.
+    /// Admits a new request of this cost and debits the cost, or returns the number of milliseconds after which the
+    /// request may be admitted.
     pub fn try_admit(&mut self, cost: f64, view: ClusterView, now_ms: u64) -> Result<(), u64> {
+        self.try_admit_down_to(0.0, cost, view, now_ms)
+    }
+
+    /// Like [`Self::try_admit`], for a request that resumes a stream. It may borrow up to `RESUMED_DEBT_FRACTION` of the
+    /// capacity from what accrues next, so new requests wait until it is paid back.
+    pub fn try_admit_resumed(
+        &mut self,
+        cost: f64,
+        view: ClusterView,
+        now_ms: u64,
+    ) -> Result<(), u64> {
+        self.try_admit_down_to(RESUMED_DEBT_FRACTION, cost, view, now_ms)
+    }
+
+    fn try_admit_down_to(
+        &mut self,
+        debt_fraction: f64,
+        cost: f64,
+        view: ClusterView,
+        now_ms: u64,
+    ) -> Result<(), u64> {
         self.refill(now_ms, Some(view));
         // A request that costs more than the capacity is admitted when the bucket is full, and leaves a negative level.
-        let capacity = self.capacity;
+        let cost_max = cost.min(self.capacity);
+        let level = self.level + debt_fraction * self.capacity;
         let overdraft = self.rate.per_s * OVERDRAFT_MS as f64 / 1000.0 / self.n_nodes.max(1) as f64;
-        if cost.min(capacity) <= self.level + overdraft {
+        if cost_max <= level + overdraft {
             self.level -= cost;
             self.admitted += cost;
             return Ok(());
@@ -346,7 +372,7 @@
         if self.rate.per_s <= 0.0 {
             return Err(u64::MAX);
         }
-        Err(((cost.min(capacity) - self.level) / self.rate.per_s * 1000.0).ceil() as u64)
+        Err(((cost_max - level) / self.rate.per_s * 1000.0).ceil() as u64)
     }
 
     /// Debits the cost of an admitted request that runs once more. The request is not rejected now. Later requests wait
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -363,10 +363,19 @@
 
     /// Lets a client ask a node for a request of the team, and returns whether the node admits it.
     fn try_admit(&mut self, idx: usize, cost: f64) -> bool {
+        self.try_admit_kind(idx, cost, false)
+    }
+
+    fn try_admit_kind(&mut self, idx: usize, cost: f64, is_resumed: bool) -> bool {
         let now_ms = self.now_ms;
         let node = &mut self.nodes[idx];
         let view = node.view(now_ms);
-        let is_admitted = node.rate.try_admit(cost, view, now_ms).is_ok();
+        let res = if is_resumed {
+            node.rate.try_admit_resumed(cost, view, now_ms)
+        } else {
+            node.rate.try_admit(cost, view, now_ms)
+        };
+        let is_admitted = res.is_ok();
         node.rates_due |= is_admitted && node.rate.needs_urgent_report();
         is_admitted
     }
@@ -1003,3 +1012,64 @@
         assert!(USED_MIN <= used, "{size:?}: {used} used after the cuts");
     }
 }
+
+/// Guards against streams that are given up although their upstreams live: after all nodes were restarted, resumed streams
+/// competed for an empty bucket with three times as many new requests as the team may have.
+#[test]
+fn resumed_streams_go_before_new_requests_after_all_nodes_were_restarted() {
+    const WINDOW_MS: u64 = 8_000;
+    const RETURN_MS: u64 = 1_000;
+    const DEMAND_NEW: f64 = 3.0;
+    const DEMAND_RESUMED: f64 = 0.5;
+    /// Number of times that a client sends a request, one second apart, before it gives up.
+    const N_TRIES: u64 = 3;
+    /// Part of the resumed streams that go on at least.
+    const RESUMED_MIN: f64 = 0.5;
+    const EXCESS_FRACTION: f64 = 0.1;
+    const EXCESS_FIXED: f64 = 140_000.0;
+    const COST: f64 = 12_000.0;
+    let window_s = WINDOW_MS as f64 / 1_000.0;
+    let allowed = (RATE.per_s * window_s + RATE.burst) * (1.0 + EXCESS_FRACTION) + EXCESS_FIXED;
+    for size in [(8, 4), (74, 4), (340, 31)] {
+        let mut simulation = Simulation::start(size, 38);
+        simulation.run_for(SETTLED_MS);
+        let start_ms = simulation.now_ms;
+        for idx in 0..size.0 {
+            simulation.restart(idx);
+        }
+        let mut clients: Vec<(u64, u64, bool)> = Vec::new();
+        let (mut pending_new, mut pending_resumed) = (0.0, 0.0);
+        let (mut n_resumed, mut n_went_on, mut n_admitted) = (0_u64, 0_u64, 0_u64);
+        while simulation.now_ms < start_ms + WINDOW_MS {
+            simulation.step();
+            let now_ms = simulation.now_ms;
+            let step_cost = RATE.per_s * STEP_MS as f64 / 1_000.0;
+            pending_new += DEMAND_NEW * step_cost;
+            if now_ms < start_ms + RETURN_MS {
+                pending_resumed += DEMAND_RESUMED * step_cost;
+            }
+            for (pending, is_resumed) in [(&mut pending_new, false), (&mut pending_resumed, true)] {
+                while COST <= *pending {
+                    *pending -= COST;
+                    clients.push((now_ms, N_TRIES, is_resumed));
+                    n_resumed += u64::from(is_resumed);
+                }
+            }
+            let due: Vec<_> = clients.extract_if(.., |it| it.0 <= now_ms).collect();
+            for (_, n_tries, is_resumed) in due {
+                let idx = simulation.rng.random_range(0..size.0);
+                if simulation.try_admit_kind(idx, COST, is_resumed) {
+                    n_admitted += 1;
+                    n_went_on += u64::from(is_resumed);
+                } else if 1 < n_tries {
+                    clients.push((now_ms + RETURN_MS, n_tries - 1, is_resumed));
+                }
+            }
+        }
+        let went_on = n_went_on as f64 / n_resumed as f64;
+        let admitted = n_admitted as f64 * COST;
+        println!("{size:?}: {went_on:.3} of resumed streams, {:.3} of allowed", admitted / allowed);
+        assert!(RESUMED_MIN <= went_on, "{size:?}: {went_on} of the resumed streams went on");
+        assert!(admitted <= allowed, "{size:?}: {admitted} admitted, {allowed} allowed");
+    }
+}
