Placement and catalog: no work over all upstreams beyond a hash comparison

Cause: LoadTable::assign looked up the state of each candidate twice by name for each request, and created it when missing, with a segment cache that allocates 140 KB up front. Catalog::digest hashed all names for each zone of each summary.

Change: the hash of a name is kept in catalog::Upstream. States are looked up and created only for the compared upstreams. Ejections are looked at only while one is in force. Segment caches grow with their use. The digest is updated with each change.

Choices on the same seed are those of the former code: the hashes in the test choices_on_the_same_seed_stay_the_same were taken from a run of it (7, 30 and 112 upstreams, four strategies).

--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -18,7 +18,10 @@
 
 use lentilhitch_types::{LogPosition, ServiceName, UpstreamName};
 
-use crate::traffic::{EntryState, UpstreamEntry};
+use crate::{
+    placement::upstream_hash,
+    traffic::{EntryState, UpstreamEntry},
+};
 
 /// Durations of the catalog.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +40,8 @@
 #[derive(Clone, Debug)]
 pub struct Upstream {
     pub entry: UpstreamEntry,
+    /// Hash of the name, kept because each request compares the hashes of all candidates.
+    pub hash: u32,
     /// When the upstream is dropped, unless a new entry of it is received before. `None` unless its entry was removed
     /// during a grace period.
     pub expires_at_ms: Option<u64>,
@@ -45,6 +50,11 @@
 }
 
 impl Upstream {
+    fn new(entry: UpstreamEntry, ends_at_ms: Option<u64>) -> Self {
+        let hash = upstream_hash(&entry.id);
+        Self { entry, hash, expires_at_ms: None, ends_at_ms }
+    }
+
     /// Returns whether the upstream may get new requests.
     pub fn is_ready(&self) -> bool {
         self.entry.state == EntryState::Ready
@@ -90,6 +100,9 @@
 pub struct Catalog {
     settings: Settings,
     upstreams: FxHashMap<UpstreamName, Upstream>,
+    /// Combined hash of all upstreams in use, updated with each change, because each summary of the other nodes is
+    /// compared with it.
+    digest: u64,
     /// When this node, or the peer that last confirmed its entries, last read the list.
     last_read_ms: Option<u64>,
     /// When the first of the failed reads since the last successful one was made.
@@ -147,11 +160,7 @@
 
     /// Returns a hash that is equal on nodes with the same incarnations of upstreams in the same states.
     pub fn digest(&self) -> u64 {
-        let entry_hash = |it: &Upstream| {
-            let seed = it.entry.started_ms << 1 | u64::from(it.is_ready());
-            xxh3_64_with_seed(it.entry.id.as_str().as_bytes(), seed)
-        };
-        self.upstreams.values().fold(0, |sum, it| sum ^ entry_hash(it))
+        self.digest
     }
 
     /// Records that a read of the list failed.
@@ -207,7 +216,8 @@
         }
         let Some(current) = self.upstreams.get_mut(&entry.id) else {
             let id = entry.id.clone();
-            self.upstreams.insert(id.clone(), Upstream { entry, expires_at_ms: None, ends_at_ms });
+            self.digest ^= entry_hash(&entry);
+            self.upstreams.insert(id.clone(), Upstream::new(entry, ends_at_ms));
             return Some(Change::Added(id));
         };
         if entry.started_ms < current.entry.started_ms {
@@ -216,12 +226,14 @@
         current.expires_at_ms = None;
         if current.entry.started_ms < entry.started_ms || current.entry.address != entry.address {
             let previous_started_ms = current.entry.started_ms;
-            *current = Upstream { entry, expires_at_ms: None, ends_at_ms };
+            self.digest ^= entry_hash(&current.entry) ^ entry_hash(&entry);
+            *current = Upstream::new(entry, ends_at_ms);
             return Some(Change::Restarted(current.entry.id.clone(), previous_started_ms));
         }
         let was_ready = current.is_ready();
         let is_leaving = entry.state == EntryState::Draining;
-        if was_ready {
+        if was_ready && current.entry != entry {
+            self.digest ^= entry_hash(&current.entry) ^ entry_hash(&entry);
             current.entry = entry;
         }
         if is_leaving {
@@ -247,7 +259,9 @@
         let ends_at_ms = leaves_in_ms.map(|it| now_ms + it);
         current.ends_at_ms = current.ends_at_ms.or(ends_at_ms);
         let was_ready = current.is_ready();
+        self.digest ^= entry_hash(&current.entry);
         current.entry.state = EntryState::Draining;
+        self.digest ^= entry_hash(&current.entry);
         was_ready.then(|| Change::Leaving(id.clone()))
     }
 
@@ -276,6 +290,7 @@
 
     fn drop_upstream(&mut self, id: &UpstreamName) -> Option<Change> {
         let upstream = self.upstreams.remove(id)?;
+        self.digest ^= entry_hash(&upstream.entry);
         let UpstreamEntry { id, started_ms, .. } = &upstream.entry;
         remember(&mut self.removed, &self.upstreams, id, *started_ms);
         Some(Change::removed(upstream))
@@ -327,6 +342,12 @@
     }
 }
 
+/// Returns the hash of an upstream's incarnation and state.
+fn entry_hash(entry: &UpstreamEntry) -> u64 {
+    let seed = entry.started_ms << 1 | u64::from(entry.state == EntryState::Ready);
+    xxh3_64_with_seed(entry.id.as_str().as_bytes(), seed)
+}
+
 /// Records the last incarnation of an upstream. Discards those of upstreams that are not in use if there are too many.
 fn remember(
     incarnations: &mut FxHashMap<UpstreamName, u64>,
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -199,11 +199,14 @@
     fn new(hash: u32, cached_segments_max: usize) -> Self {
         let cached_segments_max =
             NonZeroUsize::new(cached_segments_max).unwrap_or(NonZeroUsize::MIN);
+        // A cache that is created with its bound allocates all of its entries, 140 KB for 4,096 of them.
+        let mut cached_segments = LruCache::unbounded_with_hasher(FxBuildHasher);
+        cached_segments.resize(cached_segments_max);
         Self {
             hash,
             local: InProgress::default(),
             reported: None,
-            cached_segments: LruCache::with_hasher(cached_segments_max, FxBuildHasher),
+            cached_segments,
             failure_rate: 0.0,
             n_connect_failures: 0,
             ejected_until_ms: 0,
@@ -233,6 +236,8 @@
     peer_loads: FxHashMap<u64, PeerLoad>,
     /// Sum of the peers' reports, updated with each report, so that a request does not have to go through all peers.
     peers_total: FxHashMap<u32, InProgress>,
+    /// When the last ejection ends.
+    ejected_until_ms: u64,
     /// Estimated median of the prefill time per token, from prompts that found no other prompt waiting.
     prefill_ms_per_token: f64,
 }
@@ -258,6 +263,7 @@
             upstreams: FxHashMap::default(),
             peer_loads: FxHashMap::default(),
             peers_total: FxHashMap::default(),
+            ejected_until_ms: 0,
             prefill_ms_per_token: settings.prefill_ms_per_token,
         }
     }
@@ -271,18 +277,15 @@
         now_ms: u64,
         rng: &mut impl Rng,
     ) -> Option<Assignment> {
-        let candidates: Vec<_> = candidates.filter(|it| !excluded.contains(&it.entry.id)).collect();
-        for it in &candidates {
-            if !self.upstreams.contains_key(&it.entry.id) {
-                self.entry(&it.entry.id);
+        let mut pool: Vec<_> = candidates.filter(|it| !excluded.contains(&it.entry.id)).collect();
+        if now_ms < self.ejected_until_ms {
+            let is_available = |it: &&Upstream| {
+                self.upstreams.get(&it.entry.id).is_none_or(|it| it.ejected_until_ms <= now_ms)
+            };
+            if pool.iter().any(is_available) {
+                pool.retain(is_available);
             }
         }
-        let mut pool: Vec<_> =
-            candidates.into_iter().map(|it| (it, &self.upstreams[&it.entry.id])).collect();
-        let is_available = |it: &(&Upstream, &UpstreamState)| it.1.ejected_until_ms <= now_ms;
-        if pool.iter().any(is_available) {
-            pool.retain(is_available);
-        }
         let (upstream, uncached_tokens) = match self.settings.strategy {
             Strategy::Cost => self.least_cost(prompt, &pool, now_ms, rng)?,
             strategy => (self.baseline(strategy, &pool, now_ms, rng)?, tokens_of(prompt)),
@@ -297,22 +300,28 @@
     /// [`Settings::random_choices`] further ones, drawn at random. Without a prompt, only upstreams drawn at random are
     /// compared. Both numbers are limited to [`COMPARED_MAX`], and at least one upstream is drawn at random.
     fn least_cost<'a>(
-        &self,
+        &mut self,
         prompt: Option<&Prompt>,
-        pool: &[(&'a Upstream, &UpstreamState)],
+        pool: &[&'a Upstream],
         now_ms: u64,
         rng: &mut impl Rng,
     ) -> Option<(&'a Upstream, u32)> {
         let hash_choices = self.settings.hash_choices.min(COMPARED_MAX);
         let random_choices = self.settings.random_choices.clamp(1, COMPARED_MAX);
-        let hashes = pool.iter().map(|it| it.1.hash);
+        let hashes = pool.iter().map(|it| it.hash);
         let mut compared = match prompt {
             Some(it) => first_in_hash_order(it.affinity(), hashes, hash_choices),
             None => Vec::new(),
         };
         add_random(&mut compared, pool.len(), random_choices, rng);
+        for it in compared.iter().map(|it| &pool[*it].entry.id) {
+            if !self.upstreams.contains_key(it) {
+                self.entry(it);
+            }
+        }
         let costs = compared.into_iter().enumerate().map(|(position, idx)| {
-            let (upstream, state) = pool[idx];
+            let upstream = pool[idx];
+            let state = &self.upstreams[&upstream.entry.id];
             let (cost, uncached_tokens) = match prompt {
                 Some(it) => {
                     // The upstreams in hash order come first in `compared`.
@@ -330,7 +339,7 @@
     fn baseline<'a>(
         &self,
         strategy: Strategy,
-        pool: &[(&'a Upstream, &UpstreamState)],
+        pool: &[&'a Upstream],
         now_ms: u64,
         rng: &mut impl Rng,
     ) -> Option<&'a Upstream> {
@@ -344,7 +353,7 @@
             }
         }
         let compared = compared.into_iter().filter_map(|it| pool.get(it));
-        compared.min_by_key(|it| self.n_requests_at(it.1, now_ms)).map(|it| it.0)
+        compared.min_by_key(|it| self.n_requests(&it.entry.id, now_ms)).copied()
     }
 
     /// Records that the response has started, so that its prompt no longer waits.
@@ -379,6 +388,7 @@
             let ejection_ms = settings.ejection_min_ms << state.n_connect_failures.min(8);
             state.ejected_until_ms = now_ms + ejection_ms.min(settings.ejection_max_ms);
             state.n_connect_failures += 1;
+            self.ejected_until_ms = self.ejected_until_ms.max(state.ejected_until_ms);
         } else if result == AttemptResult::Served {
             state.n_connect_failures = 0;
         }
@@ -386,6 +396,7 @@
 
     /// Ends all ejections, because the failures to connect were no fault of the upstreams.
     pub fn end_ejections(&mut self) {
+        self.ejected_until_ms = 0;
         for it in self.upstreams.values_mut() {
             it.ejected_until_ms = 0;
             it.n_connect_failures = 0;
--- a/crates/lentilhitch_policy/tests/catalog.rs
+++ b/crates/lentilhitch_policy/tests/catalog.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
+use rand::{SeedableRng as _, rngs::SmallRng};
 
 use lentilhitch_policy::{
     catalog::{Catalog, Change, Settings},
@@ -379,3 +380,30 @@
         }
     }
 }
+
+/// Guards against a digest that is not updated with each change: nodes with equal lists would then take their lists for
+/// different ones.
+#[test]
+fn the_digest_depends_on_the_upstreams_in_use_only() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut catalog = Catalog::new(Settings::default());
+    for step in 1..2_000_u64 {
+        let id = format!("u{}", rng.random_range(0..6));
+        let started_ms = rng.random_range(1..4);
+        let position = LogPosition::from(step);
+        let state = if rng.random_bool(0.2) { EntryState::Draining } else { EntryState::Ready };
+        let mut entry = upstream_entry(&id, started_ms, state);
+        entry.address.set_port(rng.random_range(80..82));
+        match rng.random_range(0..6) {
+            0 => catalog.remove(&entry.id, position, step),
+            1 => catalog.set_leaving(&entry.id, started_ms, None, step),
+            2 => catalog.replace(vec![(entry, position)], position, step).pop(),
+            _ => catalog.insert(entry, position, step),
+        };
+        let mut copy = Catalog::new(Settings::default());
+        for it in catalog.iter() {
+            copy.insert(it.entry.clone(), LogPosition::from(1), 0);
+        }
+        assert_eq!(catalog.digest(), copy.digest(), "step {step}");
+    }
+}
--- a/crates/lentilhitch_policy/tests/placement.rs
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -8,12 +8,13 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rustc_hash::FxHashMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 use lentilhitch_policy::{
     catalog::{Catalog, Settings as CatalogSettings, Upstream},
     placement::{
-        Assignment, AttemptResult, InProgress, LoadTable, Prompt, PromptSegment, Settings,
-        Strategy, upstream_hash,
+        Assignment, AttemptResult, InProgress, LoadTable, Prompt, PromptSegment, ReportedLoad,
+        Settings, Strategy, upstream_hash,
     },
     traffic::{EntryState, UpstreamEntry},
 };
@@ -365,3 +366,68 @@
     }
     assert!("fastest".parse::<Strategy>().unwrap_err().contains("fastest"));
 }
+
+/// Returns a hash of the choices among `n` upstreams under changing loads, failures and ejections.
+fn choices_hash(n: usize, strategy: Strategy) -> u64 {
+    let mut upstreams = upstreams(n);
+    // The order of a hash map differs between processors.
+    upstreams.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
+    let settings = Settings { strategy, ..Settings::default() };
+    let mut table = LoadTable::new(settings, "a".parse().unwrap());
+    let mut rng = SmallRng::seed_from_u64(n as u64);
+    let mut running = Vec::new();
+    let mut names = String::new();
+    for step in 0..3_000 {
+        let now_ms = 10 * step;
+        let upstream = &upstreams[rng.random_range(0..n)].entry.id;
+        match step % 7 {
+            0 => {
+                let load = InProgress { n_requests: 9, n_waiting: 3, waiting_tokens: 9_000 };
+                table.on_peer_report(step % 5, vec![(upstream_hash(upstream), load)], now_ms);
+            }
+            1 => {
+                let load = ReportedLoad { n_running: 12, n_waiting: 2 };
+                table.record_load(upstream, load, now_ms);
+            }
+            _ => {}
+        }
+        if step % 501 == 0 {
+            table.reset_upstream(upstream);
+        }
+        if step % 1_201 == 0 {
+            table.end_ejections();
+        }
+        let prompt = prompt(rng.random_range(0..20), 2_000, 1_000 + step, 700);
+        let prompt = (step % 3 != 0).then_some(&prompt);
+        let excluded = if step % 11 == 0 { vec![upstream.clone()] } else { Vec::new() };
+        let candidates = upstreams.iter().skip(usize::from(step % 13 == 0));
+        let assigned = table.assign(prompt, candidates, &excluded, now_ms, &mut rng).unwrap();
+        names += assigned.upstream.as_str();
+        running.push(assigned);
+        if 30 < running.len() {
+            let result = match rng.random_range(0..12) {
+                0 | 1 => AttemptResult::Unreachable,
+                2 => AttemptResult::Failed,
+                _ => AttemptResult::Served,
+            };
+            table.release(running.remove(0), result, now_ms);
+        }
+    }
+    xxh3_64(names.as_bytes())
+}
+
+/// Guards against an optimization that changes where the requests of small deployments go.
+#[test]
+fn choices_on_the_same_seed_stay_the_same() {
+    let cases = [
+        (7, Strategy::Cost, 0x9ed8_9174_1630_1cfa),
+        (30, Strategy::Cost, 0xbed1_cca5_e485_14f5),
+        (112, Strategy::Cost, 0xebf5_91c1_c852_4a4a),
+        (30, Strategy::LeastReported, 0x78a3_8b8a_1495_0352),
+        (30, Strategy::TwoChoices, 0x91fe_13a5_30c8_2e4e),
+        (30, Strategy::RoundRobin, 0x09e2_42e7_2807_fb37),
+    ];
+    let hashes: Vec<_> = cases.iter().map(|it| choices_hash(it.0, it.1)).collect();
+    let expected: Vec<u64> = cases.iter().map(|it| it.2).collect();
+    assert_eq!(hashes, expected);
+}
