--- a/crates/lentilhitch_standin/src/lib.rs
+++ b/crates/lentilhitch_standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod engine;
 pub mod fault_proxy;
+pub mod fleet_slopes;
 pub mod harness;
 pub mod load;
 pub mod platform;
--- a/crates/lentilhitch_standin/src/main.rs
+++ b/crates/lentilhitch_standin/src/main.rs
@@ -6,7 +6,7 @@
 use argh::FromArgs;
 
 use lentilhitch_standin::{
-    application, demo, engine, load, platform, record, replay, slopes, soak, trace,
+    application, demo, engine, fleet_slopes, load, platform, record, replay, slopes, soak, trace,
 };
 
 /// Stand-ins for the platform, applications and engines, and tools that use them. For development only.
@@ -25,6 +25,7 @@
     Demo(DemoArgs),
     Load(LoadArgs),
     Slopes(SlopesArgs),
+    FleetSlopes(FleetSlopesArgs),
     Record(RecordArgs),
     Replay(ReplayArgs),
     Soak(SoakArgs),
@@ -119,6 +120,11 @@
     seconds: u64,
 }
 
+/// Measure without a network how the work and messages of a node grow with the nodes and upstreams, for docs/CAPACITY.md.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet-slopes")]
+struct FleetSlopesArgs {}
+
 /// Record a trace from the running system under a seeded load.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "record")]
@@ -176,6 +182,7 @@
         Command::Demo(DemoArgs {}) => demo::run().await,
         Command::Load(it) => load::run(it.streams, it.requests).await,
         Command::Slopes(it) => slopes::run(it.seconds).await,
+        Command::FleetSlopes(FleetSlopesArgs {}) => fleet_slopes::run(),
         Command::Record(it) => record::run(&it.deployment, it.seed, &it.file).await,
         Command::Replay(it) => {
             for file in &it.files {
