Pace of upstreams as the fourth figure of their load

Cause: upstreams share machines, and some state how long work takes there now. Only the first two figures of the load were read.

Change: ReportedLoad has slots and an optional pace. placement::pace estimates the pace of each upstream of a service of which some upstream states one, and uses it for the expected time to the first token, and for the cost of upstreams without an engine. Unusable figures are ignored and logged once per incarnation. Other services get the same choices as before, compared with a copy of the former computation.

--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -118,6 +118,8 @@
     pub id: Option<String>,
     pub kind: ResponseKind,
     pub load: Option<ReportedLoad>,
+    /// Set if a figure of the load is missing or ignored.
+    pub invalid_load: Option<InvalidLoad>,
     /// Whether the upstream states that it is leaving.
     pub is_leaving: bool,
     /// Pause that an upstream asks for which has turned a request away, in milliseconds.
@@ -128,6 +130,11 @@
     pub rejections_max_per_s: Option<Result<u32, InvalidRejectionsMax>>,
 }
 
+/// A load with a figure that is missing, cannot be decoded or is out of range.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} has a figure that is missing, unreadable or out of range")]
+pub struct InvalidLoad(pub String);
+
 /// A pause that cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{0:?} is no number of seconds")]
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -382,10 +382,7 @@
 
     /// Handles what an upstream states about itself in the head of a response.
     pub(crate) fn on_upstream_statements(&self, entry: &UpstreamEntry, head: &ResponseHead) {
-        if let Some(load) = head.load {
-            let now_ms = self.now_ms();
-            self.state.borrow_mut().load_table.record_load(&entry.id, load, now_ms);
-        }
+        self.on_load_statement(entry, head);
         if head.is_leaving {
             self.on_stated_leaving(entry);
         }
@@ -398,6 +395,23 @@
         }
     }
 
+    /// Handles the load that an upstream states. The first load of an incarnation that has an unusable figure is logged.
+    fn on_load_statement(&self, entry: &UpstreamEntry, head: &ResponseHead) {
+        let now_ms = self.now_ms();
+        let load_table = &mut self.state.borrow_mut().load_table;
+        if let Some(load) = head.load {
+            load_table.record_load(&entry.id, load, now_ms);
+            if let Some(pace) = load.pace {
+                load_table.record_pace(entry, pace, now_ms);
+            }
+        }
+        if let Some(err) = &head.invalid_load
+            && load_table.is_first_invalid_load(&entry.id)
+        {
+            log::warn!(upstream = entry.id.as_str(), error:% = err; "ignoring figures of the load that an upstream states");
+        }
+    }
+
     /// Handles whether an upstream states in the response to a request that it is brittle.
     fn on_brittle_statement(&self, entry: &UpstreamEntry, head: &ResponseHead) {
         let rejections_max_per_s = match &head.rejections_max_per_s {
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -26,6 +26,7 @@
 use crate::catalog::Upstream;
 
 mod choice;
+pub mod pace;
 
 pub use choice::Strategy;
 use choice::{COMPARED_MAX, add_random, first_in_hash_order};
@@ -90,6 +91,7 @@
     pub ejection_max_ms: u64,
     /// Maximum number of prompt segments recorded as cached for each upstream.
     pub cached_segments_max: usize,
+    pub pace: pace::Settings,
 }
 
 impl Default for Settings {
@@ -107,6 +109,7 @@
             ejection_min_ms: 300,
             ejection_max_ms: 3_000,
             cached_segments_max: 4_096,
+            pace: pace::Settings::default(),
         }
     }
 }
@@ -123,10 +126,14 @@
 }
 
 /// Load that an upstream reported in a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReportedLoad {
     pub n_running: u32,
     pub n_waiting: u32,
+    /// Requests that the upstream runs at the same time, if it states them.
+    pub slots: Option<u32>,
+    /// How long work takes there now, see [`pace`], if the upstream states it.
+    pub pace: Option<f64>,
 }
 
 /// Result of an attempt at an upstream, as far as it matters for later choices.
@@ -193,6 +200,7 @@
     /// Number of failures to connect since the last served request.
     n_connect_failures: u32,
     ejected_until_ms: u64,
+    pace: pace::UpstreamPace,
 }
 
 impl UpstreamState {
@@ -207,6 +215,7 @@
             failure_rate: 0.0,
             n_connect_failures: 0,
             ejected_until_ms: 0,
+            pace: pace::UpstreamPace::default(),
         }
     }
 
@@ -235,6 +244,7 @@
     peers_total: FxHashMap<u32, InProgress>,
     /// Estimated median of the prefill time per token, from prompts that found no other prompt waiting.
     prefill_ms_per_token: f64,
+    paces: pace::ServicePaces,
 }
 
 /// How long a peer's report remains valid: a few report intervals.
@@ -259,6 +269,7 @@
             peer_loads: FxHashMap::default(),
             peers_total: FxHashMap::default(),
             prefill_ms_per_token: settings.prefill_ms_per_token,
+            paces: pace::ServicePaces::default(),
         }
     }
 
@@ -289,6 +300,7 @@
         };
         let id = upstream.entry.id.clone();
         self.n_assigned += 1;
+        self.on_assigned(&upstream.entry);
         Some(self.reserve(&id, prompt, uncached_tokens))
     }
 
@@ -394,12 +406,15 @@
 
     /// Records the load that an upstream reported in a response.
     pub fn record_load(&mut self, upstream: &UpstreamName, load: ReportedLoad, now_ms: u64) {
-        self.entry(upstream).reported = Some((load, now_ms));
+        let state = self.entry(upstream);
+        state.reported = Some((load, now_ms));
+        state.pace.on_load();
     }
 
     /// Records the time to the first token. Only long prompts that found no other prompt waiting are used to measure
     /// prefill speed. The estimated median follows the samples in small steps.
     pub fn record_first_token(&mut self, assignment: &Assignment, first_token_ms: u64) {
+        self.record_response_time(assignment, first_token_ms);
         if assignment.uncached_tokens < PREFILL_SAMPLE_TOKENS_MIN || !assignment.was_queue_empty {
             return;
         }
@@ -493,6 +508,9 @@
         uncached_tokens: u64,
         now_ms: u64,
     ) -> f64 {
+        if let Some(expected_ms) = self.paced_first_token_ms(upstream, uncached_tokens, now_ms) {
+            return expected_ms;
+        }
         let n_requests = self.n_requests(upstream, now_ms);
         self.estimate_ms(self.waiting_tokens(upstream) + uncached_tokens, n_requests)
     }
@@ -526,6 +544,10 @@
         let expected_cached = hit_probability * unconfirmed_shared as f64;
         let uncached = prompt.input_tokens.saturating_sub(cached) as f64 - expected_cached;
         let uncached = uncached.max(0.0) as u64;
+        if let Some(factor) = self.time_factor(&upstream.entry.service, state, now_ms) {
+            let cost = self.paced_engine_cost(uncached, upstream, state, factor, now_ms);
+            return (cost, uncached as u32);
+        }
         let n_requests = self.n_requests_at(state, now_ms);
         let n_over_slots = n_requests.saturating_sub(upstream.entry.slots.saturating_sub(1));
         let slot_wait_ms = f64::from(n_over_slots) * 100.0;
@@ -540,6 +562,9 @@
     }
 
     fn plain_cost(&self, upstream: &Upstream, state: &UpstreamState, now_ms: u64) -> f64 {
+        if let Some(factor) = self.time_factor(&upstream.entry.service, state, now_ms) {
+            return self.paced_plain_cost(upstream, state, factor, now_ms);
+        }
         let n_requests = f64::from(self.n_requests_at(state, now_ms));
         let requests_per_slot = n_requests / f64::from(upstream.entry.slots.max(1));
         10.0 * requests_per_slot
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -74,6 +74,8 @@
     is_leaving: bool,
     /// Limit that responses state, in requests per second from all nodes together.
     limit: Option<&'static str>,
+    /// Load that responses state.
+    load: Option<&'static str>,
     /// Room for requests, if it is limited.
     room: Option<Room>,
     executed: Vec<ExecutedRequest>,
@@ -153,6 +155,7 @@
             crashing_segment: None,
             is_leaving: false,
             limit: None,
+            load: None,
             room: None,
             executed: Vec::new(),
             n_aborted_streams: 0,
@@ -236,6 +239,12 @@
         self.state.lock().limit = limit;
     }
 
+    /// Sets the load that later responses state: running requests, waiting requests, slots, and the pace if there is a
+    /// fourth figure.
+    pub fn state_load(&self, load: Option<&'static str>) {
+        self.state.lock().load = load;
+    }
+
     /// Makes the upstream brittle: it executes so many requests at the same time, rejects all others, states in all
     /// responses how many rejections in a second it bears, and counts how often it would fall over.
     pub fn become_brittle(&self, slots: usize, rejections_max: usize) {
@@ -365,13 +374,14 @@
 struct Statements {
     is_leaving: bool,
     limit: Option<&'static str>,
+    load: Option<&'static str>,
     rejections_max: Option<usize>,
 }
 
 impl Statements {
     fn of(state: &State) -> Self {
         let rejections_max = state.room.as_ref().map(|it| it.rejections_max);
-        Self { is_leaving: state.is_leaving, limit: state.limit, rejections_max }
+        Self { is_leaving: state.is_leaving, limit: state.limit, load: state.load, rejections_max }
     }
 
     fn add_to(&self, mut response: Response<StandInBody>) -> Response<StandInBody> {
@@ -382,6 +392,9 @@
         if let Some(limit) = self.limit {
             headers.insert("server-limit", HeaderValue::from_static(limit));
         }
+        if let Some(load) = self.load {
+            headers.insert("x-server-load", HeaderValue::from_static(load));
+        }
         if let Some(rejections_max) = self.rejections_max {
             headers.insert("server-brittle", rejections_max.into());
         }
