--- a/crates/lentilhitch/src/args.rs
+++ b/crates/lentilhitch/src/args.rs
@@ -115,14 +115,44 @@
 pub(crate) struct TokenDigest {}
 
 /// Print the log lines of a request from the logs of many processes, in order of time. Exit code 1 if no line names the
-/// request.
+/// request. With --admin, ask a running node instead where it would send a request now, and why.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub(crate) struct Explain {
-    /// request ID
-    #[argh(positional)]
-    pub(crate) id: String,
-    /// log files
+    /// administrative address of the node to ask
+    #[argh(option)]
+    pub(crate) admin: Option<SocketAddr>,
+    /// host of the request
+    #[argh(option)]
+    pub(crate) host: Option<String>,
+    /// path of the request
+    #[argh(option)]
+    pub(crate) path: Option<String>,
+    /// name of the team
+    #[argh(option)]
+    pub(crate) team: Option<String>,
+    /// priority instead of that of the route and the team; 0 is the most urgent
+    #[argh(option)]
+    pub(crate) priority: Option<u8>,
+    /// segments of the prompt as ID:TOKENS, separated by commas
+    #[argh(option)]
+    pub(crate) segments: Option<String>,
+    /// tokens of the prompt, by default those of the segments
+    #[argh(option)]
+    pub(crate) input_tokens: Option<u64>,
+    /// maximum number of output tokens
+    #[argh(option)]
+    pub(crate) output_tokens: Option<u64>,
+    /// time that the client waits, in milliseconds
+    #[argh(option)]
+    pub(crate) deadline_ms: Option<u64>,
+    /// number of candidates to print for each service
+    #[argh(option)]
+    pub(crate) candidates: Option<usize>,
+    /// print JSON instead of a table
+    #[argh(switch)]
+    pub(crate) json: bool,
+    /// request ID and log files, unless a node is asked
     #[argh(positional)]
-    pub(crate) files: Vec<PathBuf>,
+    pub(crate) id_and_files: Vec<String>,
 }
--- a/crates/lentilhitch/src/commands/explain.rs
+++ b/crates/lentilhitch/src/commands/explain.rs
@@ -1,4 +1,7 @@
-//! The `explain` command: prints the log lines of one request from several log files.
+//! The `explain` command: prints the log lines of one request from several log files, or asks a running node where it
+//! would send a request.
+
+mod request;
 
 use std::{
     fs::File,
@@ -25,10 +28,15 @@
 }
 
 pub(crate) fn explain(args: &args::Explain) -> anyhow::Result<ExitStatus> {
-    anyhow::ensure!(!args.files.is_empty(), "no log files are given");
+    if let Some(admin) = args.admin {
+        return request::explain(admin, args);
+    }
+    let (id, files) =
+        args.id_and_files.split_first().context("neither a request ID nor --admin is given")?;
+    anyhow::ensure!(!files.is_empty(), "no log files are given");
     let mut lines = Vec::new();
-    for file in &args.files {
-        read_lines(file, &args.id, &mut lines)?;
+    for file in files {
+        read_lines(Path::new(file), id, &mut lines)?;
     }
     // All processes write times in the same format, so the order of the texts is the order of the times.
     lines.sort_by(|a, b| a.time.cmp(&b.time));
@@ -36,7 +44,7 @@
         println!("{}", format_line(line));
     }
     if lines.is_empty() {
-        eprintln!("no line names request {}", args.id);
+        eprintln!("no line names request {id}");
         return Ok(ExitStatus::Findings);
     }
     Ok(ExitStatus::Success)
--- a/crates/lentilhitch_gateway/src/admission.rs
+++ b/crates/lentilhitch_gateway/src/admission.rs
@@ -61,7 +61,7 @@
 }
 
 /// Timeout of a client that states none.
-const CLIENT_TIMEOUT_DEFAULT_MS: u64 = 30_000;
+pub(crate) const CLIENT_TIMEOUT_DEFAULT_MS: u64 = 30_000;
 
 /// Reads the complete request and decides whether it may be sent to an upstream.
 pub(crate) async fn admit<P: Platform>(
@@ -194,6 +194,29 @@
         }
     }
 
+    /// Returns what is known of the other nodes, for rate limits.
+    fn cluster_view(&self, now_ms: u64) -> ClusterView {
+        let zone = self.zone_hash();
+        let gossip = &self.state.borrow().gossip;
+        // The other nodes of each zone, and the age of the zone's state.
+        let peers = gossip.zones().map(|it| {
+            let n_nodes = it.state.n_nodes as usize;
+            let n_nodes = n_nodes.saturating_sub(usize::from(it.state.zone == zone));
+            (n_nodes, now_ms.saturating_sub(it.as_of_ms))
+        });
+        ClusterView::new(gossip.n_nodes(now_ms), gossip.state_age_ms(now_ms), peers)
+    }
+
+    /// Returns the time after which a request of a team would be admitted, if it would be rejected now for the team's
+    /// limit. Nothing is charged.
+    pub(crate) fn rate_limit_wait_ms(&self, team: &Team, total_tokens: Option<u64>) -> Option<u64> {
+        let cost = team.limit?.unit.cost(total_tokens);
+        let now_ms = self.now_ms();
+        let view = self.cluster_view(now_ms);
+        let mut rate = self.state.borrow().rates.get(&team.name)?.clone();
+        rate.try_admit(cost, view, now_ms).err().map(|it| it.min(RETRY_AFTER_MAX_MS))
+    }
+
     /// Charges a request to the rate limit of its team and returns the cost. A request without a team, of a team
     /// without a limit, or of a team that has a limit but no entry in the node's rates is admitted at no cost.
     fn charge(&self, team: Option<&Team>, head: &RequestHead) -> Result<f64, Rejection> {
@@ -202,16 +225,8 @@
         };
         let cost = limit.unit.cost(head.total_tokens());
         let now_ms = self.now_ms();
-        let zone = self.zone_hash();
+        let view = self.cluster_view(now_ms);
         let mut state = self.state.borrow_mut();
-        let gossip = &state.gossip;
-        // The other nodes of each zone, and the age of the zone's state.
-        let peers = gossip.zones().map(|it| {
-            let n_nodes = it.state.n_nodes as usize;
-            let n_nodes = n_nodes.saturating_sub(usize::from(it.state.zone == zone));
-            (n_nodes, now_ms.saturating_sub(it.as_of_ms))
-        });
-        let view = ClusterView::new(gossip.n_nodes(now_ms), gossip.state_age_ms(now_ms), peers);
         let Some(rate) = state.rates.get_mut(team) else { return Ok(0.0) };
         match rate.try_admit(cost, view, now_ms) {
             Ok(()) => {
--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -1,6 +1,6 @@
 //! The attempts of one request: chooses the upstream of each attempt and decides when to stop.
 
-use std::rc::Rc;
+use std::{ops::RangeInclusive, rc::Rc};
 
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 
@@ -8,9 +8,9 @@
     catalog::Upstream,
     retry::{self, Repeatable},
     stream_origins::{StreamKey, StreamOrigin},
-    traffic::{Repeat, UpstreamEntry},
+    traffic::{Repeat, Route, UpstreamEntry},
 };
-use lentilhitch_types::UpstreamName;
+use lentilhitch_types::{ServiceName, UpstreamName};
 
 use crate::{
     admission::AdmittedRequest,
@@ -399,13 +399,16 @@
         let waited_ms = (now_ms - self.admitted.arrived_ms) as f64;
         let expected_ms =
             waited_ms + state.load_table.expected_first_token_ms(&entry.id, 0, now_ms);
-        let latency_target_ms =
-            self.admitted.route.target_ms.unwrap_or(LATENCY_TARGET_DEFAULT_MS) as f64;
-        let remaining_ms = self.admitted.remaining_ms(now_ms) as f64;
-        (FIRST_TOKEN_TARGET_MULTIPLE_MAX * latency_target_ms).min(remaining_ms) < expected_ms
+        first_token_limit_ms(&self.admitted.route, self.admitted.remaining_ms(now_ms)) < expected_ms
     }
 }
 
+/// Returns the expected time to the first token above which a request is rejected.
+pub(crate) fn first_token_limit_ms(route: &Route, remaining_ms: u64) -> f64 {
+    let latency_target_ms = route.target_ms.unwrap_or(LATENCY_TARGET_DEFAULT_MS) as f64;
+    (FIRST_TOKEN_TARGET_MULTIPLE_MAX * latency_target_ms).min(remaining_ms as f64)
+}
+
 impl<P: Platform> Node<P> {
     /// Returns the settings of this node's retry budget for a service, as its share of the deployment's limits.
     fn budget_settings(&self) -> retry::Settings {
@@ -424,21 +427,26 @@
     /// the first token over the ready upstreams, plus a random addition so that clients do not return all at once. If all
     /// ready upstreams have asked for a pause or a limit, the time until the first of them accepts a request is added.
     fn retry_after_ms(&self, admitted: &AdmittedRequest) -> u64 {
+        let range = self.retry_after_range_ms(&admitted.service);
+        self.state.borrow_mut().rng.random_range(range)
+    }
+
+    /// Returns the range from which the time after which a client may retry is drawn.
+    pub(crate) fn retry_after_range_ms(&self, service: &ServiceName) -> RangeInclusive<u64> {
         let now_ms = self.now_ms();
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
-        let ready = state.catalog.ready(&admitted.service);
+        let state = self.state.borrow();
+        let ready = state.catalog.ready(service);
         let first_token_delays_ms =
             ready.map(|it| state.load_table.expected_first_token_ms(&it.entry.id, 0, now_ms));
         let delay_min_ms = first_token_delays_ms.fold(f64::INFINITY, f64::min);
         let delay_min_ms =
             if delay_min_ms.is_finite() { delay_min_ms as u64 } else { RETRY_AFTER_MIN_MS };
         let delay_min_ms = delay_min_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-        let ready = state.catalog.ready(&admitted.service);
+        let ready = state.catalog.ready(service);
         let remaining =
             ready.map(|it| state.restrictions.remaining_ms(&it.entry, now_ms).unwrap_or(0));
         let pause_ms = remaining.min().unwrap_or(0);
-        pause_ms + state.rng.random_range(delay_min_ms..=2 * delay_min_ms)
+        pause_ms + delay_min_ms..=pause_ms + 2 * delay_min_ms
     }
 
     /// Counts a request that has started to run in the usage of its team.
--- a/crates/lentilhitch_gateway/src/ingress.rs
+++ b/crates/lentilhitch_gateway/src/ingress.rs
@@ -18,7 +18,7 @@
 use crate::{
     client_io::{ClientIo, PhaseTracker},
     client_response::ResponseBody,
-    exchange, forward,
+    exchange, explain, forward,
     node::{Node, NodePhase},
     peer_relay,
     platform::Platform,
@@ -155,8 +155,14 @@
 /// Serves the requests of operators.
 pub(crate) async fn serve_admin<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
     serve_internal(listener, move |request: Request<Incoming>| {
-        let response = respond_internal(&node, &request);
-        async { response }
+        let node = node.clone();
+        async move {
+            if request.uri().path() == explain::PATH {
+                let (status, bytes) = explain::respond(&node, request.into_body()).await;
+                return build_response(status, bytes);
+            }
+            respond_internal(&node, &request)
+        }
     })
     .await;
 }
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod discovery;
 mod duties;
 mod exchange;
+pub mod explain;
 mod forward;
 mod gossip;
 mod ingress;
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -26,6 +26,7 @@
 use crate::catalog::Upstream;
 
 mod choice;
+pub mod explain;
 pub mod pace;
 
 pub use choice::Strategy;
@@ -255,6 +256,8 @@
 const MEDIAN_STEP_FRACTION: f64 = 0.02;
 /// Weight of the newest attempt in the moving average of failed attempts.
 const FAILURE_RATE_NEWEST_WEIGHT: f64 = 0.15;
+/// Cost of an attempt that is certain to fail at an upstream without an engine.
+const PLAIN_FAILURE_COST: f64 = 40.0;
 /// How long a load reported by an upstream remains valid.
 const REPORTED_LOAD_TTL_MS: u64 = 400;
 
@@ -569,7 +572,7 @@
         let requests_per_slot = n_requests / f64::from(upstream.entry.slots.max(1));
         10.0 * requests_per_slot
             + 30.0 * (requests_per_slot - 1.0).max(0.0)
-            + 40.0 * state.failure_rate
+            + PLAIN_FAILURE_COST * state.failure_rate
             + self.zone_cost(upstream)
     }
 
--- a/crates/lentilhitch_policy/src/placement/pace.rs
+++ b/crates/lentilhitch_policy/src/placement/pace.rs
@@ -15,7 +15,7 @@
 
 use lentilhitch_types::{ServiceName, UpstreamName};
 
-use super::{Assignment, LoadTable, MEDIAN_STEP_FRACTION, UpstreamState};
+use super::{Assignment, LoadTable, MEDIAN_STEP_FRACTION, PLAIN_FAILURE_COST, UpstreamState};
 use crate::{catalog::Upstream, traffic::UpstreamEntry};
 
 /// Paces that are used. An upstream outside of this range is not usable at all, or states another quantity.
@@ -41,7 +41,6 @@
 /// waits for a slot in proportion to the slots. They have the same scale as the cost of a service without paces.
 const PLAIN_WORK_COST: f64 = 10.0;
 const PLAIN_WAIT_COST: f64 = 30.0;
-const PLAIN_FAILURE_COST: f64 = 40.0;
 
 /// Settings for the use of paces.
 #[derive(Clone, Copy, Debug)]
--- a/crates/lentilhitch_policy/tests/placement.rs
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -239,6 +239,39 @@
     assert!((18_000.0..22_000.0).contains(&measured), "{measured} tokens per second");
 }
 
+/// Guards against figures for operators that differ from those that decide, and against a question that changes state.
+#[test]
+fn explained_candidates_match_the_choice() {
+    let upstreams = upstreams(5);
+    let candidates: Vec<_> = upstreams.iter().collect();
+    let mut node = Node::new(5);
+    for it in 0..200 {
+        let request = (it % 4 != 0).then(|| prompt(it % 7, 900, 1_000 + it, 100 * it as u32));
+        let now_ms = it * 10;
+        let explained = node.load_table.explain(request.as_ref(), &candidates, now_ms);
+        let again = node.load_table.explain(request.as_ref(), &candidates, now_ms);
+        assert_eq!(explained, again, "request {it}");
+        // All five are compared, so that the cheapest one is chosen unless others cost the same.
+        let assignment = node.assign(request.as_ref(), &upstreams, now_ms);
+        let chosen = explained.iter().find(|it| it.upstream == assignment.upstream).unwrap();
+        let is_compared_by_hash = explained.iter().filter(|it| it.hash_rank.is_some()).count();
+        let n_usable = match explained.iter().filter(|it| !it.is_ejected).count() {
+            0 => explained.len(),
+            it => it,
+        };
+        assert_eq!(is_compared_by_hash, if request.is_some() { n_usable.min(3) } else { 0 });
+        if request.is_some() {
+            assert_eq!(chosen.cost.to_bits(), explained[0].cost.to_bits(), "request {it}");
+            assert_eq!(chosen.uncached_tokens, assignment.uncached_tokens);
+        }
+        if it % 9 == 0 {
+            node.load_table.release(assignment, AttemptResult::Unreachable, now_ms);
+        } else if it % 3 == 0 {
+            node.load_table.release(assignment, AttemptResult::Served, now_ms);
+        }
+    }
+}
+
 /// A peer's report: the peer's number, then for each upstream its number, the running and the waiting requests and the
 /// waiting tokens, and finally the time since the previous report in milliseconds.
 type TimedReport = (u64, Vec<(usize, u32, u32, u32)>, u64);
