Load shedding by priority at each node

Cause: while engines are short, requests are sent in the order of arrival. Late requests of the least urgent kind fill the queues of the engines, whose rejections then hit the most urgent kind too.

Change: lentilhitch_policy::overload decides on the first attempt of a request of a service whose upstreams are model engines and whose requests have different priorities. While a slot may be free, requests are sent as before. Otherwise a request is sent if its first event is expected in time, given the requests ahead of it in an engine that serves its queue by priority. Others are rejected at once.

--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -55,6 +55,8 @@
     /// Whether an upstream has run the request or may have run it.
     may_have_run: bool,
     is_usage_counted: bool,
+    /// When load shedding has decided to send the request.
+    cleared_ms: Option<u64>,
     /// Service and software version that wrote the first event of the stream. Only upstreams of these may continue it.
     origin: Option<StreamOrigin>,
 }
@@ -70,6 +72,7 @@
             is_unanswered: false,
             may_have_run: false,
             is_usage_counted: false,
+            cleared_ms: None,
             origin: admitted.origin,
         }
     }
@@ -142,8 +145,18 @@
             };
             // Skipped once the request has been sent. Its stream may have started, so the objective for the first token
             // no longer applies.
-            if self.sent_to.is_empty() && self.is_first_token_too_late(&entry, now_ms) {
-                return Err(self.rejection("the first token would come too late"));
+            if self.sent_to.is_empty() && self.cleared_ms.is_none() {
+                let tokens = assignment.uncached_tokens();
+                match self.node.shed(&self.admitted, &entry, tokens, self.latency_target_ms()) {
+                    Some(decided) => {
+                        decided.map_err(Rejection::Shed)?;
+                        self.cleared_ms = Some(now_ms);
+                    }
+                    None if self.is_first_token_too_late(&entry, now_ms) => {
+                        return Err(self.rejection("the first token would come too late"));
+                    }
+                    None => {}
+                }
             }
             if self.may_have_run {
                 self.node.charge_again(&self.admitted);
@@ -383,12 +396,16 @@
         if is_last || !self.admitted.route.repeat.may_repeat() {
             return remaining_ms;
         }
-        let latency_target_ms = self.admitted.route.target_ms.unwrap_or(LATENCY_TARGET_DEFAULT_MS);
+        let latency_target_ms = self.latency_target_ms();
         let head_timeout_ms =
             (HEAD_TIMEOUT_TARGET_MULTIPLE * latency_target_ms).max(HEAD_TIMEOUT_MIN_MS);
         head_timeout_ms.min(remaining_ms)
     }
 
+    fn latency_target_ms(&self) -> u64 {
+        self.admitted.route.target_ms.unwrap_or(LATENCY_TARGET_DEFAULT_MS)
+    }
+
     /// Returns whether the first token is expected too late at this upstream: after the deadline of the request or far
     /// beyond the latency objective of the route.
     fn is_first_token_too_late(&self, entry: &UpstreamEntry, now_ms: u64) -> bool {
@@ -399,8 +416,7 @@
         let waited_ms = (now_ms - self.admitted.arrived_ms) as f64;
         let expected_ms =
             waited_ms + state.load_table.expected_first_token_ms(&entry.id, 0, now_ms);
-        let latency_target_ms =
-            self.admitted.route.target_ms.unwrap_or(LATENCY_TARGET_DEFAULT_MS) as f64;
+        let latency_target_ms = self.latency_target_ms() as f64;
         let remaining_ms = self.admitted.remaining_ms(now_ms) as f64;
         (FIRST_TOKEN_TARGET_MULTIPLE_MAX * latency_target_ms).min(remaining_ms) < expected_ms
     }
@@ -438,6 +454,11 @@
         let remaining =
             ready.map(|it| state.restrictions.remaining_ms(&it.entry, now_ms).unwrap_or(0));
         let pause_ms = remaining.min().unwrap_or(0);
+        if pause_ms == 0
+            && let Some(it) = self.forecast_retry_after_ms(state, admitted, now_ms)
+        {
+            return it;
+        }
         pause_ms + state.rng.random_range(delay_min_ms..=2 * delay_min_ms)
     }
 
--- a/crates/lentilhitch_gateway/src/client_response.rs
+++ b/crates/lentilhitch_gateway/src/client_response.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
-use crate::{client_io::PhaseTracker, platform::HttpCodec};
+use crate::{client_io::PhaseTracker, overload::Shed, platform::HttpCodec};
 
 /// Error that aborts a client's stream before its end, so that the client sees that the stream is incomplete.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
@@ -154,6 +154,8 @@
         reason: &'static str,
         retry_after_ms: u64,
     },
+    /// Capacity is short, and the first event of the request would come too late. It did not run.
+    Shed(Shed),
     /// The request is quarantined because it crashed the upstreams that ran it.
     Quarantined,
     /// The request may have run. Its response was lost for this reason.
@@ -171,7 +173,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::OverRateLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unavailable { .. } | Self::Shed(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Quarantined => StatusCode::INTERNAL_SERVER_ERROR,
             Self::OutcomeUnknown(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -184,6 +186,7 @@
             Self::Malformed(reason)
             | Self::Unavailable { reason, .. }
             | Self::OutcomeUnknown(reason) => reason,
+            Self::Shed(_) => "capacity is short and the first event would come too late",
             Self::UnknownKey => "no team has this key",
             Self::NoRoute => "no route",
             Self::BodyTooLarge => "the body is too large",
@@ -194,11 +197,12 @@
         }
     }
 
-    fn retry_after_ms(self) -> Option<u64> {
+    pub(crate) fn retry_after_ms(self) -> Option<u64> {
         match self {
             Self::OverRateLimit { retry_after_ms } | Self::Unavailable { retry_after_ms, .. } => {
                 Some(retry_after_ms)
             }
+            Self::Shed(it) => Some(it.retry_after_ms),
             _ => None,
         }
     }
--- a/crates/lentilhitch_gateway/src/forward.rs
+++ b/crates/lentilhitch_gateway/src/forward.rs
@@ -67,7 +67,13 @@
     let elapsed_ms = node.now_ms() - arrived_ms;
     let status = rejection.status().as_u16();
     let config_version = node.config_version();
-    log::warn!(request, resumed, route, status, reason = rejection.reason(), elapsed_ms, config_version; "request rejected");
+    let retry_after_ms = rejection.retry_after_ms();
+    let shed = if let Rejection::Shed(it) = rejection { Some(it) } else { None };
+    let priority = shed.map(|it| it.priority);
+    let expected_ms = shed.map(|it| it.expected_ms);
+    let n_there = shed.map(|it| it.n_there);
+    let n_queued = shed.map(|it| it.n_queued);
+    log::warn!(request, resumed, route, status, reason = rejection.reason(), elapsed_ms, config_version, retry_after_ms, priority, expected_ms, n_there, n_queued; "request rejected");
     node.metrics.record_request(route, status, elapsed_ms);
     rejection.response::<P>()
 }
@@ -96,7 +102,10 @@
             response
         }
         Err(rejection) => {
-            if matches!(rejection, Rejection::Unavailable { .. } | Rejection::Quarantined) {
+            if matches!(
+                rejection,
+                Rejection::Unavailable { .. } | Rejection::Shed(_) | Rejection::Quarantined
+            ) {
                 node.refund(&admitted);
             }
             let rejected = Rejected {
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod metrics;
 mod node;
 mod outbox;
+mod overload;
 mod peer_relay;
 pub mod platform;
 mod pool;
--- a/crates/lentilhitch_gateway/src/metrics.rs
+++ b/crates/lentilhitch_gateway/src/metrics.rs
@@ -12,6 +12,7 @@
     exposition: Exposition,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    shedding: Counter<u64>,
     store_calls: Counter<u64>,
     duty_calls: Counter<u64>,
     first_byte_ms: Histogram<f64>,
@@ -23,6 +24,7 @@
         Ok(Self {
             requests: meter.u64_counter("lentilhitch_requests").build(),
             attempts: meter.u64_counter("lentilhitch_tries").build(),
+            shedding: meter.u64_counter("lentilhitch_shedding").build(),
             store_calls: meter.u64_counter("lentilhitch_store_calls").build(),
             duty_calls: meter.u64_counter("lentilhitch_duty_calls").build(),
             first_byte_ms: meter.f64_histogram("lentilhitch_first_byte_ms").build(),
@@ -43,6 +45,13 @@
         self.attempts.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records the decision on a request that found no free slot.
+    pub(crate) fn record_shedding(&self, result: &'static str, priority: u8) {
+        let labels =
+            [KeyValue::new("result", result), KeyValue::new("priority", i64::from(priority))];
+        self.shedding.add(1, &labels);
+    }
+
     /// Records a finished call to the store.
     pub(crate) fn record_store_call(&self, topic: &'static str, is_ok: bool) {
         self.store_calls.add(1, &[KeyValue::new("topic", topic), KeyValue::new("ok", is_ok)]);
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -46,6 +46,7 @@
     gossip::UpstreamUpdate,
     metrics::Metrics,
     outbox::Outbox,
+    overload::LoadShedding,
     pool::{Connection, ConnectionPool},
     settings::NodeSettings,
     stream_versions::Inquiries,
@@ -75,6 +76,8 @@
     /// Connections to peers through which requests are sent, by exchange address.
     pub(crate) peer_pool: ConnectionPool<SocketAddr>,
     pub(crate) state: RefCell<State>,
+    /// Load shedding by priority.
+    pub(crate) load_shedding: LoadShedding,
     /// Messages to other nodes that wait to be sent.
     pub(crate) outbox: Outbox,
     /// When a byte of any upstream was last received on a connection of this node, or a connection was opened.
@@ -298,6 +301,7 @@
         let body_memory = BodyMemory::new(settings.memory_bytes);
         Ok(Self {
             settings,
+            load_shedding: LoadShedding::default(),
             outbox,
             platform,
             clock,
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -39,6 +39,8 @@
     node: Rc<Node<P>>,
     assignment: Option<Assignment>,
     started_ms: u64,
+    /// When the response started.
+    responded_ms: Option<u64>,
     result: AttemptResult,
 }
 
@@ -50,6 +52,7 @@
             node: node.clone(),
             assignment: Some(assignment),
             started_ms,
+            responded_ms: None,
             result: AttemptResult::Canceled,
         }
     }
@@ -62,7 +65,9 @@
     /// Records that the response has started.
     pub(crate) fn on_response_start(&mut self) {
         if let Some(assignment) = &mut self.assignment {
-            let elapsed_ms = self.node.now_ms() - self.started_ms;
+            let now_ms = self.node.now_ms();
+            self.responded_ms = Some(now_ms);
+            let elapsed_ms = now_ms - self.started_ms;
             let load_table = &mut self.node.state.borrow_mut().load_table;
             load_table.record_first_token(assignment, elapsed_ms);
             load_table.on_response_start(assignment);
@@ -79,7 +84,14 @@
         if let Some(assignment) = self.assignment.take() {
             self.node.on_request_ended();
             let now_ms = self.node.now_ms();
-            self.node.state.borrow_mut().load_table.release(assignment, self.result, now_ms);
+            let mut state = self.node.state.borrow_mut();
+            if let (AttemptResult::Served, Some(responded_ms)) = (self.result, self.responded_ms)
+                && let Some(upstream) = state.catalog.get(&assignment.upstream)
+            {
+                let service = &upstream.entry.service;
+                self.node.record_slot_time(&state, service, now_ms.saturating_sub(responded_ms));
+            }
+            state.load_table.release(assignment, self.result, now_ms);
         }
     }
 }
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod limits;
 pub mod membership;
 pub mod notice;
+pub mod overload;
 pub mod pauses;
 pub mod placement;
 pub mod quarantine;
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -23,7 +23,11 @@
 
 use lentilhitch_types::{SegmentId, UpstreamName, Zone};
 
-use crate::catalog::Upstream;
+use crate::{
+    catalog::Upstream,
+    overload::{Capacity, Chosen},
+    traffic::UpstreamEntry,
+};
 
 mod choice;
 
@@ -469,6 +473,39 @@
         }
     }
 
+    /// Returns the load of an upstream beside a request with `uncached_tokens` that is counted there.
+    ///
+    /// An engine reads the prompts in its slots in turns, a chunk of each. A prompt therefore waits for as many tokens
+    /// of each other prompt as it has itself, but not for prompts that have no slot.
+    pub fn load_beside(&self, entry: &UpstreamEntry, uncached_tokens: u32, now_ms: u64) -> Chosen {
+        let it = self.in_progress(&entry.id);
+        let n_reading = it.n_waiting.clamp(1, entry.slots.max(1));
+        let tokens = u64::from(uncached_tokens) * u64::from(n_reading);
+        let tokens = tokens.min(u64::from(it.waiting_tokens));
+        let n_requests = self.n_requests(&entry.id, now_ms);
+        Chosen {
+            n_requests: n_requests.saturating_sub(1),
+            slots: entry.slots,
+            first_token_ms: self.estimate_ms(tokens, n_requests.min(entry.slots)),
+        }
+    }
+
+    /// Returns the sums of slots and requests over upstreams, from all nodes, as known to this node.
+    pub fn capacity<'a>(
+        &self,
+        upstreams: impl Iterator<Item = &'a Upstream>,
+        now_ms: u64,
+    ) -> Capacity {
+        let mut sum = Capacity::default();
+        for Upstream { entry, .. } in upstreams {
+            let n_requests = self.n_requests(&entry.id, now_ms);
+            sum.n_slots += entry.slots;
+            sum.n_free_slots += entry.slots.saturating_sub(n_requests);
+            sum.n_queued += n_requests.saturating_sub(entry.slots);
+        }
+        sum
+    }
+
     /// Returns the number of requests at an upstream whose response has started, from all nodes, as known to this node.
     /// Unlike the number of requests in progress, it does not grow with the time that prompts wait.
     pub fn n_running(&self, upstream: &UpstreamName) -> u32 {
