Load shedding: requests that would miss their deadline are not sent, tests of the decision

Cause: a returning request close to its deadline was sent if its first event was expected within the objective but after the deadline.

Change: while no slot may be free, a request is sent only if its first event is expected before its deadline. Tests of each cause of a decision and of the minimum share of a class.

--- a/crates/lentilhitch_policy/src/overload.rs
+++ b/crates/lentilhitch_policy/src/overload.rs
@@ -182,12 +182,13 @@
             self.settings.target_multiple
         };
         let limit_ms = multiple * request.target_ms as f64;
-        let is_in_time = request.waited_ms as f64 + expected_ms <= limit_ms;
+        let is_in_deadline = expected_ms <= request.remaining_ms as f64;
+        let is_in_time = is_in_deadline && request.waited_ms as f64 + expected_ms <= limit_ms;
         let cause = if chosen.n_requests < chosen.slots || self.has_free_slots(capacity) {
             Cause::FreeSlot
         } else if is_in_time {
             Cause::InTime
-        } else if has_credit && expected_ms <= request.remaining_ms as f64 {
+        } else if has_credit && is_in_deadline {
             Cause::MinShare
         } else {
             return Decision::Reject { expected_ms };
--- a/crates/lentilhitch_policy/tests/overload.rs
+++ b/crates/lentilhitch_policy/tests/overload.rs
@@ -6,10 +6,13 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use lentilhitch_policy::{
-    overload::{Settings, most_urgent_priority, retry_after_ms},
+    overload::{
+        Capacity, Cause, Chosen, Decision, Overload, Request, Settings, most_urgent_priority,
+        retry_after_ms,
+    },
     traffic::{Config, Engine, Repeat, Route, Service, Team},
 };
-use lentilhitch_types::ServiceName;
+use lentilhitch_types::{ServiceName, TeamName};
 use simulation::{Kind, Load, Results, Rule, Simulation};
 
 const KINDS: [Kind; 3] = [
@@ -192,3 +195,70 @@
         }
     }
 }
+
+/// Guards against rejections while slots may be free, and against decisions that ignore what is ahead of a request.
+#[test]
+fn requests_are_rejected_only_if_no_slot_may_be_free_and_they_would_be_late() {
+    let free = Capacity { n_slots: 20, n_free_slots: 1, n_queued: 0 };
+    // A slot is held for 2 s, so half of the 20 slots become free within the age of the sums.
+    let few_queued = Capacity { n_free_slots: 0, n_queued: 9, ..free };
+    let short = Capacity { n_free_slots: 0, n_queued: 40, ..free };
+    let chosen = |n_requests| Chosen { n_requests, slots: 10, first_token_ms: 100.0 };
+    let send = |cause| Some(Decision::Send(cause));
+    let cases = [
+        ("the chosen upstream has a free slot", 2, chosen(9), short, send(Cause::FreeSlot)),
+        ("another upstream has a free slot", 2, chosen(30), free, send(Cause::FreeSlot)),
+        ("slots became free since", 2, chosen(30), few_queued, send(Cause::FreeSlot)),
+        ("a short queue", 2, chosen(11), short, send(Cause::InTime)),
+        ("a long queue", 2, chosen(30), short, None),
+        ("only half of a long queue is as urgent", 0, chosen(30), short, send(Cause::InTime)),
+    ];
+    for (name, priority, chosen, capacity, expected) in cases {
+        let mut overload = Overload::new(Settings::default());
+        overload.record_slot_time(2_000);
+        let request = |priority: u8| Request {
+            priority,
+            is_most_urgent: priority == 0,
+            team: None,
+            uncached_tokens: 1_000,
+            target_ms: 1_000,
+            waited_ms: 0,
+            remaining_ms: 9_000,
+        };
+        for it in [0, 2] {
+            let unused = Chosen { n_requests: 0, ..chosen };
+            overload.decide(request(it), unused, capacity, 0);
+        }
+        let decided = overload.decide(request(priority), chosen, capacity, 0);
+        match expected {
+            Some(expected) => assert_eq!(decided, expected, "{name}"),
+            None => assert!(matches!(decided, Decision::Reject { .. }), "{name}: {decided:?}"),
+        }
+    }
+}
+
+/// Guards against a class that is never served, and against one class that uses the share of another.
+#[test]
+fn each_class_keeps_its_minimum_share() {
+    let mut overload = Overload::new(Settings::default());
+    overload.record_slot_time(2_000);
+    let capacity = Capacity { n_slots: 20, n_free_slots: 0, n_queued: 200 };
+    let chosen = Chosen { n_requests: 30, slots: 10, first_token_ms: 100.0 };
+    let teams: Vec<TeamName> = ["a", "b"].iter().map(|it| it.parse().unwrap()).collect();
+    // The second team sends a tenth of the requests.
+    for (team, n_requests) in [(&teams[0], 1_000), (&teams[1], 100)] {
+        let request = Request {
+            priority: 2,
+            is_most_urgent: false,
+            team: Some(team),
+            uncached_tokens: 1_000,
+            target_ms: 1_000,
+            waited_ms: 0,
+            remaining_ms: 9_000,
+        };
+        let decisions = (0..n_requests).map(|_| overload.decide(request, chosen, capacity, 0));
+        let n_sent = decisions.filter(|it| *it == Decision::Send(Cause::MinShare)).count();
+        let n_min = (f64::from(n_requests) * Settings::default().share_min) as usize;
+        assert!((n_min - 1..=n_min).contains(&n_sent), "{n_sent} of {n_requests} sent");
+    }
+}
