--- a/crates/lentilhitch_gateway/src/overload.rs
+++ b/crates/lentilhitch_gateway/src/overload.rs
@@ -129,7 +129,11 @@
                 waited_ms: now_ms.saturating_sub(admitted.arrived_ms),
                 remaining_ms: admitted.remaining_ms(now_ms),
             };
-            (service.overload.decide(request, chosen, capacity, now_ms), chosen, capacity)
+            let decision = service.overload.decide(request, chosen, capacity, now_ms);
+            if let (Decision::Send(_), Some((sums, _))) = (decision, &mut service.capacity) {
+                sums.add_request();
+            }
+            (decision, chosen, capacity)
         });
         let (decision, chosen, capacity) = decided?;
         let (result, decided) = match decision {
--- a/crates/lentilhitch_policy/src/overload.rs
+++ b/crates/lentilhitch_policy/src/overload.rs
@@ -77,6 +77,17 @@
     pub n_queued: u32,
 }
 
+impl Capacity {
+    /// Counts a request that was sent since the sums were computed.
+    pub fn add_request(&mut self) {
+        if self.n_free_slots == 0 {
+            self.n_queued += 1;
+        } else {
+            self.n_free_slots -= 1;
+        }
+    }
+}
+
 /// A request as far as it matters for the decision.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
