--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod metrics;
 mod node;
 mod outbox;
+mod overload;
 mod peer_relay;
 pub mod platform;
 mod pool;
