--- a/crates/lentilhitch_policy/tests/placement.rs
+++ b/crates/lentilhitch_policy/tests/placement.rs
@@ -419,7 +419,7 @@
                 table.on_peer_report(step % 5, vec![(upstream_hash(upstream), load)], now_ms);
             }
             1 => {
-                let load = ReportedLoad { n_running: 12, n_waiting: 2 };
+                let load = ReportedLoad { n_running: 12, n_waiting: 2, ..ReportedLoad::default() };
                 table.record_load(upstream, load, now_ms);
             }
             _ => {}
