--- a/crates/lentilhitch/tests/edge_promises.rs
+++ b/crates/lentilhitch/tests/edge_promises.rs
@@ -15,6 +15,7 @@
     has_links: false,
     usage_window_s: 1.0,
     usage_delay_s: 4.0,
+    has_rollouts: false,
 };
 const SERVED: &str =
     "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-stamp: s\r\ncontent-length: 2\r\n\r\nok";
--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -20,6 +20,7 @@
     has_links: false,
     usage_window_s: 1.0,
     usage_delay_s: 4.0,
+    has_rollouts: false,
 };
 
 /// Starts a site and waits until each node knows the others.
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -56,4 +56,4 @@
 mod version_histories;
 
 pub use run::run;
-pub use settings::{Bounds, NodeSettings};
+pub use settings::{Bounds, NodeSettings, RolloutBounds};
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -18,7 +18,9 @@
     traffic::{Config, UpstreamEntry},
     usage::{Counts, WindowNumber},
 };
-use lentilhitch_types::{InstanceName, LogPosition, StoreEra, TeamName, UpstreamName};
+use lentilhitch_types::{
+    InstanceName, LogPosition, ServiceName, SoftwareVersion, StoreEra, TeamName, UpstreamName,
+};
 
 /// All interfaces of a platform.
 pub trait Platform: HttpCodec + Store + Cloud + 'static {}
@@ -195,6 +197,30 @@
     Duty,
     /// Software versions that began streams, while a service has several.
     StreamOrigins,
+    /// Orders of rollouts, written by operators: one record for each service.
+    RolloutOrders,
+    /// Plans of rollouts, by service.
+    RolloutPlans,
+    /// States of rollouts for operators: one record for each service.
+    RolloutStatus,
+}
+
+/// Order of a rollout as an operator has written it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutRequest {
+    pub service: ServiceName,
+    /// Version to which the traffic of the service is to be moved.
+    pub to: SoftwareVersion,
+    /// Time from the acknowledgement of the order until its verdict is due.
+    pub duration_ms: u64,
+}
+
+/// State of a rollout, as operators read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutState {
+    InProgress,
+    Completed,
+    RolledBack,
 }
 
 /// One record of a topic.
@@ -300,6 +326,22 @@
 
     /// Decodes an upstream entry: the record that an upstream writes about itself.
     fn decode_upstream(record: &Record) -> Result<UpstreamEntry, String>;
+
+    /// Decodes a record of the orders of rollouts.
+    fn decode_rollout(record: &Record) -> Result<RolloutRequest, String>;
+
+    /// Returns the service that a record of the orders or the status of rollouts is about, also if it was removed.
+    fn rollout_service(record: &Record) -> Option<ServiceName>;
+
+    /// Encodes the status of a rollout to the version `to`.
+    fn encode_rollout_status(
+        service: &ServiceName,
+        state: RolloutState,
+        to: &SoftwareVersion,
+    ) -> Record;
+
+    /// Decodes the status of a rollout.
+    fn decode_rollout_status(record: &Record) -> Result<(RolloutState, SoftwareVersion), String>;
 }
 
 /// Result of a duty call, which is a call to the cloud API under the duty lease.
--- a/crates/lentilhitch_gateway/src/settings.rs
+++ b/crates/lentilhitch_gateway/src/settings.rs
@@ -39,6 +39,25 @@
     /// Strategy by which upstreams are chosen.
     pub strategy: Strategy,
     pub bounds: Bounds,
+    /// Bounds of rollouts. Absent in deployments whose operators order no versions.
+    pub rollouts: Option<RolloutBounds>,
+}
+
+/// Limits of the exposure to a software version that is being rolled out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutBounds {
+    /// Maximum number of requests to a bad version, as a fraction of all requests to the service.
+    pub exposure_share: f64,
+    /// Number of requests to a bad version that are allowed in addition to `exposure_share`, over all nodes.
+    pub exposure_slack: f64,
+    /// Time in milliseconds after which no node sends requests to a version that has shown to be bad.
+    pub rollback_ms: u64,
+}
+
+impl Default for RolloutBounds {
+    fn default() -> Self {
+        Self { exposure_share: 0.1, exposure_slack: 50.0, rollback_ms: 5_000 }
+    }
 }
 
 /// Limits and durations that the deployment sets.
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -34,6 +34,8 @@
     pub usage_window_s: f64,
     /// Time after the end of a usage window until which it may be reported, in seconds.
     pub usage_delay_s: f64,
+    /// Whether operators order the versions of the services.
+    pub has_rollouts: bool,
 }
 
 impl Default for SiteOptions {
@@ -46,6 +48,7 @@
             has_links: false,
             usage_window_s: 1.0,
             usage_delay_s: 4.0,
+            has_rollouts: false,
         }
     }
 }
@@ -196,7 +199,7 @@
         let ip = front.ip();
         // All ports of a node lie within one range, on an address that only this node uses.
         let first_port = 20_000;
-        let settings = json!({
+        let mut settings = json!({
             "nodeName": name, "role": "edge", "machineClass": "edge", "serves": ["edge"],
             "ip": ip.to_string(), "zone": ZONES[idx % 2], "region": "r",
             "listen": { "frontend": front.to_string(), "ready": ready.to_string() },
@@ -213,6 +216,13 @@
             },
             "aFieldOfLater": true,
         });
+        if options.has_rollouts {
+            settings["contracts"] = json!(["rollout"]);
+            settings["bounds"]["exposureShare"] = json!(0.1);
+            settings["bounds"]["exposureSlack"] = json!(50);
+            settings["bounds"]["rollbackMs"] = json!(5_000);
+            settings["bounds"]["contactMs"] = json!(4_000);
+        }
         let path = self.folder.path().join(format!("{name}.json"));
         fs::write(&path, settings.to_string())?;
         let process = start_process(&name, &path)?;
