--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod quarantine;
 pub mod restrictions;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod send_queue;
 pub mod shared_rate;
--- /dev/null
+++ b/crates/lentilhitch_policy/src/rollout/budget.rs
@@ -0,0 +1,1 @@
+//! Distribution of the permitted number of requests to the nodes.
