Rollouts: shell around the decision modules, placement and the stand-in

The nodes did not know of versions that operators order: requests went to every version of a service alike.

Each node passes its evidence to the holder and applies the grants. Every path that sends a request asks which versions may run it, and counts it immediately before the first byte is sent. Deployments without the contract start no task and make no call.

The stand-in of the platform writes orders, makes versions bad and stops upstreams at a verdict.

--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -17,6 +17,7 @@
     client_response::Rejection,
     node::{Node, available},
     platform::{KvCopy, Platform},
+    rollouts::VersionDraw,
     upstream_attempt::{
         self, AssignmentGuard, AttemptOutcome, AttemptParams, NO_ANSWER, UpstreamResponse,
     },
@@ -59,6 +60,8 @@
     cleared_ms: Option<u64>,
     /// Service and software version that wrote the first event of the stream. Only upstreams of these may continue it.
     origin: Option<StreamOrigin>,
+    /// Versions that may run the request, beside the origin of a stream.
+    versions: VersionDraw,
 }
 
 impl<P: Platform> Attempts<P> {
@@ -74,6 +77,7 @@
             is_usage_counted: false,
             cleared_ms: None,
             origin: admitted.origin,
+            versions: VersionDraw::default(),
         }
     }
 
@@ -187,6 +191,7 @@
                 it.entry.id == entry.id
                     && it.entry.started_ms == entry.started_ms
                     && restrictions.remaining_ms(&it.entry, now_ms).is_none()
+                    && self.node.may_continue_at(&it.entry, now_ms)
             });
             state.load_table.assign(None, target, &[], now_ms, &mut state.rng)?
         };
@@ -225,6 +230,7 @@
             AttemptOutcome::NotRun(_) => "not_run",
             AttemptOutcome::NotSent => "not_sent",
             AttemptOutcome::Unknown(_) => "unknown",
+            AttemptOutcome::Withheld => "withheld",
         });
         self.log_failed_attempt(&incarnation.0, &outcome, now_ms);
         match outcome {
@@ -233,7 +239,7 @@
                 self.may_have_run = true;
                 return Ok(Some(response));
             }
-            AttemptOutcome::NotSent => {
+            AttemptOutcome::NotSent | AttemptOutcome::Withheld => {
                 self.n_connect_failures += 1;
                 if CONNECT_FAILURES_MAX <= self.n_connect_failures {
                     return Err(self.rejection("no upstream can be reached"));
@@ -284,6 +290,7 @@
             AttemptOutcome::Responded(_) => return,
             AttemptOutcome::NotRun(reason) => ("not run", *reason),
             AttemptOutcome::NotSent => ("not sent", "no connection"),
+            AttemptOutcome::Withheld => ("not sent", "the version gets no more requests"),
             AttemptOutcome::Unknown(reason) => ("unknown", *reason),
         };
         log::warn!(
@@ -355,6 +362,8 @@
     fn assign(&mut self, now_ms: u64) -> Option<(UpstreamEntry, AssignmentGuard<P>)> {
         let is_first_attempt = self.sent_to.is_empty() && self.n_connect_failures == 0;
         let settings = self.node.budget_settings();
+        self.versions.draw(&self.node, &self.admitted.service);
+        let versions = self.versions;
         let mut state = self.node.state.borrow_mut();
         let state = &mut *state;
         if is_first_attempt {
@@ -364,14 +373,40 @@
         let service = &self.admitted.service;
         let origin = self.origin;
         let blocked = state.blocked_upstreams(service, now_ms);
+        let node = &self.node;
         let may_run = |it: &&Upstream| {
-            origin.is_none_or(|origin| StreamOrigin::of(&it.entry) == origin)
-                && !blocked.contains(&it.entry.id)
+            let is_version_allowed = match origin {
+                Some(origin) => {
+                    StreamOrigin::of(&it.entry) == origin && node.may_continue_at(&it.entry, now_ms)
+                }
+                None => node.may_use_as_base(&it.entry, now_ms),
+            };
+            is_version_allowed && !blocked.contains(&it.entry.id)
+        };
+        let may_run_as_target = |it: &&Upstream| {
+            node.may_use_as_target(&it.entry, now_ms) && !blocked.contains(&it.entry.id)
         };
-        let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
-        let candidates = candidates.filter(may_run);
-        let mut assigned =
-            state.load_table.assign(prompt, candidates, &self.excluded, now_ms, &mut state.rng);
+        // A request that was drawn for the target of a rollout goes there first. Further attempts prefer other versions.
+        let may_use_target = versions.is_for_target() && origin.is_none();
+        let mut assigned = None;
+        if may_use_target && is_first_attempt {
+            let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
+            let candidates = candidates.filter(may_run_as_target);
+            assigned =
+                state.load_table.assign(prompt, candidates, &self.excluded, now_ms, &mut state.rng);
+        }
+        if assigned.is_none() {
+            let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
+            let candidates = candidates.filter(may_run);
+            assigned =
+                state.load_table.assign(prompt, candidates, &self.excluded, now_ms, &mut state.rng);
+        }
+        if assigned.is_none() && may_use_target && !is_first_attempt {
+            let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
+            let candidates = candidates.filter(may_run_as_target);
+            assigned =
+                state.load_table.assign(prompt, candidates, &self.excluded, now_ms, &mut state.rng);
+        }
         if assigned.is_none() && self.admitted.route.repeat.may_repeat() {
             let candidates = available(&state.catalog, &state.restrictions, service, now_ms);
             let candidates = candidates.filter(may_run);
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -21,10 +21,12 @@
     gossip::UpstreamUpdate,
     node::Node,
     platform::{Platform, Record},
+    rollouts::follow::StoreCopyMessage,
 };
 
 const CLUSTER_STATE_PATH: &str = "/v1/knowledge";
 const VERSIONS_PATH: &str = "/v1/versions";
+const ROLLOUTS_PATH: &str = "/v1/rollouts";
 const METRICS_PATH: &str = "/metrics";
 const STATUS_PATH: &str = "/v1/status";
 /// Interval at which a node checks whether it has to query a peer.
@@ -68,6 +70,7 @@
     Ok(match path {
         CLUSTER_STATE_PATH => Some(node.cluster_state()?),
         VERSIONS_PATH => node.version_histories().map(|it| encode(&it)).transpose()?,
+        ROLLOUTS_PATH => node.rollouts_body()?,
         METRICS_PATH => Some(Bytes::from(node.metrics.render()?)),
         STATUS_PATH => Some(node.status()?),
         _ => None,
@@ -109,6 +112,14 @@
     fetch(client, peer, VERSIONS_PATH).await
 }
 
+/// Returns the orders and plans of rollouts that a peer knows of.
+pub(crate) async fn fetch_rollouts(
+    client: &reqwest::Client,
+    peer: SocketAddr,
+) -> anyhow::Result<StoreCopyMessage> {
+    fetch(client, peer, ROLLOUTS_PATH).await
+}
+
 async fn fetch<T: DeserializeOwned>(
     client: &reqwest::Client,
     peer: SocketAddr,
@@ -119,7 +130,8 @@
     Ok(ciborium::from_reader(&bytes[..])?)
 }
 
-fn encode<T: Serialize>(value: &T) -> anyhow::Result<Bytes> {
+/// Encodes a response to another node as CBOR.
+pub(crate) fn encode<T: Serialize>(value: &T) -> anyhow::Result<Bytes> {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes)?;
     Ok(bytes.into())
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -40,6 +40,7 @@
     discovery::UPSTREAMS_POLL_INTERVAL_MS,
     node::{Node, State, short_hash},
     platform::Platform,
+    rollouts::RolloutMessage,
     stream_versions::OriginMessage,
 };
 
@@ -73,6 +74,9 @@
     /// Which software version began a stream.
     #[serde(rename = "o")]
     StreamOrigin(OriginMessage),
+    /// Orders, plans, evidence and grants of rollouts.
+    #[serde(rename = "p")]
+    Rollouts(RolloutMessage),
 }
 
 /// Current entry of an upstream, sent when the entry changes.
@@ -210,6 +214,14 @@
         UPSTREAMS_POLL_INTERVAL_MS + state_age_ms + DELAY_ALLOWANCE_MS
     }
 
+    /// Returns the gossip address of the holder of the duty lease, if a reachable one is known.
+    pub(crate) fn duty_holder_address(&self) -> Option<SocketAddr> {
+        let now_ms = self.now_ms();
+        let state = self.state.borrow();
+        let timeout_ms = DUTY_HOLDER_TIMEOUT_MS + state.gossip.state_age_ms(now_ms);
+        state.gossip.duty_holder(timeout_ms, now_ms).map(|it| it.0.gossip)
+    }
+
     /// Queues a datagram for each of the addresses.
     pub(crate) fn send_to(&self, datagram: &Datagram, addresses: &[SocketAddr], urgency: Urgency) {
         let Some(bytes) = encode(datagram) else { return };
@@ -240,16 +252,12 @@
 
     /// Sends this node's usage counts to the holder of the duty lease. Returns whether a reachable holder is known.
     pub(crate) fn send_counts(&self) -> bool {
-        // `now_ms` is this node's monotonic clock. `synced_ms` is the synchronized time, which determines the usage
-        // windows.
-        let (now_ms, synced_ms) = (self.now_ms(), self.synced_ms());
-        let (counts, holder) = {
-            let state = self.state.borrow();
-            let timeout_ms = DUTY_HOLDER_TIMEOUT_MS + state.gossip.state_age_ms(now_ms);
-            let holder = state.gossip.duty_holder(timeout_ms, now_ms).map(|it| it.0.gossip);
-            (state.usage_counter.counts(self.instance(), self.incarnation, synced_ms), holder)
-        };
-        let Some(holder) = holder else { return false };
+        // The synchronized time determines the usage windows.
+        let synced_ms = self.synced_ms();
+        let Some(holder) = self.duty_holder_address() else { return false };
+        let state = self.state.borrow();
+        let counts = state.usage_counter.counts(self.instance(), self.incarnation, synced_ms);
+        drop(state);
         self.send_to(&Datagram::Counts(counts), &[holder], Urgency::Normal);
         true
     }
@@ -390,6 +398,7 @@
                 self.state.borrow_mut().config_announcements.record(version, from);
             }
             Datagram::UpstreamUpdates(updates) => self.apply_updates(updates),
+            Datagram::Rollouts(message) => self.on_rollout_message(message, from),
             Datagram::StreamOrigin(message) => self.on_origin_message(message, from),
             Datagram::Counts(counts) => {
                 let mut state = self.state.borrow_mut();
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod platform;
 mod pool;
 mod relay;
+mod rollouts;
 mod run;
 mod run_transfer;
 mod settings;
--- a/crates/lentilhitch_gateway/src/metrics.rs
+++ b/crates/lentilhitch_gateway/src/metrics.rs
@@ -2,10 +2,11 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram},
+    metrics::{Counter, Gauge, Histogram},
 };
 
 use lentilhitch_metrics::Exposition;
+use lentilhitch_policy::rollout::StageReport;
 
 /// OpenTelemetry instruments of a node.
 pub(crate) struct Metrics {
@@ -16,6 +17,9 @@
     store_calls: Counter<u64>,
     duty_calls: Counter<u64>,
     first_byte_ms: Histogram<f64>,
+    version_requests: Counter<u64>,
+    rollout_stage: Gauge<u64>,
+    rollout_responses: Gauge<u64>,
 }
 
 impl Metrics {
@@ -28,6 +32,9 @@
             store_calls: meter.u64_counter("lentilhitch_store_calls").build(),
             duty_calls: meter.u64_counter("lentilhitch_duty_calls").build(),
             first_byte_ms: meter.f64_histogram("lentilhitch_first_byte_ms").build(),
+            version_requests: meter.u64_counter("lentilhitch_version_requests").build(),
+            rollout_stage: meter.u64_gauge("lentilhitch_rollout_stage").build(),
+            rollout_responses: meter.u64_gauge("lentilhitch_rollout_responses").build(),
             exposition,
         })
     }
@@ -62,6 +69,37 @@
         self.duty_calls.add(1, &[KeyValue::new("duty", duty), KeyValue::new("result", result)]);
     }
 
+    /// Records the end of a request to an upstream of a version, in deployments with rollouts.
+    pub(crate) fn record_version_request(
+        &self,
+        service: &str,
+        version: &str,
+        result: &'static str,
+    ) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("version", version.to_owned()),
+            KeyValue::new("result", result),
+        ];
+        self.version_requests.add(1, &labels);
+    }
+
+    /// Records the evidence behind the stage of a rollout, as the holder of the duty lease has added it up.
+    pub(crate) fn record_rollout(&self, report: &StageReport) {
+        let service = || KeyValue::new("service", report.service.to_string());
+        self.rollout_stage.record(
+            report.stage as u64,
+            &[service(), KeyValue::new("version", report.to.to_string())],
+        );
+        for (side, counts) in [("base", report.base), ("target", report.target)] {
+            let kinds = [("all", counts.0), ("failed", counts.1), ("slow", counts.2)];
+            for (kind, n) in kinds {
+                let labels = [service(), KeyValue::new("side", side), KeyValue::new("kind", kind)];
+                self.rollout_responses.record(n, &labels);
+            }
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> anyhow::Result<String> {
         self.exposition.render()
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -48,6 +48,7 @@
     outbox::Outbox,
     overload::LoadShedding,
     pool::{Connection, ConnectionPool},
+    rollouts::Rollouts,
     settings::NodeSettings,
     stream_versions::Inquiries,
 };
@@ -78,6 +79,8 @@
     pub(crate) state: RefCell<State>,
     /// Load shedding by priority.
     pub(crate) load_shedding: LoadShedding,
+    /// Rollouts, in deployments whose operators order versions.
+    pub(crate) rollouts: Option<Rollouts>,
     /// Messages to other nodes that wait to be sent.
     pub(crate) outbox: Outbox,
     /// When a byte of any upstream was last received on a connection of this node, or a connection was opened.
@@ -299,9 +302,11 @@
         let (store_restored, _) = watch::channel(StoreEra::default());
         let outbox = Outbox::new(settings.link_bytes_per_s);
         let body_memory = BodyMemory::new(settings.memory_bytes);
+        let rollouts = Rollouts::new(&settings, incarnation, clock.monotonic_ms());
         Ok(Self {
             settings,
             load_shedding: LoadShedding::default(),
+            rollouts,
             outbox,
             platform,
             clock,
--- a/crates/lentilhitch_gateway/src/peer_relay.rs
+++ b/crates/lentilhitch_gateway/src/peer_relay.rs
@@ -225,6 +225,9 @@
         if state.restrictions.remaining_ms(&entry, now_ms).is_some() {
             return Err("the upstream wants no request of this node now");
         }
+        if self.rollouts.as_ref().is_some_and(|it| !it.may_relay(&entry)) {
+            return Err("the version of the upstream gets no more requests");
+        }
         state.restrictions.record_send(&entry, now_ms);
         Ok(entry)
     }
--- a/crates/lentilhitch_gateway/src/relay.rs
+++ b/crates/lentilhitch_gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use lentilhitch_policy::{
     events::{EventSplitter, EventTooLarge},
     placement::AttemptResult,
+    rollout::ResponseOutcome,
     stream_end::{EndMarker, RunStop, StreamEnd},
     traffic::UpstreamEntry,
 };
@@ -59,6 +60,7 @@
         chunks,
         splitter: EventSplitter::after(resume_after),
         has_passed_event: false,
+        first_event_ms: None,
         body_end: None,
     };
     tokio::task::spawn_local(relay.run(response));
@@ -74,6 +76,8 @@
     splitter: EventSplitter,
     /// Whether an event was passed on to the client.
     has_passed_event: bool,
+    /// When the first event of the current upstream has arrived.
+    first_event_ms: Option<u64>,
     /// End of the body that was read last. `None` before the first end.
     body_end: Option<BodyEnd>,
 }
@@ -173,10 +177,12 @@
     /// Passes on the stream of one upstream until it ends or is interrupted.
     async fn relay_response(&mut self, response: UpstreamResponse<P>) -> RelayOutcome {
         self.splitter.start_body();
+        self.first_event_ms = None;
         let marker = response.end_marker;
         let UpstreamResponse { parts, body, connection, mut assignment, entry, .. } = response;
         let outcome = self.relay_body(body, marker, &entry, &connection).await;
         assignment.set_result(self.attempt_result(&outcome));
+        assignment.record_version_outcome(version_outcome(&outcome), self.first_event_ms);
         let node = &self.attempts.node;
         match outcome {
             RelayOutcome::Complete => {
@@ -364,6 +370,8 @@
             Ok(None) => return Pushed::NoProgress,
             Err(EventTooLarge) => return Pushed::TooLarge,
         };
+        let now_ms = self.attempts.node.now_ms();
+        self.first_event_ms.get_or_insert(now_ms);
         self.attempts.count_usage_once();
         if !std::mem::replace(&mut self.has_passed_event, true) {
             self.attempts.on_first_event(from);
@@ -390,7 +398,9 @@
             return None;
         }
         let candidates = available(&state.catalog, &state.restrictions, &from.service, now_ms);
-        let candidates = candidates.filter(|it| it.entry.version == from.version);
+        let candidates = candidates.filter(|it| {
+            it.entry.version == from.version && node.may_continue_at(&it.entry, now_ms)
+        });
         let excluded = std::slice::from_ref(&from.id);
         let assignment =
             state.load_table.assign(None, candidates, excluded, now_ms, &mut state.rng)?;
@@ -432,6 +442,18 @@
     }
 }
 
+/// Returns what the end of a stream says about the version of its upstream.
+fn version_outcome(outcome: &RelayOutcome) -> ResponseOutcome {
+    match outcome {
+        RelayOutcome::Broken(BreakCause::ConnectionLost | BreakCause::Upstream, _)
+        | RelayOutcome::DeadlinePassed => ResponseOutcome::Failed,
+        RelayOutcome::Broken(BreakCause::Transfer, _) | RelayOutcome::ClientDisconnected => {
+            ResponseOutcome::NotJudged
+        }
+        RelayOutcome::Complete | RelayOutcome::Transferred(..) => ResponseOutcome::Succeeded,
+    }
+}
+
 /// Maximum wait for each further chunk from a source that has stopped the run.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
 
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -14,6 +14,7 @@
     discovery, duties, exchange, gossip, ingress, memory_watch,
     node::{Node, NodePhase},
     platform::Platform,
+    rollouts,
     settings::NodeSettings,
     stream_archive, upstream_paths, version_histories,
 };
@@ -63,7 +64,9 @@
     spawn_local(stream_archive::load(node.clone()));
     spawn_local(stream_archive::pass_on(node.clone()));
     spawn_local(stream_archive::write(node.clone()));
-    if settings.has_usage_duty || settings.has_scaling_duty {
+    rollouts::start(&node, duty.clone());
+    let has_duty = settings.has_usage_duty || settings.has_scaling_duty;
+    if has_duty || settings.rollouts.is_some() {
         spawn_local(duties::keep_lease(node.clone(), duty.clone()));
     }
     if settings.has_usage_duty {
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -204,6 +204,9 @@
             let upstreams = state.catalog.iter().map(|it| &it.entry);
             let is_first_start = self.settings.is_first_start;
             state.stream_origins.on_upstreams_changed(upstreams, is_first_start, now_ms);
+            if let Some(rollouts) = &self.rollouts {
+                rollouts.on_upstreams_changed(&state.catalog, now_ms);
+            }
         }
         self.tell_holders();
     }
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -13,6 +13,7 @@
     body_memory::{BodyBuffer, BodyError, Owner, Reservation},
     pauses::PAUSE_MAX_MS,
     placement::{Assignment, AttemptResult},
+    rollout::ResponseOutcome,
     stream_end::EndMarker,
     suspects::Suspect,
     traffic::{Repeat, UpstreamEntry},
@@ -25,6 +26,7 @@
     peer_relay,
     platform::{KvCopy, Platform, ResponseHead, ResponseKind, UpstreamRequestHead},
     pool::{Connection, SendResult},
+    rollouts::{SentRequest, VersionWithheld},
     upstream_paths::CONNECT_TIMEOUT_MS,
 };
 
@@ -42,6 +44,8 @@
     /// When the response started.
     responded_ms: Option<u64>,
     result: AttemptResult,
+    /// The request as one that counts for its version, once it is sent.
+    sent: Option<SentRequest<P>>,
 }
 
 impl<P> AssignmentGuard<P> {
@@ -54,12 +58,49 @@
             started_ms,
             responded_ms: None,
             result: AttemptResult::Canceled,
+            sent: None,
         }
     }
 
     /// Sets the result with which the assignment will be released.
     pub(crate) fn set_result(&mut self, result: AttemptResult) {
         self.result = result;
+        let outcome = match result {
+            AttemptResult::Served => ResponseOutcome::Succeeded,
+            AttemptResult::Failed => ResponseOutcome::Failed,
+            AttemptResult::Full | AttemptResult::Unreachable | AttemptResult::Canceled => {
+                ResponseOutcome::NotJudged
+            }
+        };
+        self.set_version_outcome(outcome);
+    }
+
+    /// Counts the request for the version of the upstream, immediately before it is first sent. Fails if the version may
+    /// not run it.
+    fn count_sent(&mut self, route: &str, entry: &UpstreamEntry) -> Result<(), VersionWithheld> {
+        if self.sent.is_none() {
+            self.sent = SentRequest::count(&self.node, route, self.uncached_tokens(), entry)?;
+        }
+        Ok(())
+    }
+
+    /// Sets what the attempt says about the version of the upstream, if that is not the result of the attempt.
+    fn set_version_outcome(&mut self, outcome: ResponseOutcome) {
+        if let Some(sent) = &mut self.sent {
+            sent.set_outcome(outcome);
+        }
+    }
+
+    /// Records the end of a stream for the version of the upstream. `first_event_ms` is when its first event arrived.
+    pub(crate) fn record_version_outcome(
+        &mut self,
+        outcome: ResponseOutcome,
+        first_event_ms: Option<u64>,
+    ) {
+        self.set_version_outcome(outcome);
+        if let (Some(sent), Some(at_ms)) = (&mut self.sent, first_event_ms) {
+            sent.set_responded_at(at_ms);
+        }
     }
 
     /// Records that the response has started.
@@ -113,6 +154,8 @@
     NotRun(&'static str),
     /// No byte of the request was sent.
     NotSent,
+    /// The version of the upstream may not run the request any more, so no byte of it was sent.
+    Withheld,
     /// The request may have run. The attempt failed for the given reason.
     Unknown(&'static str),
 }
@@ -155,6 +198,10 @@
             assignment.set_result(node.connect_failure_result());
             return AttemptOutcome::NotSent;
         };
+        if assignment.count_sent(&admitted.route.name, entry).is_err() {
+            node.put_pooled(&entry.id, connection, None);
+            return AttemptOutcome::Withheld;
+        }
         let was_fresh = connection.is_fresh;
         let is_direct = connection.peer.is_none();
         let mut request = build_request::<P>(&params, is_direct, node.now_ms());
@@ -480,10 +527,19 @@
         let marker = self.end_marker;
         let body_timeout_ms = admitted.remaining_ms(node.now_ms());
         self.assignment.set_result(AttemptResult::Failed);
+        // If the client leaves while the body is read, this says nothing about the version.
+        self.assignment.set_version_outcome(ResponseOutcome::NotJudged);
         let body = read_body(node, self.body);
-        let body = match timeout(Duration::from_millis(body_timeout_ms), body).await {
-            Err(_) => return Err("the answer did not end in time"),
-            Ok(res) => res?,
+        let body = timeout(Duration::from_millis(body_timeout_ms), body).await;
+        let responded_ms = node.now_ms();
+        let body = match body.unwrap_or(Err("the answer did not end in time")) {
+            Ok(it) => it,
+            Err(reason) => {
+                if reason != NO_MEMORY {
+                    self.assignment.set_version_outcome(ResponseOutcome::Failed);
+                }
+                return Err(reason);
+            }
         };
         let is_failure = self.parts.status.is_server_error();
         if self.parts.status.is_success() && marker == EndMarker::Explicit {
@@ -494,6 +550,9 @@
         } else {
             AttemptResult::Served
         });
+        if let Some(sent) = &mut self.assignment.sent {
+            sent.set_responded_at(responded_ms);
+        }
         node.put_pooled(&self.entry.id, self.connection, keep_alive_ms(&self.parts));
         Ok((self.parts, body))
     }
@@ -534,12 +593,14 @@
         let Ok(chunk) = frame.into_data() else { continue };
         buffer.push(chunk).map_err(|err| match err {
             BodyError::TooLarge => "the answer is too large",
-            BodyError::MemoryExhausted => "no memory for the answer",
+            BodyError::MemoryExhausted => NO_MEMORY,
         })?;
     }
     Ok(buffer.finish())
 }
 
+/// Reason of a response that was not read for want of memory at this node.
+const NO_MEMORY: &str = "no memory for the answer";
 /// Maximum number of bytes that are read of a response that is not needed.
 const DISCARD_BYTES_MAX: usize = 64 * 1024;
 
--- a/crates/lentilhitch_policy/src/traffic.rs
+++ b/crates/lentilhitch_policy/src/traffic.rs
@@ -28,6 +28,12 @@
         let timeouts_ms = streams.map(|it| it.timeout_ms.unwrap_or(ROUTE_TIMEOUT_DEFAULT_MS));
         2 * timeouts_ms.max().unwrap_or(ROUTE_TIMEOUT_DEFAULT_MS)
     }
+
+    /// Returns the longest timeout of the routes that lead to a service, or `None` if there are none.
+    pub fn timeout_max_ms(&self, service: &ServiceName) -> Option<u64> {
+        let routes = self.routes.iter().filter(|it| it.split.iter().any(|it| it.0 == *service));
+        routes.map(|it| it.timeout_ms.unwrap_or(ROUTE_TIMEOUT_DEFAULT_MS)).max()
+    }
 }
 
 /// Whether a node may send a request of a route to an upstream more than once.
--- a/crates/lentilhitch_standin/src/users_platform.rs
+++ b/crates/lentilhitch_standin/src/users_platform.rs
@@ -7,14 +7,16 @@
 mod link;
 mod log_store;
 mod raw_upstream;
+mod rollout;
 mod site;
 mod upstream;
 
 pub use link::{Cut, Link};
 pub use log_store::{LogStore, Read, StoreFault};
 pub use raw_upstream::{RawEnd, RawResponse, RawScript, RawUpstream};
+pub use rollout::{Rollout, RolloutWatch};
 pub use site::{Client, ClientResponse, Site, SiteOptions};
-pub use upstream::{Behavior, ExecutedRequest, Upstream};
+pub use upstream::{Badness, Behavior, ExecutedRequest, Upstream};
 
 use std::{convert::Infallible, future::Future, net::SocketAddr};
 
--- a/crates/lentilhitch_standin/src/users_platform/log_store.rs
+++ b/crates/lentilhitch_standin/src/users_platform/log_store.rs
@@ -144,6 +144,34 @@
         self.written.notify_waiters();
     }
 
+    /// Returns the JSON values of all records of a key, oldest first.
+    pub fn history(&self, topic: &str, key: &str) -> Vec<Value> {
+        let state = self.state.lock();
+        let Some(topic) = state.topics.get(topic) else { return Vec::new() };
+        let values = topic.records.iter().filter_map(|it| {
+            let mut value = it.clone();
+            let key_bytes = value.get_u8() as usize;
+            (value.split_to(key_bytes) == key.as_bytes()).then_some(value)
+        });
+        values.filter_map(|it| serde_json::from_slice(&it).ok()).collect()
+    }
+
+    /// Returns the number of records in a topic.
+    pub fn n_records(&self, topic: &str) -> usize {
+        self.state.lock().topics.get(topic).map_or(0, |it| it.records.len())
+    }
+
+    /// Waits until something is written, or returns at once if something was since `seen` records were there.
+    pub(super) async fn written_since(&self, topic: &str, seen: usize) {
+        loop {
+            let notified = self.written.notified();
+            if seen < self.n_records(topic) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
     /// Makes all records of a topic unreadable from the log. The newest record of each key stays available.
     pub fn truncate_history(&self, topic: &str) {
         if let Some(topic) = self.state.lock().topics.get_mut(topic) {
--- a/crates/lentilhitch_standin/src/users_platform/upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/upstream.rs
@@ -45,6 +45,17 @@
     Crash,
 }
 
+/// How a bad software version fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Badness {
+    /// Number of requests that each upstream executes well first.
+    pub after: usize,
+    /// Path that the failing requests begin with.
+    pub path: &'static str,
+    /// Each request of this number fails: 1 for all.
+    pub every: usize,
+}
+
 /// A request that an upstream executed.
 #[derive(Clone, Debug)]
 pub struct ExecutedRequest {
@@ -56,6 +67,8 @@
     pub arrived: Instant,
     /// Whether the upstream sent its complete response.
     pub is_response_complete: bool,
+    /// Whether the upstream failed because its version is bad.
+    pub is_bad: bool,
 }
 
 impl ExecutedRequest {
@@ -67,6 +80,7 @@
 
 struct State {
     behavior: Behavior,
+    badness: Option<Badness>,
     /// Prompt segment, as the first field of its entry in the request's header, on which the upstream crashes as soon as
     /// it has sent the first event of a response.
     crashing_segment: Option<String>,
@@ -152,6 +166,7 @@
     ) -> std::io::Result<Self> {
         let state = State {
             behavior,
+            badness: None,
             crashing_segment: None,
             is_leaving: false,
             limit: None,
@@ -209,6 +224,11 @@
 
     /// Writes the upstream's entry to a topic of the store.
     pub(super) fn write_entry_to(&self, store: &LogStore, topic: &str, extra: &Value) {
+        store.put(topic, &self.id, &self.entry(extra));
+    }
+
+    /// Returns the upstream's entry, with the fields of `extra` added or replaced.
+    pub(super) fn entry(&self, extra: &Value) -> Value {
         let mut entry = json!({
             "service": self.service, "address": self.address.to_string(), "zone": self.zone,
             "version": self.version, "slots": 8, "state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1,
@@ -216,7 +236,7 @@
         for (name, value) in extra.as_object().into_iter().flatten() {
             entry[name] = value.clone();
         }
-        store.put(topic, &self.id, &entry);
+        entry
     }
 
     /// Sets how the upstream responds to later requests.
@@ -224,6 +244,16 @@
         self.state.lock().behavior = behavior;
     }
 
+    /// Makes the version of the upstream bad.
+    pub fn become_bad(&self, badness: Badness) {
+        self.state.lock().badness = Some(badness);
+    }
+
+    /// Returns a handle that ends the upstream, as [`Self::crash`] does.
+    pub(super) fn end_handle(&self) -> tokio::task::AbortHandle {
+        self.task.abort_handle()
+    }
+
     /// Sets the prompt segment whose requests crash the upstream after the first event of their responses.
     pub fn crash_on_segment(&self, segment: &str) {
         self.state.lock().crashing_segment = Some(segment.to_owned());
@@ -320,8 +350,14 @@
         }
         return Some(statements.add_to(response));
     }
-    let index = {
+    let (index, is_bad) = {
         let mut state = state.lock();
+        let n_before = state.executed.len();
+        let is_bad = state.badness.is_some_and(|it| {
+            it.after <= n_before
+                && parts.uri.path().starts_with(it.path)
+                && n_before.is_multiple_of(it.every)
+        });
         state.executed.push(ExecutedRequest {
             id: id.clone(),
             method: parts.method.to_string(),
@@ -329,10 +365,12 @@
             headers: parts.headers.clone(),
             body,
             arrived: Instant::now(),
-            is_response_complete: false,
+            is_response_complete: is_bad,
+            is_bad,
         });
-        state.executed.len() - 1
+        (n_before, is_bad)
     };
+    let behavior = if is_bad { Behavior::Fail } else { behavior };
     let crashing_segment = state.lock().crashing_segment.clone();
     let segments = header("x-prompt-prefix").unwrap_or_default().split(',');
     let mut segments = segments.filter_map(|it| it.split(':').next());
