--- a/crates/lentilhitch_policy/src/rollout.rs
+++ b/crates/lentilhitch_policy/src/rollout.rs
@@ -13,6 +13,8 @@
 pub mod budget;
 pub mod controller;
 pub mod evidence;
+pub mod judge;
+pub mod medians;
 pub mod node_view;
 pub mod order;
 pub mod plan;
@@ -22,7 +24,7 @@
 pub use evidence::{Counts, Evidence, LatencySample, RouteCounts};
 pub use node_view::{NodeView, RequestClass, ResponseOutcome, Side};
 pub use order::{Order, OrderTag};
-pub use plan::{Plan, PlanEvent, Reason, RolloutState, Stage, Verdict};
+pub use plan::{OrderRelation, Plan, PlanEvent, Reason, RolloutState, Stage, Verdict};
 
 /// Identifies one run of a node: hash of its name, and its incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/lentilhitch_policy/src/rollout/evidence.rs
+++ b/crates/lentilhitch_policy/src/rollout/evidence.rs
@@ -79,9 +79,6 @@
     /// Requests sent to the target.
     #[serde(rename = "x")]
     pub sent_target: u64,
-    /// Highest ceiling that the node was granted.
-    #[serde(rename = "c")]
-    pub ceiling: u64,
     /// Requests in flight at other versions than the target, including those sent before the order.
     #[serde(rename = "b")]
     pub base_open: u64,
--- a/crates/lentilhitch_policy/src/rollout/order.rs
+++ b/crates/lentilhitch_policy/src/rollout/order.rs
@@ -39,6 +39,12 @@
         OrderTag(xxh3_64(text.as_bytes()))
     }
 
+    /// Returns a hash of what is ordered, without the position.
+    pub fn request_hash(&self) -> u64 {
+        let text = format!("{}\0{}\0{}", self.service, self.to, self.duration_ms);
+        xxh3_64(text.as_bytes())
+    }
+
     /// Returns whether two records ask for the same.
     pub fn is_equal_request(&self, other: &Self) -> bool {
         (&self.service, &self.to, self.duration_ms)
