--- a/crates/lentilhitch_gateway/src/rollouts/control.rs
+++ b/crates/lentilhitch_gateway/src/rollouts/control.rs
@@ -131,6 +131,7 @@
         }
         rollouts.controller.borrow_mut().on_plan(service, plan, listing.next);
     }
+    node.apply_targets(rollouts, node.now_ms());
     Ok((services, listing.next))
 }
 
@@ -154,6 +155,7 @@
         Ok(AppendResult::Appended(position)) => {
             term.plans_end = Some(position.next());
             rollouts.view.borrow_mut().on_plan(plan.clone(), node.now_ms());
+            node.apply_targets(rollouts, node.now_ms());
             rollouts.controller.borrow_mut().on_written(service, plan, node.synced_ms());
             Ok(())
         }
--- a/crates/lentilhitch_gateway/src/rollouts/follow.rs
+++ b/crates/lentilhitch_gateway/src/rollouts/follow.rs
@@ -219,19 +219,6 @@
 }
 
 impl Rollouts {
-    /// Tells the view of all plans in the store.
-    fn apply_plans(&self, now_ms: u64) {
-        let copy = self.copy.borrow();
-        let mut view = self.view.borrow_mut();
-        for (service, plan) in &copy.plans {
-            view.on_plan(plan.clone(), now_ms);
-            view.on_store_sequence(service, plan.sequence);
-        }
-        for service in copy.orders.keys().filter(|it| !copy.plans.contains_key(*it)) {
-            view.on_store_sequence(service, 0);
-        }
-    }
-
     /// Handles that this node has all orders and plans as of a time of its own.
     fn confirm(&self, as_of_ms: u64) {
         let mut copy = self.copy.borrow_mut();
@@ -328,7 +315,7 @@
             }
             copy.plans_era = Some(update.end.era());
         }
-        rollouts.apply_plans(now_ms);
+        self.apply_plans(rollouts, now_ms);
         rollouts.confirm_reads();
         self.send_news(rollouts, Vec::new(), changed);
     }
@@ -345,6 +332,27 @@
         rollouts.control_due.notify_one();
     }
 
+    /// Tells the view of all plans in the store.
+    fn apply_plans(&self, rollouts: &Rollouts, now_ms: u64) {
+        {
+            let copy = rollouts.copy.borrow();
+            let mut view = rollouts.view.borrow_mut();
+            for (service, plan) in &copy.plans {
+                view.on_plan(plan.clone(), now_ms);
+                view.on_store_sequence(service, plan.sequence);
+            }
+            for service in copy.orders.keys().filter(|it| !copy.plans.contains_key(*it)) {
+                view.on_store_sequence(service, 0);
+            }
+        }
+        self.apply_targets(rollouts, now_ms);
+    }
+
+    /// Tells the view which upstreams there are after it was told of other plans, and so of other targets.
+    pub(super) fn apply_targets(&self, rollouts: &Rollouts, now_ms: u64) {
+        rollouts.on_upstreams_changed(&self.state.borrow().catalog, now_ms);
+    }
+
     /// Sends changed orders and plans to the other nodes of the zone.
     fn send_news(&self, rollouts: &Rollouts, orders: Vec<Order>, plans: Vec<Plan>) {
         if orders.is_empty() && plans.is_empty() {
@@ -403,7 +411,7 @@
                     }
                 }
                 self.apply_orders(rollouts);
-                rollouts.apply_plans(now_ms);
+                self.apply_plans(rollouts, now_ms);
             }
             RolloutMessage::Grant(grant) => self.on_grant(rollouts, *grant),
             it @ (RolloutMessage::Evidence(_) | RolloutMessage::LostPlan(_)) => {
@@ -450,7 +458,7 @@
             copy.plans = message.copy.plans;
         }
         self.apply_orders(rollouts);
-        rollouts.apply_plans(now_ms);
+        self.apply_plans(rollouts, now_ms);
         rollouts.confirm(as_of_ms);
     }
 }
--- a/crates/lentilhitch_standin/src/users_platform.rs
+++ b/crates/lentilhitch_standin/src/users_platform.rs
@@ -15,7 +15,7 @@
 pub use log_store::{LogStore, Read, StoreFault};
 pub use raw_upstream::{RawEnd, RawResponse, RawScript, RawUpstream};
 pub use rollout::{Rollout, RolloutWatch};
-pub use site::{Client, ClientResponse, Site, SiteOptions};
+pub use site::{Client, ClientResponse, Node, Site, SiteOptions};
 pub use upstream::{Badness, Behavior, ExecutedRequest, Upstream};
 
 use std::{convert::Infallible, future::Future, net::SocketAddr};
