--- a/crates/lentilhitch/tests/edge_rollouts.rs
+++ b/crates/lentilhitch/tests/edge_rollouts.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -21,6 +22,9 @@
 /// Clients of each node, which send one request after the other.
 const N_CLIENTS: usize = 6;
 const WORK_MS: u64 = 15;
+/// Events and clients of streams: enough streams for a decision within the time limit.
+const N_EVENTS: u64 = 20;
+const N_STREAM_CLIENTS: usize = 48;
 const DURATION_S: f64 = 10.0;
 /// Contract: the share of all requests that a bad version may get, and the number in addition.
 const EXPOSURE_SHARE: f64 = 0.1;
@@ -212,6 +216,58 @@
     }
 }
 
+/// Guards against a stream that a rollout interrupts, or that goes on at another version than the one that began it.
+#[tokio::test]
+async fn streams_stay_with_their_version_while_another_is_completed() {
+    let options = SiteOptions { n_engines: 4, ..OPTIONS };
+    let site = Site::start(options).await.unwrap();
+    let stream = Behavior::Stream { n_events: N_EVENTS, interval_ms: 8, break_after: None };
+    for it in &site.engines {
+        it.set(stream);
+    }
+    let mut new = Vec::new();
+    for idx in 0..N_NEW {
+        let id = format!("new-{idx}");
+        new.push(Upstream::start_unlisted(&id, "draft", "v2", stream).await.unwrap());
+    }
+    let rollout = Rollout { service: "draft".to_owned(), ..order(2.0 * DURATION_S) };
+    let _watch = RolloutWatch::start(&site.store, &rollout, &site.engines, &new);
+    rollout.order(&site.store);
+    list(&site, &new);
+    let is_over = Cell::new(false);
+    let clients = (0..N_STREAM_CLIENTS).map(|client| {
+        let (site, is_over) = (&site, &is_over);
+        async move {
+            let mut n_sent = 0;
+            while !is_over.get() {
+                let id = format!("c{client}-{n_sent}");
+                let response = site.call(client % N_NODES, &id, "/review/x").await.unwrap();
+                assert_eq!(response.status, 200, "{id}: {response:?}");
+                let expected: Vec<u64> = (1..=N_EVENTS).collect();
+                assert_eq!(response.event_ids(), expected, "{id}: {response:?}");
+                n_sent += 1;
+            }
+        }
+    });
+    let wait = async {
+        let decided =
+            until("there is a verdict", || async { rollout.verdict(&site.store).is_some() });
+        let res = decided.await;
+        is_over.set(true);
+        res
+    };
+    let (_, res) = join(join_all(clients), wait).await;
+    res.unwrap();
+    assert_eq!(rollout.states(&site.store), ["in_progress", "completed"]);
+    check_uninterrupted("streams", &site.engines);
+    let ids = |upstreams: &[Upstream]| -> BTreeSet<String> {
+        upstreams.iter().flat_map(Upstream::executed).map(|it| it.id).collect()
+    };
+    let (at_old, at_new) = (ids(&site.engines), ids(&new));
+    assert!(!at_new.is_empty(), "the new version got no stream");
+    assert!(at_old.is_disjoint(&at_new), "{:?}", at_old.intersection(&at_new));
+}
+
 /// Faults while an order is in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
