--- a/crates/lentilhitch_policy/src/rollout.rs
+++ b/crates/lentilhitch_policy/src/rollout.rs
@@ -21,7 +21,7 @@
 pub mod sequential;
 
 pub use controller::{Controller, StageReport};
-pub use evidence::{Counts, Evidence, LatencySample, RouteCounts};
+pub use evidence::{Counts, EVIDENCE_BYTES_MAX, Evidence, LatencySample, RouteCounts};
 pub use node_view::{NodeView, RequestClass, ResponseOutcome, Side};
 pub use order::{Order, OrderTag};
 pub use plan::{OrderRelation, Plan, PlanEvent, Reason, RolloutState, Stage, Verdict};
--- a/crates/lentilhitch_policy/src/rollout/controller.rs
+++ b/crates/lentilhitch_policy/src/rollout/controller.rs
@@ -36,7 +36,8 @@
 const SHIFT_MARGIN_MS: u64 = 500;
 /// Longest timeout of a service's routes if nothing states one.
 const TIMEOUT_DEFAULT_MS: u64 = 30_000;
-/// Number of responses up to which a version is probed, and the part of the budget that may be used for them.
+/// Number of responses up to which a version is probed, and the part of the budget that may be used for them. With few
+/// requests, probing ends after this part of the time.
 const N_PROBED: u64 = 30;
 const PROBE_FRACTION: f64 = 0.2;
 /// Part of the budget that is kept for the end, unless the whole budget is below `BUDGET_LOW`. A lower budget is needed
@@ -304,7 +305,10 @@
             return Some(PlanEvent::Advance { stage: Stage::Shifting, now_ms });
         }
         let n_probed = N_PROBED.min(self.probe_limit(settings, plan, work, now_ms));
-        if plan.stage == Stage::Probing && n_probed <= work.judge.totals().1.responses {
+        let n_responses = work.judge.totals().1.responses;
+        let probe_ms = (plan.order.duration_ms as f64 * PROBE_FRACTION) as u64;
+        let is_slow_traffic = plan.start_ms + probe_ms <= now_ms && 0 < n_responses;
+        if plan.stage == Stage::Probing && (n_probed <= n_responses || is_slow_traffic) {
             return Some(PlanEvent::Advance { stage: Stage::Loading, now_ms });
         }
         self.due_reservation(settings, plan, work, now_ms)
--- a/crates/lentilhitch_policy/src/rollout/judge.rs
+++ b/crates/lentilhitch_policy/src/rollout/judge.rs
@@ -20,6 +20,9 @@
 const E_ROUTE: f64 = 2.0 * N_ROUTE_TESTS / ERROR_RATE;
 /// E-value that must be reached without the worst group of upstreams.
 const E_WITHOUT_GROUP: f64 = 20.0;
+/// Natural logarithm of the evidence against a route of the target from which on the version is not accepted. The
+/// probability that a good version is refused for one route is at most `exp` of this negative number.
+const LOG_ROUTE_REFUSED: f64 = 9.2;
 /// Number of upstreams, and of groups with responses, from which on the test is also made without the worst group.
 const N_FOR_EXCLUSION: usize = 3;
 
@@ -206,8 +209,15 @@
         is_condemned(|it| &it.slow).then_some(Reason::Slow)
     }
 
-    /// Returns the natural logarithm of the evidence for the target: the weaker one of failures and slow responses.
+    /// Returns the natural logarithm of the evidence for the target: the weaker one of failures and slow responses. It is
+    /// negative if one route speaks clearly against the target.
     pub fn log_favor(&self, n_upstreams: usize) -> f64 {
+        let favors =
+            |it: &Pair| it.failures.log_favor(n_upstreams).min(it.slow.log_favor(n_upstreams));
+        let worst_route = self.routes.values().map(favors).fold(f64::INFINITY, f64::min);
+        if worst_route < -LOG_ROUTE_REFUSED {
+            return worst_route;
+        }
         let failures = self.all.failures.log_favor(n_upstreams);
         // Without any latency to compare, slow responses can't be judged.
         if self.target.timed == 0 {
