Gossip: summaries and zone states name at most 128 upstreams

Cause: summaries and states of zones named every busy upstream.

Change: both name the 128 upstreams with the most waiting tokens and requests, and give the total of the others in the optional field "y". The load table spreads this total evenly over the upstreams that are not named. Up to 128 busy upstreams the messages are the former ones. An older build ignores the field and takes the others for idle.

Quality of routing with unnamed upstreams was not simulated. The edge tests were not run.

--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -477,6 +477,7 @@
         now_ms: u64,
     ) {
         self.load_table.on_peer_report(OTHER_NODES, summary.loads, now_ms);
+        self.load_table.set_unnamed_loads(summary.unnamed, self.catalog.n_upstreams());
         let demand = summary.demand.into_iter().map(|it| (it.0, f64::from(it.1)));
         self.other_demand = (demand.collect(), now_ms);
         for zone in &summary.zones {
--- a/crates/lentilhitch_policy/src/catalog.rs
+++ b/crates/lentilhitch_policy/src/catalog.rs
@@ -137,6 +137,11 @@
         self.upstreams.values()
     }
 
+    /// Returns the number of upstreams in use.
+    pub fn n_upstreams(&self) -> usize {
+        self.upstreams.len()
+    }
+
     /// Returns the entry of every upstream in use, and the position at which it was written.
     pub fn entries(&self) -> impl Iterator<Item = (&UpstreamEntry, LogPosition)> {
         let position = |id| self.versions.get(id).copied().unwrap_or_default();
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -32,12 +32,12 @@
     upstream_limits::LimitReport,
 };
 use message::{
-    Admitted, DutyHolder, Evidence, LocalState, Message, NodeAddress, NodeRates, NodeReport, Pulse,
-    Summary, ZoneRates, ZoneState, ZoneSummary,
+    Admitted, DutyHolder, Evidence, Loads, LocalState, Message, NodeAddress, NodeRates, NodeReport,
+    Pulse, Summary, UnnamedLoads, ZoneRates, ZoneState, ZoneSummary,
 };
 use nodes::Nodes;
 use relay::Relay;
-use zone::{ZoneReports, add_demand, add_loads};
+use zone::{ZoneReports, add_demand, add_loads, limit_named};
 
 /// Intervals and limits of the exchange.
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +52,10 @@
     pub summary_bytes_per_s: u64,
     pub summary_bytes_per_s_max: u64,
     pub large_nodes: u64,
+    /// Maximum number of busy upstreams that a summary or the state of a zone names. The work and bytes for each message would otherwise grow
+    /// with the number of upstreams. At 3,000 upstreams, a summary that names all of them comes every 8 s, which is
+    /// longer than its figures are valid.
+    pub named_upstreams_max: usize,
     /// Interval between messages while there is evidence of crashes to send.
     pub evidence_interval_ms: u64,
     /// Minimum interval between urgent reports of one sender, and its part for each node of the zone.
@@ -70,6 +74,7 @@
             summary_bytes_per_s: 4_000,
             summary_bytes_per_s_max: 12_000,
             large_nodes: 300,
+            named_upstreams_max: 128,
             evidence_interval_ms: 150,
             rates_interval_min_ms: 40,
             rates_interval_per_node_ms: 2,
@@ -561,13 +566,15 @@
         let segment_reports = self.to_zones.segments.take_due();
         let limit_reports = self.to_zones.limits.take_due();
         let quarantined = self.to_zones.quarantined.take_due();
-        let in_zone: FxHashMap<_, _> = self.reports.loads();
+        let mut loads = self.reports.loads().into_iter().collect();
+        let unnamed = limit_named(&mut loads, self.settings.named_upstreams_max);
         let summary = ZoneSummary {
             from: self.local,
             standby: self.nodes.delegate_addresses().first().copied(),
             is_forwarded: false,
             state: self.zone_state(now_ms),
-            loads: in_zone.into_iter().collect(),
+            loads,
+            unnamed,
             demand: self.reports.demand().into_iter().collect(),
             evidence,
             segment_reports,
@@ -621,6 +628,7 @@
     /// Returns the parts of a summary that are the same for all nodes, and the totals that contain all of them.
     fn summary_base(&self, now_ms: u64) -> SummaryBase {
         let mut loads = self.reports.loads();
+        let mut unnamed_remote: Option<UnnamedLoads> = None;
         let mut demand = self.reports.demand();
         let mut duty = self.reports.duty_holder(now_ms);
         let mut remote_states = Vec::new();
@@ -630,6 +638,9 @@
                 continue;
             }
             add_loads(&mut loads, &it.summary.loads);
+            if let Some(it) = it.summary.unnamed {
+                unnamed_remote.get_or_insert_default().add(it);
+            }
             add_demand(&mut demand, &it.summary.demand);
             let remote_duty = it.summary.duty;
             let remote_duty =
@@ -640,12 +651,18 @@
         let reader_age_max_ms = self.settings.reader_interval_ms + self.announced_interval_ms;
         let mut live = self.reports.nodes();
         live.truncate(LIVE_NODES_MAX);
+        let mut loads = loads.into_iter().collect();
+        let mut unnamed = limit_named(&mut loads, self.settings.named_upstreams_max);
+        if let Some(it) = unnamed_remote {
+            unnamed.get_or_insert_default().add(it);
+        }
         SummaryBase {
             local_state: self.zone_state(now_ms),
             remote_states,
             reader: self.reports.reader(reader_age_max_ms, now_ms),
             live,
             loads,
+            unnamed,
             demand,
             duty,
         }
@@ -655,9 +672,12 @@
     fn summary_for(&self, base: &SummaryBase, node: u64) -> Summary {
         let reported = self.reports.get(node).map(|it| &it.state);
         let mut loads = base.loads.clone();
+        let mut unnamed = base.unnamed;
         let mut demand = base.demand.clone();
         for (upstream, it) in reported.iter().flat_map(|it| &it.loads) {
-            if let Some(total) = loads.get_mut(upstream) {
+            if let Ok(position) = loads.binary_search_by_key(upstream, |it| it.0) {
+                loads[position].1.subtract(*it);
+            } else if let Some(total) = &mut unnamed {
                 total.subtract(*it);
             }
         }
@@ -670,13 +690,16 @@
         let local_state = ZoneState { admitted, ..base.local_state.clone() };
         let mut zones = vec![local_state];
         zones.extend(base.remote_states.iter().cloned());
-        loads.retain(|_, it| *it != InProgress::default());
+        if unnamed.is_none() {
+            loads.retain(|it| it.1 != InProgress::default());
+        }
         Summary {
             from: self.local,
             zones,
             reader: base.reader,
             live: base.live.clone(),
-            loads: loads.into_iter().collect(),
+            loads,
+            unnamed,
             demand: demand.into_iter().collect(),
             evidence: self.evidence.clone(),
             segment_reports: self.segment_reports.clone(),
@@ -917,7 +940,9 @@
     remote_states: Vec<ZoneState>,
     reader: Option<u64>,
     live: Vec<u64>,
-    loads: FxHashMap<u32, InProgress>,
+    /// Sorted by the hashes of the upstreams.
+    loads: Loads,
+    unnamed: Option<UnnamedLoads>,
     demand: FxHashMap<u32, f32>,
     duty: Option<DutyHolder>,
 }
--- a/crates/lentilhitch_policy/src/gossip/message.rs
+++ b/crates/lentilhitch_policy/src/gossip/message.rs
@@ -43,6 +43,55 @@
 pub type Admitted = Vec<(u32, f64)>;
 /// Requests in progress at each upstream, by hash of the upstream's name.
 pub type Loads = Vec<(u32, InProgress)>;
+/// Total of the requests in progress at the upstreams that a message does not name. Encoded as a tuple of its fields.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u64, u64, u64)", into = "(u64, u64, u64)")]
+pub struct UnnamedLoads {
+    pub n_requests: u64,
+    /// Requests among them whose response has not started.
+    pub n_waiting: u64,
+    /// Uncached prompt tokens of the waiting requests.
+    pub waiting_tokens: u64,
+}
+
+impl From<(u64, u64, u64)> for UnnamedLoads {
+    fn from((n_requests, n_waiting, waiting_tokens): (u64, u64, u64)) -> Self {
+        Self { n_requests, n_waiting, waiting_tokens }
+    }
+}
+
+impl From<UnnamedLoads> for (u64, u64, u64) {
+    fn from(it: UnnamedLoads) -> Self {
+        (it.n_requests, it.n_waiting, it.waiting_tokens)
+    }
+}
+
+impl UnnamedLoads {
+    pub(crate) fn add(&mut self, other: impl Into<Self>) {
+        let other = other.into();
+        self.n_requests += other.n_requests;
+        self.n_waiting += other.n_waiting;
+        self.waiting_tokens += other.waiting_tokens;
+    }
+
+    pub(crate) fn subtract(&mut self, other: InProgress) {
+        let other = Self::from(other);
+        self.n_requests = self.n_requests.saturating_sub(other.n_requests);
+        self.n_waiting = self.n_waiting.saturating_sub(other.n_waiting);
+        self.waiting_tokens = self.waiting_tokens.saturating_sub(other.waiting_tokens);
+    }
+}
+
+impl From<InProgress> for UnnamedLoads {
+    fn from(it: InProgress) -> Self {
+        Self {
+            n_requests: it.n_requests.into(),
+            n_waiting: it.n_waiting.into(),
+            waiting_tokens: it.waiting_tokens.into(),
+        }
+    }
+}
+
 /// Prompt tokens per second that are sent to each service, by hash of the service's name.
 pub type DemandRates = Vec<(u32, f32)>;
 /// Requests that were present at a crash of an upstream, each with the id of the crash.
@@ -193,8 +242,12 @@
     pub is_forwarded: bool,
     #[serde(rename = "s")]
     pub state: ZoneState,
+    /// If there are too many to name, those with the most waiting tokens and requests.
     #[serde(rename = "p")]
     pub loads: Loads,
+    /// Present if `loads` does not name all busy upstreams. An older build does not know the others as busy.
+    #[serde(rename = "y", default, skip_serializing_if = "Option::is_none")]
+    pub unnamed: Option<UnnamedLoads>,
     #[serde(rename = "d")]
     pub demand: DemandRates,
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
@@ -223,9 +276,12 @@
     /// First nodes of the zone that have reported recently, in the order of their hashes.
     #[serde(rename = "b")]
     pub live: Vec<u64>,
-    /// Sums over all zones.
+    /// Sums over all zones. If there are too many to name, those with the most waiting tokens and requests.
     #[serde(rename = "p")]
     pub loads: Loads,
+    /// Present if `loads` does not name all busy upstreams. An older build does not know the others as busy.
+    #[serde(rename = "y", default, skip_serializing_if = "Option::is_none")]
+    pub unnamed: Option<UnnamedLoads>,
     #[serde(rename = "d")]
     pub demand: DemandRates,
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/lentilhitch_policy/src/gossip/zone.rs
+++ b/crates/lentilhitch_policy/src/gossip/zone.rs
@@ -1,10 +1,12 @@
 //! What a delegate knows of its own zone: the reports of its nodes and the totals over them.
 
+use std::cmp::Reverse;
+
 use rustc_hash::FxHashMap;
 
 use crate::{
     gossip::message::{
-        Admitted, DemandRates, DutyHolder, Loads, NodeAddress, NodeReport, StoreCopy,
+        Admitted, DemandRates, DutyHolder, Loads, NodeAddress, NodeReport, StoreCopy, UnnamedLoads,
     },
     placement::InProgress,
 };
@@ -141,6 +143,24 @@
     }
 }
 
+/// Limits the named upstreams to the `n_max` with the most waiting tokens and requests, and sorts them by their hashes.
+/// Returns the total of the others, if there are any.
+pub(super) fn limit_named(loads: &mut Loads, n_max: usize) -> Option<UnnamedLoads> {
+    let mut unnamed = None;
+    if n_max < loads.len() {
+        let order = |(upstream, it): &(u32, InProgress)| {
+            Reverse((it.waiting_tokens, it.n_waiting, it.n_requests, *upstream))
+        };
+        loads.select_nth_unstable_by_key(n_max, order);
+        let total: &mut UnnamedLoads = unnamed.get_or_insert_default();
+        for (_, it) in loads.drain(n_max..) {
+            total.add(it);
+        }
+    }
+    loads.sort_unstable_by_key(|it| it.0);
+    unnamed
+}
+
 /// Adds demand to totals by service.
 pub(super) fn add_demand(total: &mut FxHashMap<u32, f32>, demand: &DemandRates) {
     for (service, per_s) in demand {
--- a/crates/lentilhitch_policy/src/placement.rs
+++ b/crates/lentilhitch_policy/src/placement.rs
@@ -23,7 +23,7 @@
 
 use lentilhitch_types::{SegmentId, UpstreamName, Zone};
 
-use crate::catalog::Upstream;
+use crate::{catalog::Upstream, gossip::message::UnnamedLoads};
 
 mod choice;
 
@@ -236,6 +236,9 @@
     peer_loads: FxHashMap<u64, PeerLoad>,
     /// Sum of the peers' reports, updated with each report, so that a request does not have to go through all peers.
     peers_total: FxHashMap<u32, InProgress>,
+    /// Mean load from the peers at each upstream that their reports do not name, if they do not name all: requests,
+    /// requests without a response, and waiting tokens.
+    unnamed_mean: Option<[f64; 3]>,
     /// When the last ejection ends.
     ejected_until_ms: u64,
     /// Estimated median of the prefill time per token, from prompts that found no other prompt waiting.
@@ -263,6 +266,7 @@
             upstreams: FxHashMap::default(),
             peer_loads: FxHashMap::default(),
             peers_total: FxHashMap::default(),
+            unnamed_mean: None,
             ejected_until_ms: 0,
             prefill_ms_per_token: settings.prefill_ms_per_token,
         }
@@ -461,6 +465,27 @@
         }
     }
 
+    /// Records the total load at the upstreams that the reports of the peers do not name. `n_upstreams` is the number of
+    /// all upstreams.
+    pub fn set_unnamed_loads(&mut self, total: Option<UnnamedLoads>, n_upstreams: usize) {
+        let n_unnamed = n_upstreams.saturating_sub(self.peers_total.len()).max(1) as f64;
+        self.unnamed_mean = total.map(|it| {
+            [it.n_requests, it.n_waiting, it.waiting_tokens].map(|it| it as f64 / n_unnamed)
+        });
+    }
+
+    /// Returns the requests in progress from the peers at an upstream. For an upstream that they do not name, this is the
+    /// mean, rounded up or down by the hash so that the sum over the upstreams stays.
+    fn peers_in_progress(&self, hash: u32) -> InProgress {
+        if let Some(it) = self.peers_total.get(&hash) {
+            return *it;
+        }
+        let Some(mean) = self.unnamed_mean else { return InProgress::default() };
+        let threshold = f64::from(hash) / f64::from(u32::MAX);
+        let [n_requests, n_waiting, waiting_tokens] = mean.map(|it| (it + threshold) as u32);
+        InProgress { n_requests, n_waiting, waiting_tokens }
+    }
+
     fn subtract(&mut self, report: &PeerLoad) {
         for (upstream, it) in &report.in_progress {
             if let Some(sum) = self.peers_total.get_mut(upstream) {
@@ -585,13 +610,13 @@
     fn in_progress(&self, upstream: &UpstreamName) -> InProgress {
         match self.upstreams.get(upstream) {
             Some(state) => self.in_progress_at(state),
-            None => self.peers_total.get(&upstream_hash(upstream)).copied().unwrap_or_default(),
+            None => self.peers_in_progress(upstream_hash(upstream)),
         }
     }
 
     fn in_progress_at(&self, state: &UpstreamState) -> InProgress {
         let mut sum = state.local;
-        sum.add(self.peers_total.get(&state.hash).copied().unwrap_or_default());
+        sum.add(self.peers_in_progress(state.hash));
         sum
     }
 
