--- a/crates/lentilhitch_policy/tests/pace/main.rs
+++ b/crates/lentilhitch_policy/tests/pace/main.rs
@@ -204,10 +204,13 @@
     assert!(unread - NOISE <= read, "{read} in time with pace, {unread} without");
 }
 
-/// Prints the shares for the choice of the settings. Run by hand, see `docs/design/capacity-measure.md`.
+/// Prints the shares for the choice of the settings. Takes minutes, so it runs only if `PACE_SWEEP` is set, see
+/// `docs/design/capacity-measure.md`.
 #[test]
-#[ignore = "a sweep of settings, run by hand"]
 fn sweep() {
+    if !is_sweep_wanted() {
+        return;
+    }
     let base = pace::Settings::default();
     let scaled = pace::Settings { engine_weight: 1.0, ..base };
     let variants = [
@@ -232,11 +235,13 @@
     }
 }
 
-/// Prints how far estimated paces are from the actual ones, by how long figures count. Run by hand, see
-/// `docs/design/capacity-measure.md`.
+/// Prints how far estimated paces are from the actual ones, by how long figures count. Takes minutes, so it runs only if
+/// `PACE_SWEEP` is set, see `docs/design/capacity-measure.md`.
 #[test]
-#[ignore = "a sweep of settings, run by hand"]
 fn pace_errors() {
+    if !is_sweep_wanted() {
+        return;
+    }
     for source in [Source::Every(1_000), Source::OwnResponses] {
         for pace_change_ms in [200.0, 1_000.0, 5_000.0] {
             let load = Load { seed: 1, requests_per_ms: 0.52, pace_change_ms, source };
@@ -257,3 +262,7 @@
         }
     }
 }
+
+fn is_sweep_wanted() -> bool {
+    std::env::var_os("PACE_SWEEP").is_some()
+}
