Count versions for as long as the streams that began there may last

The time for which a version that is gone still counts, and for which a node remembers where a stream began, was twice the longest timeout in the newest configuration. Streams that began under an earlier one last longer, and so does a stream whose client has a later deadline than the timeout: it is cut there and taken up again.

stream_lifetime keeps the longer time until the streams that began under it are over, takes the deadlines of clients into account, and is told to nodes that start. A record of a stream that was taken up lasts from then on.

The three new tests in stream_origins fail with the longer times switched off.

--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -274,6 +274,58 @@
     }
 }
 
+/// Sets the timeout of the streaming routes, and waits until all nodes apply it.
+async fn set_stream_timeout(site: &mut Site, timeout_ms: u64) {
+    let version = site.put_config(|config| {
+        for route in config["routes"].as_array_mut().unwrap() {
+            if route["routeKind"] == "streaming" {
+                route["timeoutMs"] = json!(timeout_ms);
+            }
+        }
+    });
+    until_all_log(site, &format!("\"version\":\"{version}\",\"n_routes\""), 1).await;
+}
+
+/// Waits until each node has logged a text a number of times.
+async fn until_all_log(site: &Site, text: &str, n_times: usize) {
+    let n_logged = |log: String| log.matches(text).count();
+    let all_log =
+        || async { site.nodes.iter().all(|it| n_times <= n_logged(it.process.log_text())) };
+    until(text, all_log).await.unwrap();
+}
+
+/// Guards against streams that go on at another version because a configuration has lowered their route's timeout during
+/// a release, and the nodes count the earlier version no longer than new streams may last.
+#[tokio::test]
+async fn stream_does_not_go_on_at_another_version_after_its_timeout_was_lowered() {
+    let options = SiteOptions { n_engines: 2, n_versions: 1, ..OPTIONS };
+    let mut site = start(options).await;
+    set_stream_timeout(&mut site, 60_000).await;
+    set_streams(&site, 50, None);
+    drop(begin_streams(&site, |idx| idx % OPTIONS.n_nodes).await);
+    let stream = Behavior::Stream { n_events: 2, interval_ms: 100, break_after: None };
+    let new = Upstream::start_unlisted("engine-new", "draft", "v2", stream).await.unwrap();
+    new.write_entry(&site.store, &json!({}));
+    until_all_log(&site, "engine-new", 1).await;
+    set_stream_timeout(&mut site, 400).await;
+    for it in &site.engines {
+        site.store.delete("keyed.servers", &it.id);
+    }
+    until_all_log(&site, "\"upstream removed\"", site.engines.len()).await;
+    for idx in 0..N_STREAMS {
+        let other = site.request(idx % OPTIONS.n_nodes, &format!("o{idx}"), "/review/x");
+        assert_eq!(site.send(other).await.unwrap().status, 200, "o{idx}");
+    }
+    for idx in 0..N_STREAMS {
+        let (first, second) = (format!("s{idx}"), format!("t{idx}"));
+        let request = site.request((idx + 1) % OPTIONS.n_nodes, &second, "/review/x");
+        let request = request.header("resumes", &first).header("last-event-id", "1");
+        let response = site.send(request).await.unwrap();
+        assert_eq!(response.status, 503, "{second}: {response:?}");
+        assert!(!new.executed().iter().any(|it| it.id == second), "{second}");
+    }
+}
+
 /// Returns the number of streams whose origins a node has written to the store, from its log.
 fn n_streams_written(log: &str) -> usize {
     let lines = log.lines().filter(|it| it.contains("origins of streams written"));
--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -13,7 +13,7 @@
 use lentilhitch_types::{ServiceName, UpstreamName};
 
 use crate::{
-    admission::AdmittedRequest,
+    admission::{AdmittedRequest, CLIENT_TIMEOUT_DEFAULT_MS},
     client_response::Rejection,
     node::{Node, available},
     platform::{KvCopy, Platform},
@@ -122,7 +122,8 @@
         if self.admitted.route.repeat.may_repeat() {
             let head = &self.admitted.head;
             let begun_by = head.resumed_id.as_ref().unwrap_or(&head.id);
-            self.node.on_stream_begun(StreamKey::of(begun_by), upstream);
+            let wait_ms = head.deadline_ms.unwrap_or(CLIENT_TIMEOUT_DEFAULT_MS);
+            self.node.on_stream_begun(StreamKey::of(begun_by), upstream, wait_ms);
         }
     }
 
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use lentilhitch_policy::{
-    cursor::Lag, gossip::message::NodeAddress, stream_origins::VersionHistory,
+    cursor::Lag, gossip::message::NodeAddress, stream_origins::VersionHistories,
 };
 
 use crate::{
@@ -25,7 +25,9 @@
 };
 
 const CLUSTER_STATE_PATH: &str = "/v1/knowledge";
-const VERSIONS_PATH: &str = "/v1/versions";
+const VERSIONS_PATH: &str = "/v1/version-histories";
+/// Path of the versions without the times for which clients wait, for nodes of earlier builds.
+const VERSIONS_ONLY_PATH: &str = "/v1/versions";
 const ROLLOUTS_PATH: &str = "/v1/rollouts";
 const METRICS_PATH: &str = "/metrics";
 const STATUS_PATH: &str = "/v1/status";
@@ -70,6 +72,9 @@
     Ok(match path {
         CLUSTER_STATE_PATH => Some(node.cluster_state()?),
         VERSIONS_PATH => node.version_histories().map(|it| encode(&it)).transpose()?,
+        VERSIONS_ONLY_PATH => {
+            node.version_histories().map(|it| encode(&it.services)).transpose()?
+        }
         ROLLOUTS_PATH => node.rollouts_body()?,
         METRICS_PATH => Some(Bytes::from(node.metrics.render()?)),
         STATUS_PATH => Some(node.status()?),
@@ -108,8 +113,13 @@
 pub(crate) async fn fetch_versions(
     client: &reqwest::Client,
     peer: SocketAddr,
-) -> anyhow::Result<Vec<VersionHistory>> {
-    fetch(client, peer, VERSIONS_PATH).await
+) -> anyhow::Result<VersionHistories> {
+    if let Ok(it) = fetch(client, peer, VERSIONS_PATH).await {
+        return Ok(it);
+    }
+    // The peer may be of an earlier build.
+    let services = fetch(client, peer, VERSIONS_ONLY_PATH).await?;
+    Ok(VersionHistories { services, ..VersionHistories::default() })
 }
 
 /// Returns the orders and plans of rollouts that a peer knows of.
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -380,7 +380,7 @@
         let instance = self.settings.instance.as_str();
         log::info!(instance, version, n_routes, source; "configuration in force");
         state.set_rates(&config.teams, self.clock.uptime_ms(), now_ms);
-        state.stream_origins.set_lifetime_ms(config.stream_lifetime_ms());
+        state.stream_origins.set_timeout_max_ms(config.stream_timeout_max_ms(), now_ms);
         state.route_table = Some(Rc::new(RouteTable::new(config)));
         state.config_text = text;
     }
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -211,11 +211,16 @@
         self.tell_holders();
     }
 
-    /// Records that an upstream has written the first event of a stream, and tells the holders if necessary.
-    pub(crate) fn on_stream_begun(&self, key: StreamKey, upstream: &UpstreamEntry) {
+    /// Records that an upstream has written the first event of a stream, and tells the holders if necessary. `wait_ms` is
+    /// how long the client waits for the stream.
+    pub(crate) fn on_stream_begun(&self, key: StreamKey, upstream: &UpstreamEntry, wait_ms: u64) {
         let now_ms = self.now_ms();
         let origin = StreamOrigin::of(upstream);
-        self.state.borrow_mut().stream_origins.on_first_event(key, origin, now_ms);
+        {
+            let origins = &mut self.state.borrow_mut().stream_origins;
+            origins.record_client_wait(wait_ms, now_ms);
+            origins.on_first_event(key, origin, now_ms);
+        }
         self.tell_holders();
     }
 
--- a/crates/lentilhitch_gateway/src/version_histories.rs
+++ b/crates/lentilhitch_gateway/src/version_histories.rs
@@ -7,7 +7,7 @@
 use rand::seq::IteratorRandom as _;
 use tokio::time::sleep;
 
-use lentilhitch_policy::stream_origins::VersionHistory;
+use lentilhitch_policy::stream_origins::VersionHistories;
 
 use crate::{exchange, node::Node, platform::Platform};
 
@@ -36,7 +36,7 @@
                 node.state.borrow_mut().stream_origins.adopt(&histories, now_ms);
                 node.tell_holders();
                 let uptime_ms = node.clock.uptime_ms();
-                log::info!(peer:% = peer, n_services = histories.len(), uptime_ms; "versions of the services taken over from a peer");
+                log::info!(peer:% = peer, n_services = histories.services.len(), uptime_ms; "versions of the services taken over from a peer");
                 return;
             }
             Err(err) => {
@@ -48,7 +48,7 @@
 
 impl<P> Node<P> {
     /// Returns the versions of the services, if this node knows all and its list of upstreams is current.
-    pub(crate) fn version_histories(&self) -> Option<Vec<VersionHistory>> {
+    pub(crate) fn version_histories(&self) -> Option<VersionHistories> {
         let now_ms = self.now_ms();
         if !self.is_list_current(now_ms) {
             return None;
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod store_era;
 pub mod stream_archive;
 pub mod stream_end;
+pub mod stream_lifetime;
 pub mod stream_origins;
 pub mod suspects;
 pub mod synced_clock;
--- a/crates/lentilhitch_policy/src/stream_origins.rs
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -14,7 +14,7 @@
 //! A node that starts in a running deployment has not followed the versions yet. It takes over what another node knows of
 //! them ([`VersionHistory`]), so a series of planned restarts does not end with nodes of which none can tell.
 
-use std::collections::VecDeque;
+use std::collections::{VecDeque, hash_map::Entry};
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -22,7 +22,11 @@
 
 use lentilhitch_types::ServiceName;
 
-use crate::{gossip::message::NodeAddress, traffic::UpstreamEntry};
+use crate::{
+    gossip::message::NodeAddress,
+    stream_lifetime::{ClientWait, StreamLifetime},
+    traffic::UpstreamEntry,
+};
 
 /// Identifies a stream: the hash of the id of the client's sending that brought its first event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -83,6 +87,16 @@
     versions: Vec<(u32, Option<u64>)>,
 }
 
+/// What a node that follows the software versions tells one that has just started.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionHistories {
+    #[serde(rename = "h")]
+    pub services: Vec<VersionHistory>,
+    /// For how long clients wait for streams, which decides for how long a version that is gone still counts.
+    #[serde(rename = "w")]
+    pub waits: Vec<ClientWait>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     origin: StreamOrigin,
@@ -104,15 +118,23 @@
     }
 }
 
+/// Since when a node knows the versions of the services.
+#[derive(Clone, Copy, Debug)]
+enum Followed {
+    Since(u64),
+    /// For as long as a stream may last: since the deployment's start, or through the node or the store that it has them from.
+    Always,
+}
+
 /// Origins of streams that began at this node or that other nodes have told it, and the versions of the services.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
     /// Time for which a stream may last, and a client may take it up.
-    lifetime_ms: u64,
-    /// From when on this node has followed the versions of the services for as long as a stream may last.
-    complete_from_ms: Option<u64>,
+    lifetime: StreamLifetime,
+    /// Since when this node knows the versions of the services, or `None` before the first list.
+    followed: Option<Followed>,
     known: FxHashMap<StreamKey, Known>,
-    /// Keys in the order in which their records expire, but for late news from other nodes.
+    /// Keys in the order in which their records were inserted, which expire in about this order.
     expiring: VecDeque<(u64, StreamKey)>,
     services: FxHashMap<u32, ServiceVersions>,
     /// Streams to tell their holders of.
@@ -121,27 +143,20 @@
     unwritten: Vec<StreamKey>,
 }
 
-/// Lifetime of a stream if nothing states one.
-const LIFETIME_DEFAULT_MS: u64 = 60_000;
+impl StreamOrigins {
+    /// Sets the longest timeout of the streaming routes.
+    pub fn set_timeout_max_ms(&mut self, timeout_ms: u64, now_ms: u64) {
+        self.lifetime.set_configured(timeout_ms, now_ms);
+    }
 
-impl Default for StreamOrigins {
-    fn default() -> Self {
-        Self {
-            lifetime_ms: LIFETIME_DEFAULT_MS,
-            complete_from_ms: None,
-            known: FxHashMap::default(),
-            expiring: VecDeque::new(),
-            services: FxHashMap::default(),
-            due: Vec::new(),
-            unwritten: Vec::new(),
-        }
+    /// Records that a client waits so long for a stream that begins now.
+    pub fn record_client_wait(&mut self, wait_ms: u64, now_ms: u64) {
+        self.lifetime.record_wait(wait_ms, now_ms);
     }
-}
 
-impl StreamOrigins {
-    /// Sets the time for which a stream may last.
-    pub fn set_lifetime_ms(&mut self, lifetime_ms: u64) {
-        self.lifetime_ms = lifetime_ms;
+    /// Takes over for how long clients wait for streams that other nodes have relayed.
+    pub fn adopt_waits(&mut self, waits: &[ClientWait], now_ms: u64) {
+        self.lifetime.adopt(waits, now_ms);
     }
 
     /// Handles a change of the upstreams. `is_first_start` means that there was no stream before this node started.
@@ -151,8 +166,8 @@
         is_first_start: bool,
         now_ms: u64,
     ) {
-        let complete_from_ms = if is_first_start { now_ms } else { now_ms + self.lifetime_ms };
-        self.complete_from_ms.get_or_insert(complete_from_ms);
+        let followed = if is_first_start { Followed::Always } else { Followed::Since(now_ms) };
+        self.followed.get_or_insert(followed);
         for it in self.services.values_mut().flat_map(|it| it.gone_ms.values_mut()) {
             it.get_or_insert(now_ms);
         }
@@ -166,7 +181,7 @@
     /// Discards versions that were gone before any stream began that may still run. The holders of streams of services
     /// that are left with several versions are due to be told.
     fn discard_past_versions(&mut self, now_ms: u64) {
-        let lifetime_ms = self.lifetime_ms;
+        let lifetime_ms = self.lifetime.ms(now_ms);
         for it in self.services.values_mut() {
             it.gone_ms.retain(|_, it| it.is_none_or(|it| now_ms < it + lifetime_ms));
             if it.is_mixed() {
@@ -193,8 +208,15 @@
         self.discard_expired(now_ms);
         let OriginRecord { key, origin, age_ms } = record;
         let began_ms = now_ms.saturating_sub(age_ms);
-        if self.known.insert(key, Known { origin, began_ms }).is_none() {
-            self.expiring.push_back((began_ms, key));
+        match self.known.entry(key) {
+            Entry::Vacant(entry) => {
+                entry.insert(Known { origin, began_ms });
+                self.expiring.push_back((began_ms, key));
+            }
+            Entry::Occupied(mut entry) => {
+                let began_ms = began_ms.max(entry.get().began_ms);
+                entry.insert(Known { origin, began_ms });
+            }
         }
     }
 
@@ -206,7 +228,7 @@
     /// Returns the origin of every stream of a service, if all its upstreams have had the same version for as long as a
     /// stream may last.
     pub fn sole_origin(&self, service: u32, now_ms: u64) -> Option<StreamOrigin> {
-        if now_ms < self.complete_from_ms? {
+        if !self.is_complete(now_ms) {
             return None;
         }
         let mut recent = self.recent_versions(self.services.get(&service)?, now_ms);
@@ -227,7 +249,7 @@
         versions: &ServiceVersions,
         now_ms: u64,
     ) -> impl Iterator<Item = u32> {
-        let lifetime_ms = self.lifetime_ms;
+        let lifetime_ms = self.lifetime.ms(now_ms);
         let recent = versions.gone_ms.iter();
         recent
             .filter(move |it| it.1.is_none_or(|gone_ms| now_ms < gone_ms + lifetime_ms))
@@ -236,11 +258,15 @@
 
     /// Returns whether this node knows all versions that the services have had for as long as a stream may last.
     pub fn is_complete(&self, now_ms: u64) -> bool {
-        self.complete_from_ms.is_some_and(|it| it <= now_ms)
+        match self.followed {
+            None => false,
+            Some(Followed::Since(it)) => it + self.lifetime.ms(now_ms) <= now_ms,
+            Some(Followed::Always) => true,
+        }
     }
 
     /// Returns the versions of all services, for a node that has just started, or `None` if this node does not know all.
-    pub fn histories(&self, now_ms: u64) -> Option<Vec<VersionHistory>> {
+    pub fn histories(&self, now_ms: u64) -> Option<VersionHistories> {
         let history = |(service, versions): (&u32, &ServiceVersions)| VersionHistory {
             service: *service,
             versions: versions
@@ -249,13 +275,17 @@
                 .map(|(version, gone_ms)| (*version, gone_ms.map(|it| now_ms.saturating_sub(it))))
                 .collect(),
         };
-        self.is_complete(now_ms).then(|| self.services.iter().map(history).collect())
+        self.is_complete(now_ms).then(|| VersionHistories {
+            services: self.services.iter().map(history).collect(),
+            waits: self.lifetime.waits(now_ms),
+        })
     }
 
     /// Takes over the versions that another node knows. A version that has no upstream in the list of this node counts as
     /// gone since now.
-    pub fn adopt(&mut self, histories: &[VersionHistory], now_ms: u64) {
-        for VersionHistory { service, versions } in histories {
+    pub fn adopt(&mut self, histories: &VersionHistories, now_ms: u64) {
+        self.adopt_waits(&histories.waits, now_ms);
+        for VersionHistory { service, versions } in &histories.services {
             let known = &mut self.services.entry(*service).or_default().gone_ms;
             for (version, gone_age_ms) in versions {
                 let told_ms = now_ms.saturating_sub(gone_age_ms.unwrap_or_default());
@@ -263,7 +293,7 @@
                 *gone_ms = gone_ms.map(|it| it.max(told_ms));
             }
         }
-        self.complete_from_ms = Some(self.complete_from_ms.map_or(now_ms, |it| it.min(now_ms)));
+        self.followed = Some(Followed::Always);
         self.discard_past_versions(now_ms);
     }
 
@@ -293,11 +323,20 @@
     }
 
     fn discard_expired(&mut self, now_ms: u64) {
+        let lifetime_ms = self.lifetime.ms(now_ms);
         while let Some((began_ms, key)) = self.expiring.front().copied()
-            && began_ms + self.lifetime_ms < now_ms
+            && began_ms + lifetime_ms < now_ms
         {
             self.expiring.pop_front();
-            self.known.remove(&key);
+            match self.known.get(&key) {
+                // The client has taken the stream up since.
+                Some(it) if now_ms <= it.began_ms + lifetime_ms => {
+                    self.expiring.push_back((it.began_ms, key));
+                }
+                _ => {
+                    self.known.remove(&key);
+                }
+            }
         }
         for it in self.services.values_mut() {
             while it.untold.front().is_some_and(|it| !self.known.contains_key(it)) {
--- a/crates/lentilhitch_policy/src/traffic.rs
+++ b/crates/lentilhitch_policy/src/traffic.rs
@@ -22,11 +22,11 @@
 const ROUTE_TIMEOUT_DEFAULT_MS: u64 = 30_000;
 
 impl Config {
-    /// Returns the time for which a stream may last: a client whose stream was broken off may take it up once more.
-    pub fn stream_lifetime_ms(&self) -> u64 {
+    /// Returns the longest timeout of the streaming routes.
+    pub fn stream_timeout_max_ms(&self) -> u64 {
         let streams = self.routes.iter().filter(|it| it.repeat.is_stream());
         let timeouts_ms = streams.map(|it| it.timeout_ms.unwrap_or(ROUTE_TIMEOUT_DEFAULT_MS));
-        2 * timeouts_ms.max().unwrap_or(ROUTE_TIMEOUT_DEFAULT_MS)
+        timeouts_ms.max().unwrap_or(ROUTE_TIMEOUT_DEFAULT_MS)
     }
 
     /// Returns the longest timeout of the routes that lead to a service, or `None` if there are none.
--- a/crates/lentilhitch_policy/tests/stream_archive.rs
+++ b/crates/lentilhitch_policy/tests/stream_archive.rs
@@ -85,7 +85,7 @@
 
 fn new_origins() -> StreamOrigins {
     let mut origins = StreamOrigins::default();
-    origins.set_lifetime_ms(LIFETIME_MS);
+    origins.set_timeout_max_ms(LIFETIME_MS / 2, 0);
     origins
 }
 
--- a/crates/lentilhitch_policy/tests/stream_origins.rs
+++ b/crates/lentilhitch_policy/tests/stream_origins.rs
@@ -37,7 +37,7 @@
 
 fn new_origins() -> StreamOrigins {
     let mut origins = StreamOrigins::default();
-    origins.set_lifetime_ms(LIFETIME_MS);
+    origins.set_timeout_max_ms(LIFETIME_MS / 2, 0);
     origins
 }
 
@@ -120,6 +120,128 @@
     }
 }
 
+/// Guards against a version that is forgotten while streams which began there may still be taken up, because a
+/// configuration has lowered the timeout or the client waits for longer than it.
+#[test]
+fn version_counts_as_long_as_a_client_may_take_up_a_stream_that_began_there() {
+    struct Case {
+        name: &'static str,
+        /// How long the client of the stream waits.
+        wait_ms: u64,
+        /// Longest timeouts of the streaming routes, each from a time on.
+        timeouts: &'static [(u64, u64)],
+        /// Until when the version counts that is gone since [`GONE_MS`].
+        until_ms: u64,
+    }
+    const BEGAN_MS: u64 = 10_000;
+    const GONE_MS: u64 = 12_000;
+    let cases = [
+        Case {
+            name: "the timeout stays",
+            wait_ms: 15_000,
+            timeouts: &[(0, 15_000)],
+            until_ms: GONE_MS + 30_000,
+        },
+        Case {
+            name: "lowered while the stream runs",
+            wait_ms: 15_000,
+            timeouts: &[(0, 15_000), (11_000, 5_000)],
+            until_ms: 11_000 + 30_000,
+        },
+        Case {
+            name: "lowered again and again",
+            wait_ms: 15_000,
+            timeouts: &[(0, 15_000), (11_000, 5_000), (11_500, 1_000), (13_000, 2_000)],
+            until_ms: 11_000 + 30_000,
+        },
+        Case {
+            name: "lowered to almost nothing for a moment",
+            wait_ms: 15_000,
+            timeouts: &[(0, 15_000), (13_000, 1), (13_100, 4_000)],
+            until_ms: GONE_MS + 30_000,
+        },
+        Case {
+            name: "lowered long before, and the client waits for longer",
+            wait_ms: 15_000,
+            timeouts: &[(0, 5_000)],
+            until_ms: BEGAN_MS + 30_000,
+        },
+        Case {
+            name: "raised",
+            wait_ms: 5_000,
+            timeouts: &[(0, 5_000), (11_000, 15_000)],
+            until_ms: GONE_MS + 30_000,
+        },
+    ];
+    for case in cases {
+        let mut origins = StreamOrigins::default();
+        let mut timeouts = case.timeouts.iter().peekable();
+        let mut apply_timeouts = |origins: &mut StreamOrigins, until_ms: u64| {
+            while let Some((at_ms, timeout_ms)) = timeouts.next_if(|it| it.0 <= until_ms) {
+                origins.set_timeout_max_ms(*timeout_ms, *at_ms);
+            }
+        };
+        apply_timeouts(&mut origins, BEGAN_MS);
+        set_versions(&mut origins, &["v1", "v2"], true, 0);
+        let key = StreamKey::of("stream");
+        origins.record_client_wait(case.wait_ms, BEGAN_MS);
+        origins.on_first_event(key, origin("v1"), BEGAN_MS);
+        apply_timeouts(&mut origins, GONE_MS);
+        set_versions(&mut origins, &["v2"], true, GONE_MS);
+        // Other streams begin all the while.
+        let mut now_ms = GONE_MS;
+        while now_ms < case.until_ms - 500 {
+            now_ms += 500;
+            apply_timeouts(&mut origins, now_ms);
+            origins.on_first_event(StreamKey::of(&now_ms.to_string()), origin("v2"), now_ms);
+            set_versions(&mut origins, &["v2"], true, now_ms);
+            let sole = origins.sole_origin(origin("v1").service, now_ms);
+            assert_eq!(sole, None, "{}, at {now_ms} ms", case.name);
+        }
+        let sole = origins.sole_origin(origin("v1").service, case.until_ms);
+        assert_eq!(sole, Some(origin("v2")), "{}, at the end", case.name);
+    }
+}
+
+/// Guards against a record that expires although the client has taken the stream up since, and may do so again.
+#[test]
+fn record_of_a_stream_that_is_taken_up_lasts_from_then_on() {
+    let mut origins = new_origins();
+    set_versions(&mut origins, &["v1", "v2"], true, START_MS);
+    let key = StreamKey::of("stream");
+    origins.on_first_event(key, origin("v1"), START_MS);
+    let again_ms = START_MS + LIFETIME_MS - 1;
+    origins.on_first_event(key, origin("v1"), again_ms);
+    for (now_ms, expected) in [
+        (START_MS + LIFETIME_MS + 1, Some(origin("v1"))),
+        (again_ms + LIFETIME_MS, Some(origin("v1"))),
+        (again_ms + LIFETIME_MS + 1, None),
+    ] {
+        origins.on_first_event(StreamKey::of("other"), origin("v2"), now_ms);
+        assert_eq!(origins.get(key), expected, "at {now_ms} ms");
+    }
+}
+
+/// Guards against a node that has just started and forgets a version too early, since it knows the lowered timeout only.
+#[test]
+fn node_that_starts_takes_over_for_how_long_clients_wait() {
+    let mut first = new_origins();
+    set_versions(&mut first, &["v1", "v2"], true, START_MS);
+    let (lowered_ms, gone_ms) = (5_000, 6_000);
+    first.set_timeout_max_ms(1_000, lowered_ms);
+    set_versions(&mut first, &["v2"], true, gone_ms);
+
+    let start_ms = 8_000;
+    let mut started = StreamOrigins::default();
+    started.set_timeout_max_ms(1_000, start_ms);
+    set_versions(&mut started, &["v2"], false, start_ms);
+    started.adopt(&first.histories(start_ms).unwrap(), start_ms);
+    let service = origin("v1").service;
+    let until_ms = lowered_ms + LIFETIME_MS;
+    assert_eq!(started.sole_origin(service, until_ms - 1), None);
+    assert_eq!(started.sole_origin(service, until_ms), Some(origin("v2")));
+}
+
 /// Number of nodes that take over one after the other.
 const N_RESTARTS: u64 = 3;
 
