Keep the versions of the services in the store for the loss of all nodes

A node infers the version of a stream from having followed the versions for as long as a stream may last. One that starts takes this over from a peer; when all start at once, no peer has it, and the store had records of streams only while a service has several versions.

version_register keeps one record in the store with the versions at which streams may have begun. The primaries of the zones replace it when a version comes or has been gone for long enough. A node that starts reads it, and uses it if the peer that it asks does not know, and if the store has not returned from a copy since.

--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -326,6 +326,83 @@
     }
 }
 
+/// Guards against streams of a service with a single version that nobody lets go on after all nodes were killed at once,
+/// since none has followed the versions for as long as a stream may last.
+#[tokio::test]
+async fn streams_of_the_only_version_go_on_after_all_nodes_were_killed() {
+    let options = SiteOptions { n_versions: 1, ..OPTIONS };
+    let mut site = start(options).await;
+    until("the store has the versions", || async {
+        0 < site.store.n_records("keyed.stream-versions")
+    })
+    .await
+    .unwrap();
+    // The second loss shows that nodes which have the versions from the store keep them there.
+    for loss in 0..2_usize {
+        set_streams(&site, 50, None);
+        let responses = begin_streams(&site, |idx| idx % OPTIONS.n_nodes).await;
+        for node in &mut site.nodes {
+            node.process.kill();
+        }
+        drop(responses);
+        for idx in 0..OPTIONS.n_nodes {
+            site.restart(idx).unwrap();
+        }
+        site.until_ready().await.unwrap();
+        until_all_log(&site, "\"versions of the services taken over\"", 1 + loss).await;
+        set_streams(&site, 1, None);
+        for idx in 0..N_STREAMS {
+            let id = format!("t{loss}-{idx}");
+            let request = site.request((idx + 1) % OPTIONS.n_nodes, &id, "/review/x");
+            let request = request.header("resumes", format!("s{idx}")).header("last-event-id", "1");
+            let response = site.send(request).await.unwrap();
+            assert_eq!(response.status, 200, "{id}: {response:?}");
+            assert!(response.is_complete, "{id}");
+        }
+    }
+}
+
+/// Guards against a stream of a version that was gone when all nodes were killed, and that goes on at the only version
+/// which the nodes find when they are back.
+#[tokio::test]
+async fn stream_of_a_version_that_is_gone_does_not_go_on_after_all_nodes_were_killed() {
+    let options = SiteOptions { n_engines: 2, n_versions: 1, ..OPTIONS };
+    let mut site = start(options).await;
+    let stream = Behavior::Stream { n_events: N_EVENTS, interval_ms: 50, break_after: None };
+    let new = Upstream::start_unlisted("engine-new", "draft", "v2", stream).await.unwrap();
+    set_streams(&site, 50, None);
+    new.write_entry(&site.store, &json!({}));
+    until_all_log(&site, "engine-new", 1).await;
+    let is_written = || async {
+        let logs = site.nodes.iter().map(|it| it.process.log_text());
+        logs.filter(|it| it.contains("\"n_versions\":\"3\"")).count() != 0
+    };
+    until("the store has both versions of one service and that of the other", is_written)
+        .await
+        .unwrap();
+    let responses = begin_streams(&site, |idx| idx % OPTIONS.n_nodes).await;
+    for node in &mut site.nodes {
+        node.process.kill();
+    }
+    drop(responses);
+    site.store.delete("keyed.servers", "engine-new");
+    for idx in 0..OPTIONS.n_nodes {
+        site.restart(idx).unwrap();
+    }
+    site.until_ready().await.unwrap();
+    until_all_log(&site, "\"versions of the services taken over\"", 1).await;
+    set_streams(&site, 1, None);
+    for idx in 0..N_STREAMS {
+        let (first, second) = (format!("s{idx}"), format!("t{idx}"));
+        let request = site.request((idx + 1) % OPTIONS.n_nodes, &second, "/review/x");
+        let request = request.header("resumes", &first).header("last-event-id", "1");
+        let response = site.send(request).await.unwrap();
+        let began_at_new = new.executed().iter().any(|it| it.id == first);
+        let has_run = 0 < site.n_runs(&second);
+        assert!(!(began_at_new && has_run), "{second} goes on at another version: {response:?}");
+    }
+}
+
 /// Returns the number of streams whose origins a node has written to the store, from its log.
 fn n_streams_written(log: &str) -> usize {
     let lines = log.lines().filter(|it| it.contains("origins of streams written"));
--- a/crates/lentilhitch_gateway/src/lib.rs
+++ b/crates/lentilhitch_gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod upstream_attempt;
 mod upstream_paths;
 mod version_histories;
+mod version_register;
 
 pub use run::run;
 pub use settings::{Bounds, NodeSettings, RolloutBounds};
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -51,6 +51,7 @@
     rollouts::Rollouts,
     settings::NodeSettings,
     stream_versions::Inquiries,
+    version_register::SharedRegister,
 };
 
 /// Phase of a node from its start to its exit.
@@ -96,6 +97,8 @@
     pub(crate) phase: watch::Sender<NodePhase>,
     /// Questions to other nodes about the origin of a stream.
     pub(crate) inquiries: Inquiries,
+    /// Software versions of the services in the store.
+    pub(crate) version_register: SharedRegister,
     /// Notified when there are changed upstream entries to send to the peers immediately.
     pub(crate) updates_due: Notify,
     /// Notified when the peers should immediately receive the cost of the requests that this node has admitted.
@@ -322,6 +325,7 @@
             n_in_flight: Rc::default(),
             phase,
             inquiries: Inquiries::default(),
+            version_register: SharedRegister::default(),
             updates_due: Notify::new(),
             rates_due: Notify::new(),
             origins_due: Notify::new(),
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -197,6 +197,8 @@
     Duty,
     /// Software versions that began streams, while a service has several.
     StreamOrigins,
+    /// Software versions at which streams may have begun. One record holds those of all services.
+    StreamVersions,
     /// Orders of rollouts, written by operators: one record for each service.
     RolloutOrders,
     /// Plans of rollouts, by service.
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -16,7 +16,7 @@
     platform::Platform,
     rollouts,
     settings::NodeSettings,
-    stream_archive, upstream_paths, version_histories,
+    stream_archive, upstream_paths, version_histories, version_register,
 };
 
 /// Time after which the load balancer sends no more clients to a stopping node. It checks readiness once a second and
@@ -64,6 +64,7 @@
     spawn_local(stream_archive::load(node.clone()));
     spawn_local(stream_archive::pass_on(node.clone()));
     spawn_local(stream_archive::write(node.clone()));
+    spawn_local(version_register::maintain(node.clone()));
     rollouts::start(&node, duty.clone());
     let has_duty = settings.has_usage_duty || settings.has_scaling_duty;
     if has_duty || settings.rollouts.is_some() {
--- a/crates/lentilhitch_gateway/src/stream_archive.rs
+++ b/crates/lentilhitch_gateway/src/stream_archive.rs
@@ -17,6 +17,7 @@
     node::Node,
     platform::{CallError, Platform, Record, Topic},
     stream_versions::{OriginMessage, RECORDS_PER_MESSAGE_MAX},
+    version_register,
 };
 
 /// Time for which a node collects the origins of its streams before it passes them on.
@@ -53,6 +54,8 @@
     if node.settings.is_first_start {
         return;
     }
+    // Decides which of the records have expired.
+    version_register::read_at_start(&node).await;
     loop {
         match node.load_origins().await {
             Ok(n_streams) => {
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -209,6 +209,7 @@
             }
         }
         self.tell_holders();
+        self.version_register.on_versions_changed();
     }
 
     /// Records that an upstream has written the first event of a stream, and tells the holders if necessary. `wait_ms` is
--- a/crates/lentilhitch_gateway/src/version_histories.rs
+++ b/crates/lentilhitch_gateway/src/version_histories.rs
@@ -1,4 +1,5 @@
-//! Takes over from a peer which software versions the services have had, when the node starts in a running deployment.
+//! Takes over which software versions the services have had, when the node starts in a running deployment: from a peer,
+//! or from the store if all nodes have just started.
 //!
 //! What follows from the versions is decided by [`lentilhitch_policy::stream_origins`].
 
@@ -16,7 +17,7 @@
 /// Maximum delay between queries. The delay doubles until it is reached.
 const QUERY_INTERVAL_MAX: Duration = Duration::from_secs(3);
 
-/// Queries peers until one of them knows the versions, or this node has followed them for long enough itself.
+/// Queries peers until one of them or the store knows the versions, or this node has followed them for long enough itself.
 pub(crate) async fn learn<P: Platform>(node: Rc<Node<P>>) {
     if node.settings.is_first_start {
         return;
@@ -28,24 +29,37 @@
         if node.state.borrow().stream_origins.is_complete(node.now_ms()) {
             return;
         }
-        let Some(peer) = node.random_peer() else { continue };
         interval = (2 * interval).min(QUERY_INTERVAL_MAX);
-        match exchange::fetch_versions(&client, peer).await {
-            Ok(histories) => {
-                let now_ms = node.now_ms();
-                node.state.borrow_mut().stream_origins.adopt(&histories, now_ms);
-                node.tell_holders();
-                let uptime_ms = node.clock.uptime_ms();
-                log::info!(peer:% = peer, n_services = histories.services.len(), uptime_ms; "versions of the services taken over from a peer");
-                return;
-            }
-            Err(err) => {
-                log::info!(peer:% = peer, error:% = err; "a peer does not know the versions of the services");
-            }
-        }
+        let (source, histories) = match query_peer(&node, &client).await {
+            Some(it) => ("peer", it),
+            None => match node.versions_found_at_start() {
+                Some(it) => ("store", it),
+                None => continue,
+            },
+        };
+        let now_ms = node.now_ms();
+        node.state.borrow_mut().stream_origins.adopt(&histories, now_ms);
+        node.tell_holders();
+        let uptime_ms = node.clock.uptime_ms();
+        let n_services = histories.services.len();
+        log::info!(source, n_services, uptime_ms; "versions of the services taken over");
+        return;
     }
 }
 
+/// Returns the versions that a peer knows, chosen at random, if it knows all.
+async fn query_peer<P: Platform>(
+    node: &Node<P>,
+    client: &reqwest::Client,
+) -> Option<VersionHistories> {
+    let peer = node.random_peer()?;
+    let res = exchange::fetch_versions(client, peer).await;
+    if let Err(err) = &res {
+        log::info!(peer:% = peer, error:% = err; "a peer does not know the versions of the services");
+    }
+    res.ok()
+}
+
 impl<P> Node<P> {
     /// Returns the versions of the services, if this node knows all and its list of upstreams is current.
     pub(crate) fn version_histories(&self) -> Option<VersionHistories> {
@@ -56,6 +70,12 @@
         self.state.borrow().stream_origins.histories(now_ms)
     }
 
+    /// Returns the versions that were found in the store at the start, if none can be missing.
+    fn versions_found_at_start(&self) -> Option<VersionHistories> {
+        let era = self.state.borrow().store_era.current()?;
+        self.version_register.found_at_start(era)
+    }
+
     /// Returns the exchange address of another node, chosen at random.
     fn random_peer(&self) -> Option<SocketAddr> {
         let mut state = self.state.borrow_mut();
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -62,3 +62,4 @@
 pub mod upstream_limits;
 pub mod upstream_paths;
 pub mod usage;
+pub mod version_register;
--- a/crates/lentilhitch_policy/src/stream_lifetime.rs
+++ b/crates/lentilhitch_policy/src/stream_lifetime.rs
@@ -29,6 +29,11 @@
     pub remaining_ms: u64,
 }
 
+/// Returns the longest time for which clients wait, or 0 if none is known.
+pub fn longest_wait_ms(waits: &[ClientWait]) -> u64 {
+    waits.iter().map(|it| it.wait_ms).max().unwrap_or_default()
+}
+
 /// Time for which clients waited whose streams may still run.
 #[derive(Clone, Copy, Debug)]
 struct RecentWait {
--- a/crates/lentilhitch_policy/src/stream_origins.rs
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -97,6 +97,26 @@
     pub waits: Vec<ClientWait>,
 }
 
+impl VersionHistories {
+    /// Returns the versions of all services.
+    pub fn versions(&self) -> impl Iterator<Item = StreamOrigin> {
+        self.services.iter().flat_map(|it| {
+            let service = it.service;
+            it.versions.iter().map(move |it| StreamOrigin { service, version: it.0 })
+        })
+    }
+
+    /// Returns the same without the versions for which `is_kept` is false.
+    #[must_use]
+    pub fn retain(&self, is_kept: impl Fn(StreamOrigin) -> bool) -> Self {
+        let mut kept = self.clone();
+        for VersionHistory { service, versions } in &mut kept.services {
+            versions.retain(|it| is_kept(StreamOrigin { service: *service, version: it.0 }));
+        }
+        kept
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     origin: StreamOrigin,
@@ -269,10 +289,12 @@
     pub fn histories(&self, now_ms: u64) -> Option<VersionHistories> {
         let history = |(service, versions): (&u32, &ServiceVersions)| VersionHistory {
             service: *service,
-            versions: versions
-                .gone_ms
-                .iter()
-                .map(|(version, gone_ms)| (*version, gone_ms.map(|it| now_ms.saturating_sub(it))))
+            versions: self
+                .recent_versions(versions, now_ms)
+                .map(|version| {
+                    let gone_ms = versions.gone_ms[&version];
+                    (version, gone_ms.map(|it| now_ms.saturating_sub(it)))
+                })
                 .collect(),
         };
         self.is_complete(now_ms).then(|| VersionHistories {
