Take the only version of a service only from answers or a list read since

A node that knows a single version of a service took it for that of a stream after 0.1 s without any answer from the nodes that may know the stream, though its list may be 3 s old. Reproduced on processes: a node whose list lacks a new version loses the store and the other nodes.

The version is taken only if all nodes asked first have answered, or once the list has been read since the request came; an entry is in the store before a stream can begin at its upstream. Otherwise the stream is rejected as not run. The same holds for streams that their clients do not name, which were taken up without a question.

--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use lentilhitch_standin::{
     harness::until,
-    users_platform::{Behavior, Site, SiteOptions, Upstream},
+    users_platform::{Behavior, Site, SiteOptions, StoreFault, Upstream},
 };
 use serde_json::json;
 
@@ -249,6 +249,61 @@
     );
 }
 
+/// Guards against a node that takes the only version in its list for that of any stream, though the list is some moments old
+/// and the nodes that know of another version do not answer.
+#[tokio::test]
+async fn version_is_not_inferred_from_an_old_list_while_the_holders_are_silent() {
+    struct Case {
+        name: &'static str,
+        is_named: bool,
+        /// Number of streams that are taken up at the same time.
+        n_streams: usize,
+    }
+    let cases = [
+        Case { name: "named streams", is_named: true, n_streams: N_STREAMS },
+        Case { name: "a stream that its client doesn't name", is_named: false, n_streams: 1 },
+    ];
+    for case in cases {
+        let options = SiteOptions { n_engines: 1, n_versions: 1, has_links: true, ..OPTIONS };
+        let mut site = start(options).await;
+        let stream = Behavior::Stream { n_events: N_EVENTS, interval_ms: 50, break_after: None };
+        let new = Upstream::start_unlisted("engine-new", "draft", "v2", stream).await.unwrap();
+        site.list_for_first_node(&new);
+        until("the first node knows the new version", || async {
+            site.nodes[0].process.log_text().contains("engine-new")
+        })
+        .await
+        .unwrap();
+        set_streams(&site, 50, None);
+        drop(begin_streams(&site, |_| 0).await);
+        // The list of the last node is not confirmed from now on.
+        site.store.set_fault(StoreFault::Unavailable);
+        for node in &mut site.nodes[..3] {
+            node.process.kill();
+        }
+        set_streams(&site, 1, None);
+        let resume = |idx: usize| {
+            let request = site.request(3, &format!("t{idx}"), "/review/x");
+            let request = request.header("last-event-id", "1");
+            let named = format!("s{idx}");
+            site.send(if case.is_named { request.header("resumes", named) } else { request })
+        };
+        let responses = join_all((0..case.n_streams).map(resume)).await;
+        let mut n_new = 0;
+        for (idx, response) in responses.into_iter().enumerate() {
+            let (first, second) = (format!("s{idx}"), format!("t{idx}"));
+            let began_at_new = new.executed().iter().any(|it| it.id == first);
+            n_new += usize::from(began_at_new);
+            if began_at_new || !case.is_named {
+                let response = response.unwrap();
+                assert_eq!(response.status, 503, "{}, {second}: {response:?}", case.name);
+                assert_eq!(site.n_runs(&second), 0, "{}, {second}", case.name);
+            }
+        }
+        assert!(!case.is_named || 1 < n_new, "{n_new} streams began at the new version");
+    }
+}
+
 /// Guards against streams of a lost node that no other lets go on, because all nodes were restarted not long ago and none
 /// has followed the versions since.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::{
     sync::mpsc,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use lentilhitch_policy::{
@@ -32,6 +32,10 @@
 const FIRST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time limit for the answers of all nodes of the zone, which are asked next.
 const ZONE_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum wait for a read of the list of upstreams, which is read about once a second.
+const LIST_READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Interval at which it is checked whether the list was read.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of records in one message, so that the message fits into one packet.
 pub(crate) const RECORDS_PER_MESSAGE_MAX: usize = 32;
 /// `Retry-After` of a resumed stream whose version no node knows.
@@ -82,7 +86,7 @@
     is_mixed: bool,
 }
 
-/// What nodes have answered to a question, and this node itself.
+/// What nodes have answered to a question.
 #[derive(Debug, Default)]
 struct Answers {
     known: Option<StreamOrigin>,
@@ -91,10 +95,11 @@
 }
 
 impl Answers {
-    /// Returns the only version of the service, if all that state one agree and none knows of several.
-    fn sole_version(&self) -> Option<StreamOrigin> {
-        let first = *self.sole.first()?;
-        (!self.is_mixed && self.sole.iter().all(|it| *it == first)).then_some(first)
+    /// Returns the only version of the service, if this node and all that state one agree and none knows of several.
+    fn sole_version(&self, local: Option<StreamOrigin>) -> Option<StreamOrigin> {
+        let mut stated = local.iter().chain(&self.sole);
+        let first = *stated.next()?;
+        (!self.is_mixed && stated.all(|it| *it == first)).then_some(first)
     }
 }
 
@@ -251,37 +256,67 @@
     }
 
     /// Asks the nodes that may hold the stream, and then all nodes of the zone. If none knows it, the only version of the
-    /// service is taken if there is one.
+    /// service is taken if there is one. The list from which it follows may lack a version at which the stream began, so
+    /// either all nodes that may hold the stream have to answer, or the list has to be read again first.
     async fn ask_for_origin(
         &self,
         key: Option<StreamKey>,
         service: &ServiceName,
     ) -> Option<(StreamOrigin, Source)> {
         let service = service_hash(service);
-        let local = self.sole_origin(service);
-        if key.is_none() && local.is_some() {
-            // No node can know more of a stream without a name.
-            return local.map(|it| (it, Source::SoleVersion));
-        }
-        let source = if local.is_some() { Source::SoleVersion } else { Source::SoleVersionAtPeer };
-        let mut answers = Answers {
-            known: None,
-            sole: local.into_iter().collect(),
-            is_mixed: self.state.borrow().stream_origins.is_mixed(service, self.now_ms()),
-        };
+        let asked_ms = self.now_ms();
+        let mut answers = Answers::default();
         let (first, zone) = self.nodes_to_ask(key);
         let mut inquiry = self.inquiries.start();
         let question = Question { number: inquiry.number, key, service };
         for (nodes, time_limit) in [(first, FIRST_ANSWERS_TIMEOUT), (zone, ZONE_ANSWERS_TIMEOUT)] {
-            self.ask(question, &nodes, time_limit, &mut inquiry.answers, &mut answers).await;
+            let n_silent =
+                self.ask(question, &nodes, time_limit, &mut inquiry.answers, &mut answers).await;
             if let Some(origin) = answers.known {
                 return Some((origin, Source::Peer));
             }
-            if let Some(origin) = answers.sole_version() {
-                return Some((origin, source));
+            if n_silent == 0 || self.is_list_read_since(asked_ms) {
+                let inferred = self.infer_origin(service, &answers);
+                if inferred.is_some() {
+                    return inferred;
+                }
             }
         }
-        None
+        // Without any version to infer, there is nothing to wait for.
+        self.infer_origin(service, &answers)?;
+        let res = timeout(LIST_READ_TIMEOUT, self.list_read_since(asked_ms)).await;
+        if res.is_err() {
+            log::info!(service_hash = service, list_age_ms = self.list_age_ms(); "version not inferred, since the list of upstreams was not read in time");
+            return None;
+        }
+        self.infer_origin(service, &answers)
+    }
+
+    /// Returns the only version of a service, if this node or a node that has answered knows of one, and none of several.
+    fn infer_origin(&self, service: u32, answers: &Answers) -> Option<(StreamOrigin, Source)> {
+        let local = self.sole_origin(service);
+        if self.state.borrow().stream_origins.is_mixed(service, self.now_ms()) {
+            return None;
+        }
+        let source = if local.is_some() { Source::SoleVersion } else { Source::SoleVersionAtPeer };
+        answers.sole_version(local).map(|it| (it, source))
+    }
+
+    fn list_age_ms(&self) -> Option<u64> {
+        self.state.borrow().catalog.age_ms(self.now_ms())
+    }
+
+    /// Returns whether the list of upstreams was read, by this node or the one that confirms it, at the given time or later.
+    fn is_list_read_since(&self, since_ms: u64) -> bool {
+        let now_ms = self.now_ms();
+        self.list_age_ms().is_some_and(|it| it <= now_ms - since_ms)
+    }
+
+    /// Waits until the list of upstreams is read.
+    async fn list_read_since(&self, since_ms: u64) {
+        while !self.is_list_read_since(since_ms) {
+            sleep(LIST_CHECK_INTERVAL).await;
+        }
     }
 
     /// Returns the gossip addresses of the nodes that are asked first, and of those and all others of the zone.
@@ -297,7 +332,8 @@
         (first, all)
     }
 
-    /// Asks nodes and waits until one of them knows the stream, all have answered or the time is over.
+    /// Asks nodes and waits until one of them knows the stream, all have answered or the time is over. Returns the number of
+    /// nodes that have not answered.
     async fn ask(
         &self,
         question: Question,
@@ -305,23 +341,23 @@
         time_limit: Duration,
         receiver: &mut mpsc::UnboundedReceiver<Answer>,
         answers: &mut Answers,
-    ) {
+    ) -> usize {
         let message = OriginMessage::Question(question);
         self.send_to(&Datagram::StreamOrigin(message), nodes, Urgency::Urgent);
         let end = Instant::now() + time_limit;
-        let mut n_answers = 0;
-        while n_answers < nodes.len()
+        let mut n_silent = nodes.len();
+        while 0 < n_silent
             && let Ok(Some(answer)) = timeout_at(end, receiver.recv()).await
         {
-            n_answers += 1;
+            n_silent -= 1;
             answers.known = answer.known;
             answers.sole.extend(answer.sole);
             answers.is_mixed |= answer.is_mixed;
-            let is_enough = question.key.is_none() && !answers.sole.is_empty();
-            if answers.known.is_some() || is_enough {
-                return;
+            if answers.known.is_some() {
+                break;
             }
         }
+        n_silent
     }
 
     /// Handles a message of another node.
