Wait for a read of the list as long as its confirmations take

On large sites most nodes have the list confirmed by their zone's delegate every two to three seconds, so a fixed wait of 1.5 s would reject streams that their clients take up. The wait is now the one that decides when a node reads the list itself. The result of an update of the versions in the store has its own type.

--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -32,8 +32,6 @@
 const FIRST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time limit for the answers of all nodes of the zone, which are asked next.
 const ZONE_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum wait for a read of the list of upstreams, which is read about once a second.
-const LIST_READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval at which it is checked whether the list was read.
 const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of records in one message, so that the message fits into one packet.
@@ -287,7 +285,8 @@
         }
         // Without any version to infer, there is nothing to wait for.
         self.infer_origin(service, &answers)?;
-        let res = timeout(LIST_READ_TIMEOUT, self.list_read_since(asked_ms)).await;
+        let time_limit = Duration::from_millis(self.confirmation_age_max_ms());
+        let res = timeout(time_limit, self.list_read_since(asked_ms)).await;
         if res.is_err() {
             log::info!(service_hash = service, list_age_ms = self.list_age_ms(); "version not inferred, since the list of upstreams was not read in time");
             return None;
--- a/crates/lentilhitch_gateway/src/version_register.rs
+++ b/crates/lentilhitch_gateway/src/version_register.rs
@@ -92,17 +92,26 @@
                 continue;
             }
         }
-        let result = node.write_versions().await;
-        if let Err(err) = &result {
-            log::info!(error:% = err; "failed to write the versions of the services; will be retried");
-        }
-        if !matches!(result, Ok(AppendResult::Appended(_))) {
-            node.sleep_between(RETRY_DELAY_MS).await;
-            node.version_register.on_versions_changed();
+        match node.update_version_record().await {
+            Ok(Updated::UpToDate) => continue,
+            Ok(Updated::Overtaken) => {}
+            Err(err) => {
+                log::info!(error:% = err; "failed to write the versions of the services; will be retried");
+            }
         }
+        node.sleep_between(RETRY_DELAY_MS).await;
+        node.version_register.on_versions_changed();
     }
 }
 
+/// Result of an update of the record.
+enum Updated {
+    /// The record has what this node sees.
+    UpToDate,
+    /// Another node has written the record since it was read.
+    Overtaken,
+}
+
 impl<P: Platform> Node<P> {
     /// Returns whether the record is due and this node writes for its zone.
     fn has_to_write_versions(&self) -> bool {
@@ -118,28 +127,29 @@
     }
 
     /// Reads the record, and writes it again unless another node has done so already.
-    async fn write_versions(&self) -> Result<AppendResult, CallError> {
+    async fn update_version_record(&self) -> Result<Updated, CallError> {
         let (found, end) = self.read_version_record().await?;
         let now_ms = self.now_ms();
         let record = {
             let origins = &mut self.state.borrow_mut().stream_origins;
             let mut register = self.version_register.register.borrow_mut();
             register.on_read(found, origins, now_ms);
-            if !register.is_due(origins, end.era(), now_ms) {
-                return Ok(AppendResult::Appended(end));
-            }
-            origins.histories(now_ms).map(|histories| VersionRecord { era: end.era(), histories })
+            let is_due = register.is_due(origins, end.era(), now_ms);
+            let histories = if is_due { origins.histories(now_ms) } else { None };
+            histories.map(|histories| VersionRecord { era: end.era(), histories })
         };
-        let Some(record) = record else { return Ok(AppendResult::Appended(end)) };
+        let Some(record) = record else { return Ok(Updated::UpToDate) };
         let value = exchange::encode(&record).map_err(|it| CallError::NotDone(it.to_string()))?;
         let stored = Record { key: RECORD_KEY.to_owned(), value: Some(value), ..Record::default() };
-        let result = self.append(Topic::StreamVersions, stored, Some(end)).await?;
-        if matches!(result, AppendResult::Appended(_)) {
-            let n_versions = record.histories.versions().count();
-            log::info!(n_versions, era:% = record.era; "versions of the services written");
-            self.version_register.register.borrow_mut().on_written(record);
+        match self.append(Topic::StreamVersions, stored, Some(end)).await? {
+            AppendResult::Conflict { .. } => Ok(Updated::Overtaken),
+            AppendResult::Appended(_) => {
+                let n_versions = record.histories.versions().count();
+                log::info!(n_versions, era:% = record.era; "versions of the services written");
+                self.version_register.register.borrow_mut().on_written(record);
+                Ok(Updated::UpToDate)
+            }
         }
-        Ok(result)
     }
 
     /// Returns the record, if there is one that can be read, and the end of the topic.
