Harness: nothing listens on the port of a node before the node does

The address is reserved for the process of the test, and only free_address had listened on that port, for a moment. The reserved address suffices, so nothing listens on the port any more.

--- a/crates/lentilhitch_standin/src/harness/cluster.rs
+++ b/crates/lentilhitch_standin/src/harness/cluster.rs
@@ -1,7 +1,7 @@
 //! The complete system on one machine.
 
 use std::{
-    fs, io,
+    fs,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
 };
@@ -74,7 +74,7 @@
     /// Starts all processes and waits until each stand-in responds. Publishes no declarations.
     pub async fn start(options: Options) -> anyhow::Result<Self> {
         let folder = tempfile::tempdir()?;
-        let platform_address = free_address()?;
+        let platform_address = free_address();
         let args = ["platform".to_owned(), "--address".to_owned(), platform_address.to_string()];
         let platform = Process::start("platform", folder.path(), "lentilhitch_standin", &args)?;
         let http = reqwest::Client::builder().no_proxy().build()?;
@@ -257,7 +257,7 @@
 
     fn start_upstream(&self, kind: &str, idx: usize) -> anyhow::Result<Upstream> {
         let name = format!("{kind}-{}", idx + 1);
-        let address = free_address()?;
+        let address = free_address();
         let mut args = vec![kind.to_owned(), "--address".to_owned(), address.to_string()];
         if kind == "engine" {
             // Every other engine checks fencing tokens, starting with the first.
@@ -275,9 +275,8 @@
 
     fn start_entries(&mut self) -> anyhow::Result<()> {
         let n_entries = self.options.n_entries;
-        let addresses: Vec<_> = (0..n_entries)
-            .map(|_| Ok((free_address()?, free_address()?, free_address()?)))
-            .collect::<io::Result<_>>()?;
+        let addresses: Vec<_> =
+            (0..n_entries).map(|_| (free_address(), free_address(), free_address())).collect();
         for (idx, (front, admin, peer)) in addresses.iter().copied().enumerate() {
             let name = format!("entry-{}", idx + 1);
             let platform_link = FaultProxy::start(PROXY_IP, self.platform_address)?;
--- a/crates/lentilhitch_standin/src/harness/process.rs
+++ b/crates/lentilhitch_standin/src/harness/process.rs
@@ -2,7 +2,6 @@
 
 use std::{
     fs::{self, File},
-    io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -151,10 +150,10 @@
 }
 
 /// Returns a separate loopback address with a port that is free until the caller's process listens on it. The port is not
-/// one that the system gives out, so no other socket gets it meanwhile.
-pub(crate) fn free_address() -> io::Result<SocketAddr> {
-    let address = SocketAddr::new(own_ip(), SERVICE_PORT);
-    TcpListener::bind(address)?.local_addr()
+/// one that the system gives out, and the address is reserved, so no other socket gets it meanwhile. Nothing listens on the
+/// port before: a process that another test starts would hold the listener between its fork and its exec.
+pub(crate) fn free_address() -> SocketAddr {
+    SocketAddr::new(own_ip(), SERVICE_PORT)
 }
 
 /// Port of the listener that reserves a loopback address.
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -194,8 +194,8 @@
         store_address: SocketAddr,
     ) -> anyhow::Result<()> {
         let name = format!("edge-{}-{idx}", ZONES[idx % 2]);
-        let front = free_address()?;
-        let ready = free_address()?;
+        let front = free_address();
+        let ready = free_address();
         let ip = front.ip();
         // All ports of a node lie within one range, on an address that only this node uses.
         let first_port = 20_000;
