--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -99,12 +99,26 @@
     loop {
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         let now_ms = node.now_ms();
-        let is_overdue = lag.update(node.is_config_outdated(), now_ms);
-        let Some(address) = node.peer_to_query(is_overdue, queried_ms, now_ms) else { continue };
+        let is_config_overdue = lag.update(node.is_config_outdated(), now_ms);
+        let Some(address) = node.peer_to_query(is_config_overdue, queried_ms, now_ms) else {
+            continue;
+        };
         queried_ms = now_ms;
-        match fetch::<ClusterState>(&client, address, CLUSTER_STATE_PATH).await {
-            Ok(cluster_state) => node.apply_cluster_state(&cluster_state),
-            Err(err) => log::info!(peer:% = address, error:% = err; "failed to query a peer"),
+        let version_before = node.config_version();
+        let res = fetch_bytes(&client, address, CLUSTER_STATE_PATH).await;
+        let query_ms = node.now_ms() - now_ms;
+        match res.and_then(|it| Ok((decode::<ClusterState>(&it)?, it.len()))) {
+            Ok((cluster_state, n_bytes)) => {
+                node.apply_cluster_state(&cluster_state);
+                let version = node.config_version();
+                let is_newer = version_before < version;
+                node.metrics.record_peer_query(if is_newer { "newer" } else { "not newer" });
+                log::info!(peer:% = address, is_config_overdue, version_before, version, n_bytes, query_ms; "peer queried");
+            }
+            Err(err) => {
+                node.metrics.record_peer_query("failed");
+                log::info!(peer:% = address, is_config_overdue, version_before, query_ms, error:% = err; "failed to query a peer");
+            }
         }
     }
 }
@@ -135,9 +149,20 @@
     peer: SocketAddr,
     path: &str,
 ) -> anyhow::Result<T> {
+    decode(&fetch_bytes(client, peer, path).await?)
+}
+
+async fn fetch_bytes(
+    client: &reqwest::Client,
+    peer: SocketAddr,
+    path: &str,
+) -> anyhow::Result<Bytes> {
     let response = client.get(format!("http://{peer}{path}")).send().await?;
-    let bytes = response.error_for_status()?.bytes().await?;
-    Ok(ciborium::from_reader(&bytes[..])?)
+    Ok(response.error_for_status()?.bytes().await?)
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> anyhow::Result<T> {
+    Ok(ciborium::from_reader(bytes)?)
 }
 
 /// Encodes a response to another node as CBOR.
--- a/crates/lentilhitch_gateway/src/metrics.rs
+++ b/crates/lentilhitch_gateway/src/metrics.rs
@@ -15,6 +15,7 @@
     attempts: Counter<u64>,
     shedding: Counter<u64>,
     store_calls: Counter<u64>,
+    peer_queries: Counter<u64>,
     duty_calls: Counter<u64>,
     first_byte_ms: Histogram<f64>,
     version_requests: Counter<u64>,
@@ -30,6 +31,7 @@
             attempts: meter.u64_counter("lentilhitch_tries").build(),
             shedding: meter.u64_counter("lentilhitch_shedding").build(),
             store_calls: meter.u64_counter("lentilhitch_store_calls").build(),
+            peer_queries: meter.u64_counter("lentilhitch_peer_queries").build(),
             duty_calls: meter.u64_counter("lentilhitch_duty_calls").build(),
             first_byte_ms: meter.f64_histogram("lentilhitch_first_byte_ms").build(),
             version_requests: meter.u64_counter("lentilhitch_version_requests").build(),
@@ -64,6 +66,11 @@
         self.store_calls.add(1, &[KeyValue::new("topic", topic), KeyValue::new("ok", is_ok)]);
     }
 
+    /// Records a finished query of a peer for a newer configuration or list of upstreams.
+    pub(crate) fn record_peer_query(&self, result: &'static str) {
+        self.peer_queries.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Records the result of a duty call.
     pub(crate) fn record_duty_call(&self, duty: &'static str, result: &'static str) {
         self.duty_calls.add(1, &[KeyValue::new("duty", duty), KeyValue::new("result", result)]);
