--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -9,12 +9,13 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use rand::seq::IteratorRandom as _;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time::sleep;
 
 use lentilhitch_policy::{
-    cursor::Lag, gossip::message::NodeAddress, stream_origins::VersionHistories,
+    gossip::message::NodeAddress,
+    peer_queries::{LocalCopies, PeerQueries, Peers, ZoneCopies},
+    stream_origins::VersionHistories,
 };
 
 use crate::{
@@ -33,11 +34,6 @@
 const STATUS_PATH: &str = "/v1/status";
 /// Interval at which a node checks whether it has to query a peer.
 const CHECK_INTERVAL_MS: u64 = 250;
-/// Time since the last read or confirmation of the list of upstreams after which the store counts as unavailable and
-/// peers are queried.
-const STORE_READ_AGE_MAX_MS: u64 = 3_000;
-/// Interval between queries while the store is unavailable.
-const QUERY_INTERVAL_MS: u64 = 1_000;
 /// Time limit for the response of a peer.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -94,16 +90,18 @@
 /// Queries a peer whenever a newer configuration is overdue or the store is unavailable.
 pub(crate) async fn run<P: Platform>(node: Rc<Node<P>>) {
     let Some(client) = client() else { return };
-    let mut queried_ms = 0;
-    let mut lag = Lag::default();
+    let mut queries = PeerQueries::default();
     loop {
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         let now_ms = node.now_ms();
-        let is_config_overdue = lag.update(node.is_config_outdated(), now_ms);
-        let Some(address) = node.peer_to_query(is_config_overdue, queried_ms, now_ms) else {
-            continue;
+        let local = node.local_copies();
+        let peers = node.peers(local.config_version);
+        let address = {
+            let mut state = node.state.borrow_mut();
+            queries.next(local, &peers, &mut state.rng, now_ms)
         };
-        queried_ms = now_ms;
+        let Some(address) = address else { continue };
+        let is_config_outdated = local.is_config_outdated;
         let version_before = node.config_version();
         let res = fetch_bytes(&client, address, CLUSTER_STATE_PATH).await;
         let query_ms = node.now_ms() - now_ms;
@@ -113,11 +111,11 @@
                 let version = node.config_version();
                 let is_newer = version_before < version;
                 node.metrics.record_peer_query(if is_newer { "newer" } else { "not newer" });
-                log::info!(peer:% = address, is_config_overdue, version_before, version, n_bytes, query_ms; "peer queried");
+                log::info!(peer:% = address, is_config_outdated, version_before, version, n_bytes, query_ms; "peer queried");
             }
             Err(err) => {
                 node.metrics.record_peer_query("failed");
-                log::info!(peer:% = address, is_config_overdue, version_before, query_ms, error:% = err; "failed to query a peer");
+                log::info!(peer:% = address, is_config_outdated, version_before, query_ms, error:% = err; "failed to query a peer");
             }
         }
     }
@@ -201,54 +199,46 @@
         Ok(serde_json::to_vec(&status)?.into())
     }
 
-    /// Returns the exchange address of the peer to query now, if any. `is_config_overdue` means that a peer has a newer
-    /// configuration which the store has not delivered in time.
-    fn peer_to_query(
-        &self,
-        is_config_overdue: bool,
-        queried_ms: u64,
-        now_ms: u64,
-    ) -> Option<SocketAddr> {
+    /// Returns the versions and ages of this node's copies.
+    fn local_copies(&self) -> LocalCopies {
+        let is_config_outdated = self.is_config_outdated();
+        let state = self.state.borrow();
+        LocalCopies {
+            config_version: state.route_table.as_ref().map_or(0, |it| it.config.version),
+            is_config_outdated,
+            list_digest: state.catalog.digest(),
+            list_age_ms: state.catalog.age_ms(self.now_ms()),
+        }
+    }
+
+    /// Returns the peers that this node may query.
+    fn peers(&self, config_version: u64) -> Peers {
+        let now_ms = self.now_ms();
         let local_address = self.settings.exchange_address;
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
+        let state = self.state.borrow();
         let zones = state.gossip.zones().filter(|it| it.is_reachable(now_ms));
-        let zones: Vec<_> = zones.filter(|it| it.state.exchange != local_address).collect();
-        if is_config_overdue {
-            let version = state.route_table.as_ref().map_or(0, |it| it.config.version);
-            let newer = zones.iter().filter(|it| version < it.state.config.version);
-            if let Some(zone) = newer.choose(&mut state.rng) {
-                return Some(zone.state.exchange);
-            }
-            let announcer = state.config_announcements.announcer(version, &mut state.rng);
-            let mut nodes = state.gossip.node_addresses();
-            if let Some(node) = nodes.find(|it| Some(it.gossip) == announcer) {
-                return Some(node.exchange);
-            }
-        }
-        // `u64::MAX` means that the list of upstreams was never read or confirmed.
-        let read_age_ms = state.catalog.age_ms(now_ms).unwrap_or(u64::MAX);
-        if read_age_ms < STORE_READ_AGE_MAX_MS || now_ms < queried_ms + QUERY_INTERVAL_MS {
-            return None;
-        }
-        let digest = state.catalog.digest();
-        let newer = zones.iter().filter(|it| {
+        let zones = zones.filter(|it| it.state.exchange != local_address).map(|it| {
             let waited_ms = now_ms.saturating_sub(it.as_of_ms);
-            let age_ms = it.state.upstreams.age_ms.saturating_add(waited_ms);
-            it.state.upstreams.version != digest && age_ms < read_age_ms
+            ZoneCopies {
+                exchange: it.state.exchange,
+                config_version: it.state.config.version,
+                list_digest: it.state.upstreams.version,
+                list_age_ms: it.state.upstreams.age_ms.saturating_add(waited_ms),
+            }
         });
-        if let Some(zone) = newer.choose(&mut state.rng) {
-            return Some(zone.state.exchange);
+        let announcers: Vec<_> = state.config_announcements.announcers(config_version).collect();
+        let known = state.gossip.node_addresses();
+        let announcers = known.filter(|it| announcers.contains(&it.gossip));
+        let mut nodes: Vec<_> = state.gossip.node_addresses().map(|it| it.exchange).collect();
+        if nodes.is_empty() {
+            nodes = self.settings.seeds.clone();
+            nodes.retain(|it| *it != local_address);
         }
-        if read_age_ms != u64::MAX && !zones.is_empty() {
-            // No reachable zone has read the list more recently.
-            return None;
+        Peers {
+            zones: zones.collect(),
+            announcers: announcers.map(|it| it.exchange).collect(),
+            nodes,
         }
-        let known = state.gossip.node_addresses().map(|it| it.exchange);
-        let seeds = self.settings.seeds.iter().copied();
-        known
-            .choose(&mut state.rng)
-            .or_else(|| seeds.filter(|it| *it != local_address).choose(&mut state.rng))
     }
 
     /// Applies the cluster state of a peer: a newer configuration, upstream entries if the peer's list was read or
--- a/crates/lentilhitch_policy/src/config_announcements.rs
+++ b/crates/lentilhitch_policy/src/config_announcements.rs
@@ -5,8 +5,6 @@
 
 use std::{collections::VecDeque, net::SocketAddr};
 
-use rand::{Rng, seq::IteratorRandom as _};
-
 /// Number of nodes that are remembered as having announced the newest configuration.
 const ANNOUNCERS_MAX: usize = 4;
 
@@ -41,12 +39,10 @@
         version < self.version
     }
 
-    /// Returns the gossip address of a node that has announced a newer version than this one, drawn at random. A delegate
-    /// announces what it knows to exist, so it need not have it itself.
-    pub fn announcer(&self, version: u64, rng: &mut impl Rng) -> Option<SocketAddr> {
-        if !self.has_newer(version) {
-            return None;
-        }
-        self.announcers.iter().copied().choose(rng)
+    /// Returns the gossip addresses of the nodes that have announced a newer version than this one. A delegate announces
+    /// what it knows to exist, so it need not have it itself.
+    pub fn announcers(&self, version: u64) -> impl Iterator<Item = SocketAddr> {
+        let announcers = self.announcers.iter().copied();
+        announcers.filter(move |_| self.has_newer(version))
     }
 }
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod notice;
 pub mod overload;
 pub mod pauses;
+pub mod peer_queries;
 pub mod placement;
 pub mod quarantine;
 pub mod restrictions;
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -8,12 +8,12 @@
 
 use lentilhitch_policy::{
     config_announcements::ConfigAnnouncements,
-    cursor::Lag,
     gossip::{
         Gossip, Output, Role, Settings, Update,
         message::{Evidence, Loads, LocalState, Message, NodeAddress, StoreCopy, ZoneRates},
         relay::Relay,
     },
+    peer_queries::{LocalCopies, PeerQueries, Peers, ZoneCopies},
     placement::InProgress,
     shared_rate::{self, ClusterView, PeerReport, SharedRate},
     suspects::{
@@ -34,6 +34,13 @@
 const STEP_MS: u64 = 10;
 /// Interval at which a node updates its evidence of crashes.
 const UPDATE_INTERVAL_MS: u64 = 150;
+/// Interval at which a node checks whether it has to query a peer, and time limit of a query.
+const QUERY_CHECK_INTERVAL_MS: u64 = 250;
+const QUERY_TIMEOUT_MS: u64 = 700;
+/// Link of the smallest machines: 10 Mbit/s.
+const LINK_BYTES_PER_S: f64 = 1_250_000.0;
+/// Size of the state of the cluster, with the configuration, on a deployment of 116 upstreams.
+const CLUSTER_STATE_BYTES: usize = 42_800;
 /// Time at which simulations start, since 0 means never.
 const START_MS: u64 = 1_000_000;
 /// Time after the start at which every size has exchanged its state.
@@ -62,13 +69,23 @@
     is_dead: bool,
     config_version: u64,
     announcements: ConfigAnnouncements,
-    /// Whether the store serves the node. Otherwise, it asks other nodes for configurations.
+    /// Whether the store serves the node. Otherwise, it queries other nodes for configurations.
     has_store: bool,
-    lag: Lag,
+    queries: PeerQueries,
+    next_query_ms: u64,
     bytes_sent: usize,
     bytes_received: usize,
 }
 
+/// Response to a query that is being sent. The responses of a node share its link.
+struct Response {
+    from: usize,
+    to: usize,
+    query_ms: u64,
+    config_version: u64,
+    remaining_bytes: f64,
+}
+
 /// A message on its way: arrival, sequence number, receiver and sender.
 type InTransit = (u64, u64, usize, usize);
 
@@ -80,6 +97,7 @@
     n_sent: u64,
     arrivals: BinaryHeap<Reverse<InTransit>>,
     messages: FxHashMap<u64, Message>,
+    responses: Vec<Response>,
     loss: f64,
     /// Nodes that are cut off from all others, by position.
     is_cut: fn(usize, usize, &Simulation) -> bool,
@@ -121,6 +139,7 @@
             n_sent: 0,
             arrivals: BinaryHeap::new(),
             messages: FxHashMap::default(),
+            responses: Vec::new(),
             loss: 0.01,
             is_cut: |_, _, _| false,
             counts_bytes: false,
@@ -167,7 +186,8 @@
             config_version: 1,
             announcements: ConfigAnnouncements::default(),
             has_store: true,
-            lag: Lag::default(),
+            queries: PeerQueries::default(),
+            next_query_ms: self.now_ms + self.rng.random_range(0..QUERY_CHECK_INTERVAL_MS),
             bytes_sent: 0,
             bytes_received: 0,
         }
@@ -203,6 +223,8 @@
             let Some(message) = self.messages.remove(&number) else { continue };
             self.receive(to, from, message);
         }
+        self.send_responses();
+        self.query_peers();
         for idx in 0..self.nodes.len() {
             if !self.is_running(idx) {
                 continue;
@@ -302,20 +324,50 @@
         }
     }
 
-    /// Lets nodes that the store turns away ask a node that has announced a newer configuration.
-    fn ask_announcers(&mut self) {
+    /// Lets nodes that the store turns away query peers for newer configurations.
+    fn query_peers(&mut self) {
         let now_ms = self.now_ms;
         for idx in 0..self.nodes.len() {
-            let node = &mut self.nodes[idx];
-            let is_behind = node.announcements.has_newer(node.config_version);
-            if node.has_store || !node.lag.update(is_behind, now_ms) {
+            let is_waiting = self.responses.iter().any(|it| it.to == idx);
+            let is_due = self.nodes[idx].next_query_ms <= now_ms;
+            if self.nodes[idx].has_store || is_waiting || !is_due || !self.is_running(idx) {
                 continue;
             }
-            let announcer = node.announcements.announcer(node.config_version, &mut self.rng);
-            let asked = self.nodes.iter().find(|it| Some(it.address.gossip) == announcer);
-            let version = asked.map_or(0, |it| it.config_version);
-            let node = &mut self.nodes[idx];
-            node.config_version = version.max(node.config_version);
+            self.nodes[idx].next_query_ms = now_ms + QUERY_CHECK_INTERVAL_MS;
+            let peers = self.nodes[idx].peers(now_ms);
+            let local = self.nodes[idx].copies(&peers);
+            let peer = self.nodes[idx].queries.next(local, &peers, &mut self.rng, now_ms);
+            let Some(SocketAddr::V4(peer)) = peer else { continue };
+            let from = (peer.ip().to_bits() - 0x7F00_0001) as usize;
+            let config_version = self.nodes[from].config_version;
+            let remaining_bytes = CLUSTER_STATE_BYTES as f64;
+            let query_ms = now_ms;
+            let response = Response { from, to: idx, query_ms, config_version, remaining_bytes };
+            self.responses.push(response);
+        }
+    }
+
+    /// Sends responses on. One that takes longer than the node waits is broken off.
+    fn send_responses(&mut self) {
+        let mut n_sending: FxHashMap<usize, usize> = FxHashMap::default();
+        for it in &self.responses {
+            *n_sending.entry(it.from).or_default() += 1;
+        }
+        let step_bytes = LINK_BYTES_PER_S * STEP_MS as f64 / 1_000.0;
+        for it in &mut self.responses {
+            if !self.nodes[it.from].is_dead && self.nodes[it.from].frozen_until_ms <= self.now_ms {
+                it.remaining_bytes -= step_bytes / n_sending[&it.from] as f64;
+            }
+        }
+        let now_ms = self.now_ms;
+        let ended = self.responses.extract_if(.., |it| {
+            it.remaining_bytes <= 0.0 || it.query_ms + QUERY_TIMEOUT_MS <= now_ms
+        });
+        for it in ended {
+            if it.remaining_bytes <= 0.0 {
+                let node = &mut self.nodes[it.to];
+                node.config_version = it.config_version.max(node.config_version);
+            }
         }
     }
 
@@ -345,7 +397,9 @@
                     node.suspects.on_quarantined(*it);
                 }
                 let newest = summary.zones.iter().map(|it| it.config.version).max();
-                node.config_version = newest.unwrap_or(0).max(node.config_version);
+                if node.has_store {
+                    node.config_version = newest.unwrap_or(0).max(node.config_version);
+                }
                 for zone in summary.zones.iter().filter(|it| fresh_zones.contains(&it.zone)) {
                     let (zone_id, source) = (zone.zone, zone.source);
                     let admitted = zone.admitted.clone();
@@ -422,6 +476,35 @@
         }
     }
 
+    /// Returns the peers that the node may query.
+    fn peers(&self, now_ms: u64) -> Peers {
+        let zones = self.gossip.zones().filter(|it| it.is_reachable(now_ms));
+        let zones = zones.filter(|it| it.state.exchange != self.address.exchange);
+        let zones = zones.map(|it| ZoneCopies {
+            exchange: it.state.exchange,
+            config_version: it.state.config.version,
+            list_digest: it.state.upstreams.version,
+            list_age_ms: it.state.upstreams.age_ms,
+        });
+        Peers {
+            zones: zones.collect(),
+            // A node has one address in simulations.
+            announcers: self.announcements.announcers(self.config_version).collect(),
+            nodes: Vec::new(),
+        }
+    }
+
+    fn copies(&self, peers: &Peers) -> LocalCopies {
+        let version = self.config_version;
+        let is_newer_elsewhere = peers.zones.iter().any(|it| version < it.config_version);
+        LocalCopies {
+            config_version: version,
+            is_config_outdated: is_newer_elsewhere || self.announcements.has_newer(version),
+            list_digest: 1,
+            list_age_ms: Some(100),
+        }
+    }
+
     /// Updates the evidence on prompt segments. Evidence to send does not wait for the next report.
     fn update_segments(&mut self, now_ms: u64) {
         self.segments.decide(now_ms);
@@ -725,8 +808,6 @@
     /// Bound of the users for a configuration to be in force at 295 nodes, without the read of the store by another node.
     const BOUND_MS: u64 = 4_000;
     const STORE_READ_MS: u64 = 1_000;
-    /// Interval at which a node checks whether it has to ask another one.
-    const CHECK_INTERVAL_MS: u64 = 250;
     const NEW_VERSION: u64 = 2;
     const FREEZE_MS: u64 = 2_500;
     for size in SIZES {
@@ -763,12 +844,7 @@
                 }
             }
             let end_ms = simulation.now_ms + BOUND_MS - STORE_READ_MS;
-            while simulation.now_ms < end_ms {
-                simulation.step();
-                if simulation.now_ms % CHECK_INTERVAL_MS < STEP_MS {
-                    simulation.ask_announcers();
-                }
-            }
+            simulation.run_for(end_ms - simulation.now_ms);
             // A node that stood still has not been in touch for long enough.
             let in_touch = simulation.nodes.iter().filter(|it| it.frozen_until_ms == 0);
             let n_old = in_touch.filter(|it| it.config_version < NEW_VERSION).count();
@@ -777,6 +853,63 @@
     }
 }
 
+/// Guards against nodes that serve by an older configuration because all that the store turns away query the same few peers
+/// at the same time, none of which need have the newer one.
+#[test]
+fn new_configuration_reaches_all_nodes_while_the_store_serves_few() {
+    struct Case {
+        size: (usize, usize),
+        /// Bound of the users for a configuration to be in force.
+        bound_ms: u64,
+    }
+    let cases = [
+        Case { size: (8, 4), bound_ms: 2_000 },
+        Case { size: (74, 4), bound_ms: 3_000 },
+        Case { size: (295, 6), bound_ms: 4_000 },
+        Case { size: (340, 31), bound_ms: 4_000 },
+    ];
+    /// Time for the nodes that the store serves to read the configuration.
+    const STORE_READ_MS: u64 = 300;
+    const NEW_VERSION: u64 = 2;
+    for Case { size, bound_ms } in cases {
+        for seed in 0..4 {
+            let mut simulation = Simulation::start(size, 60 + seed);
+            simulation.run_for(SETTLED_MS);
+            let mut served = Vec::new();
+            for zone in 1..=size.1 as u32 {
+                let mut in_zone: Vec<_> =
+                    (0..size.0).filter(|it| simulation.nodes[*it].address.zone == zone).collect();
+                in_zone.sort_by_key(|it| simulation.nodes[*it].address.node);
+                for idx in &in_zone {
+                    simulation.nodes[*idx].has_store = false;
+                }
+                // In every second zone, the store serves none. Delegates are never among those that it serves.
+                if zone % 2 == 1 {
+                    let n_served = (in_zone.len() / 8).max(1);
+                    let last = in_zone.split_off(in_zone.len() - n_served);
+                    served.push(last);
+                }
+            }
+            for idx in served.iter().flatten() {
+                simulation.nodes[*idx].has_store = true;
+                simulation.nodes[*idx].config_version = NEW_VERSION;
+            }
+            for in_zone in &served {
+                let reader = in_zone[in_zone.len() - 1];
+                for to in simulation.nodes[reader].gossip.zone_addresses() {
+                    let SocketAddr::V4(to) = to else { continue };
+                    let to = (to.ip().to_bits() - 0x7F00_0001) as usize;
+                    simulation.announce(reader, to, NEW_VERSION);
+                }
+            }
+            simulation.run_for(bound_ms - STORE_READ_MS);
+            let n_old =
+                simulation.nodes.iter().filter(|it| it.config_version < NEW_VERSION).count();
+            assert_eq!(n_old, 0, "{size:?}, seed {seed}: nodes with the older configuration");
+        }
+    }
+}
+
 #[test]
 fn traffic_of_a_node_does_not_grow_with_the_nodes() {
     /// Bytes per second that a node may use for control at the target size.
