--- a/crates/lentilhitch_gateway/src/discovery.rs
+++ b/crates/lentilhitch_gateway/src/discovery.rs
@@ -96,7 +96,8 @@
                     node.apply_config_record(record, "store");
                 }
                 let version = node.config_version();
-                if previous_version < version && node.is_store_reader() {
+                let is_announced = node.state.borrow().config_announcements.is_announced(version);
+                if previous_version < version && (node.is_store_reader() || !is_announced) {
                     node.announce_config(version);
                 }
                 CallResult::UpTo(next)
--- a/crates/lentilhitch_gateway/src/exchange.rs
+++ b/crates/lentilhitch_gateway/src/exchange.rs
@@ -2,19 +2,21 @@
 //!
 //! A node serves its cluster state, which is what it knows of the cluster (the configuration, the upstream entries and
 //! the addresses of the other nodes), and for operators its status and its metrics. A node fetches the cluster state of
-//! a peer if its store calls fail, if it starts while the store is unavailable, or if a peer has a newer configuration
-//! that the store has not delivered in time. A node that starts in a running deployment fetches the software versions of
+//! a peer if its store calls fail or if it starts while the store is unavailable, and the configuration alone if a peer has
+//! a newer one that the store has not delivered in time. A node that starts in a running deployment fetches the software versions of
 //! the services from a peer.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use http::StatusCode;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time::sleep;
 
 use lentilhitch_policy::{
     gossip::message::NodeAddress,
-    peer_queries::{LocalCopies, PeerQueries, Peers, ZoneCopies},
+    peer_queries::{LocalCopies, PeerQueries, Peers, Query, QueryResult, Wanted, ZoneCopies},
+    response_budget::{ResponseBudget, ResponseKind},
     stream_origins::VersionHistories,
 };
 
@@ -26,6 +28,8 @@
 };
 
 const CLUSTER_STATE_PATH: &str = "/v1/knowledge";
+/// Path of the configuration, followed by a version. There is no content if the node has no newer one.
+const NEWER_CONFIG_PATH: &str = "/v1/config-after/";
 const VERSIONS_PATH: &str = "/v1/version-histories";
 /// Path of the versions without the times for which clients wait, for nodes of earlier builds.
 const VERSIONS_ONLY_PATH: &str = "/v1/versions";
@@ -60,22 +64,64 @@
     is_ready: bool,
 }
 
-/// Returns the body of the response to another node or an operator, or `None` if the path is unknown.
-pub(crate) fn response_body<P: Platform>(
-    node: &Node<P>,
-    path: &str,
-) -> anyhow::Result<Option<Bytes>> {
-    Ok(match path {
-        CLUSTER_STATE_PATH => Some(node.cluster_state()?),
-        VERSIONS_PATH => node.version_histories().map(|it| encode(&it)).transpose()?,
-        VERSIONS_ONLY_PATH => {
-            node.version_histories().map(|it| encode(&it.services)).transpose()?
+/// Server of a listener for other nodes or operators.
+pub(crate) struct Server {
+    budget: RefCell<ResponseBudget>,
+}
+
+impl Server {
+    pub(crate) fn new<P>(node: &Node<P>) -> Self {
+        let budget = ResponseBudget::new(node.settings.link_bytes_per_s, node.now_ms());
+        Self { budget: RefCell::new(budget) }
+    }
+
+    /// Returns the status and the body of the response.
+    pub(crate) fn respond<P: Platform>(
+        &self,
+        node: &Node<P>,
+        path: &str,
+    ) -> anyhow::Result<(StatusCode, Bytes)> {
+        if let Some(version) = path.strip_prefix(NEWER_CONFIG_PATH) {
+            let Ok(version) = version.parse() else { return Ok(empty(StatusCode::BAD_REQUEST)) };
+            let Some(config) = node.newer_config(version) else {
+                return Ok(empty(StatusCode::NO_CONTENT));
+            };
+            return Ok(self.within_budget(node, config, ResponseKind::Urgent));
+        }
+        let body = match path {
+            CLUSTER_STATE_PATH => {
+                let body = node.cluster_state()?;
+                return Ok(self.within_budget(node, body, ResponseKind::Normal));
+            }
+            VERSIONS_PATH => node.version_histories().map(|it| encode(&it)).transpose()?,
+            VERSIONS_ONLY_PATH => {
+                node.version_histories().map(|it| encode(&it.services)).transpose()?
+            }
+            ROLLOUTS_PATH => node.rollouts_body()?,
+            METRICS_PATH => Some(Bytes::from(node.metrics.render()?)),
+            STATUS_PATH => Some(node.status()?),
+            _ => None,
+        };
+        Ok(body.map_or(empty(StatusCode::NOT_FOUND), |it| (StatusCode::OK, it)))
+    }
+
+    fn within_budget<P>(
+        &self,
+        node: &Node<P>,
+        body: Bytes,
+        kind: ResponseKind,
+    ) -> (StatusCode, Bytes) {
+        if self.budget.borrow_mut().try_take(body.len(), kind, node.now_ms()) {
+            node.metrics.record_peer_response("sent", body.len());
+            return (StatusCode::OK, body);
         }
-        ROLLOUTS_PATH => node.rollouts_body()?,
-        METRICS_PATH => Some(Bytes::from(node.metrics.render()?)),
-        STATUS_PATH => Some(node.status()?),
-        _ => None,
-    })
+        node.metrics.record_peer_response("busy", body.len());
+        empty(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+fn empty(status: StatusCode) -> (StatusCode, Bytes) {
+    (status, Bytes::new())
 }
 
 /// Returns a client for queries to peers.
@@ -96,29 +142,46 @@
         let now_ms = node.now_ms();
         let local = node.local_copies();
         let peers = node.peers(local.config_version);
-        let address = {
+        let query = {
             let mut state = node.state.borrow_mut();
             queries.next(local, &peers, &mut state.rng, now_ms)
         };
-        let Some(address) = address else { continue };
-        let is_config_outdated = local.is_config_outdated;
-        let version_before = node.config_version();
-        let res = fetch_bytes(&client, address, CLUSTER_STATE_PATH).await;
-        let query_ms = node.now_ms() - now_ms;
-        match res.and_then(|it| Ok((decode::<ClusterState>(&it)?, it.len()))) {
-            Ok((cluster_state, n_bytes)) => {
-                node.apply_cluster_state(&cluster_state);
-                let version = node.config_version();
-                let is_newer = version_before < version;
-                node.metrics.record_peer_query(if is_newer { "newer" } else { "not newer" });
-                log::info!(peer:% = address, is_config_outdated, version_before, version, n_bytes, query_ms; "peer queried");
-            }
-            Err(err) => {
-                node.metrics.record_peer_query("failed");
-                log::info!(peer:% = address, is_config_outdated, version_before, query_ms, error:% = err; "failed to query a peer");
-            }
+        let Some(query) = query else { continue };
+        let result = node.query_peer(&client, query, local.config_version).await;
+        queries.on_result(query.peer, result, node.now_ms());
+    }
+}
+
+/// Configuration or cluster state of a peer, as encoded by the peer.
+enum PeerAnswer {
+    Config(Bytes),
+    ClusterState(Bytes),
+    NotNewer,
+    Busy,
+}
+
+async fn fetch_wanted(
+    client: &reqwest::Client,
+    query: Query,
+    config_version: u64,
+) -> anyhow::Result<PeerAnswer> {
+    let peer = query.peer;
+    if query.wanted == Wanted::Config {
+        let url = format!("http://{peer}{NEWER_CONFIG_PATH}{config_version}");
+        let response = client.get(url).send().await?;
+        match response.status() {
+            StatusCode::NO_CONTENT => return Ok(PeerAnswer::NotNewer),
+            StatusCode::SERVICE_UNAVAILABLE => return Ok(PeerAnswer::Busy),
+            // The peer is of an earlier build.
+            StatusCode::NOT_FOUND => {}
+            _ => return Ok(PeerAnswer::Config(response.error_for_status()?.bytes().await?)),
         }
     }
+    let response = client.get(format!("http://{peer}{CLUSTER_STATE_PATH}")).send().await?;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Ok(PeerAnswer::Busy);
+    }
+    Ok(PeerAnswer::ClusterState(response.error_for_status()?.bytes().await?))
 }
 
 /// Returns the software versions of the services that a peer knows of.
@@ -147,16 +210,8 @@
     peer: SocketAddr,
     path: &str,
 ) -> anyhow::Result<T> {
-    decode(&fetch_bytes(client, peer, path).await?)
-}
-
-async fn fetch_bytes(
-    client: &reqwest::Client,
-    peer: SocketAddr,
-    path: &str,
-) -> anyhow::Result<Bytes> {
     let response = client.get(format!("http://{peer}{path}")).send().await?;
-    Ok(response.error_for_status()?.bytes().await?)
+    decode(&response.error_for_status()?.bytes().await?)
 }
 
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> anyhow::Result<T> {
@@ -184,6 +239,62 @@
         encode(&cluster_state)
     }
 
+    /// Returns the configuration in force, as it was read from the store, if it is newer than a version.
+    fn newer_config(&self, version: u64) -> Option<Bytes> {
+        let state = self.state.borrow();
+        let is_newer = state.route_table.as_ref().is_some_and(|it| version < it.config.version);
+        is_newer.then(|| state.config_text.clone())
+    }
+
+    /// Queries a peer and applies what it answers.
+    async fn query_peer(
+        &self,
+        client: &reqwest::Client,
+        query: Query,
+        config_version: u64,
+    ) -> QueryResult {
+        let Query { peer, wanted } = query;
+        let sent_ms = self.now_ms();
+        let res = fetch_wanted(client, query, config_version).await;
+        let query_ms = self.now_ms() - sent_ms;
+        let res = res.and_then(|answer| {
+            Ok(match answer {
+                PeerAnswer::Config(config) => {
+                    let n_bytes = config.len();
+                    let record = Record { value: Some(config), ..Record::default() };
+                    self.apply_config_record(record, "peer");
+                    (n_bytes, None)
+                }
+                PeerAnswer::ClusterState(bytes) => {
+                    self.apply_cluster_state(&decode(&bytes)?);
+                    (bytes.len(), None)
+                }
+                PeerAnswer::NotNewer => (0, Some(QueryResult::NotNewer)),
+                PeerAnswer::Busy => (0, Some(QueryResult::Busy)),
+            })
+        });
+        let version = self.config_version();
+        let has_newer_config = config_version < version;
+        if has_newer_config {
+            self.announce_config_from_peer(version);
+        }
+        match res {
+            Ok((n_bytes, result)) => {
+                let is_useful = has_newer_config || wanted == Wanted::ClusterState;
+                let default = if is_useful { QueryResult::Newer } else { QueryResult::NotNewer };
+                let result = result.unwrap_or(default);
+                self.metrics.record_peer_query(result);
+                log::info!(peer:% = peer, wanted:? = wanted, result:? = result, config_version, version, n_bytes, query_ms; "peer queried");
+                result
+            }
+            Err(err) => {
+                self.metrics.record_peer_query(QueryResult::Failed);
+                log::info!(peer:% = peer, wanted:? = wanted, config_version, query_ms, error:% = err; "failed to query a peer");
+                QueryResult::Failed
+            }
+        }
+    }
+
     /// Returns the status of this node as JSON.
     fn status(&self) -> anyhow::Result<Bytes> {
         let is_ready = self.is_ready();
@@ -217,24 +328,25 @@
         let local_address = self.settings.exchange_address;
         let state = self.state.borrow();
         let zones = state.gossip.zones().filter(|it| it.is_reachable(now_ms));
-        let zones = zones.filter(|it| it.state.exchange != local_address).map(|it| {
-            let waited_ms = now_ms.saturating_sub(it.as_of_ms);
-            ZoneCopies {
-                exchange: it.state.exchange,
-                config_version: it.state.config.version,
-                list_digest: it.state.upstreams.version,
-                list_age_ms: it.state.upstreams.age_ms.saturating_add(waited_ms),
-            }
+        let zones = zones.map(|it| ZoneCopies {
+            config_version: it.state.config.version,
+            config_source: it.state.config_source(),
+            list_digest: it.state.upstreams.version,
+            list_age_ms: {
+                let waited_ms = now_ms.saturating_sub(it.as_of_ms);
+                it.state.upstreams.age_ms.saturating_add(waited_ms)
+            },
+            list_source: it.state.upstreams_source(),
         });
         let announcers: Vec<_> = state.config_announcements.announcers(config_version).collect();
         let known = state.gossip.node_addresses();
         let announcers = known.filter(|it| announcers.contains(&it.gossip));
         let mut nodes: Vec<_> = state.gossip.node_addresses().map(|it| it.exchange).collect();
         if nodes.is_empty() {
-            nodes = self.settings.seeds.clone();
-            nodes.retain(|it| *it != local_address);
+            nodes.clone_from(&self.settings.seeds);
         }
         Peers {
+            local: Some(local_address),
             zones: zones.collect(),
             announcers: announcers.map(|it| it.exchange).collect(),
             nodes,
--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -307,6 +307,15 @@
         self.updates_due.notify_one();
     }
 
+    /// Announces a configuration that came from a peer, unless enough nodes have announced it.
+    pub(crate) fn announce_config_from_peer(&self, version: u64) {
+        let mut state = self.state.borrow_mut();
+        if state.config_announcements.needs_announcers(version) {
+            state.config_announcement = Some((version, 1));
+            self.updates_due.notify_one();
+        }
+    }
+
     /// Sends the announcement of a configuration that is due.
     fn send_config_announcement(&self) {
         let (version, addresses) = {
--- a/crates/lentilhitch_gateway/src/ingress.rs
+++ b/crates/lentilhitch_gateway/src/ingress.rs
@@ -140,13 +140,14 @@
 
 /// Serves the requests of other nodes.
 pub(crate) async fn serve_exchange<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    let server = Rc::new(exchange::Server::new(&node));
     serve_internal(listener, move |request: Request<Incoming>| {
-        let node = node.clone();
+        let (node, server) = (node.clone(), server.clone());
         async move {
             if peer_relay::is_relayed(&request) {
                 return peer_relay::serve(node, request).await;
             }
-            respond_internal(&node, &request)
+            respond_internal(&node, &server, &request)
         }
     })
     .await;
@@ -154,14 +155,15 @@
 
 /// Serves the requests of operators.
 pub(crate) async fn serve_admin<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    let server = Rc::new(exchange::Server::new(&node));
     serve_internal(listener, move |request: Request<Incoming>| {
-        let node = node.clone();
+        let (node, server) = (node.clone(), server.clone());
         async move {
             if request.uri().path() == explain::PATH {
                 let (status, bytes) = explain::respond(&node, request.into_body()).await;
                 return build_response(status, bytes);
             }
-            respond_internal(&node, &request)
+            respond_internal(&node, &server, &request)
         }
     })
     .await;
@@ -169,11 +171,11 @@
 
 fn respond_internal<P: Platform>(
     node: &Node<P>,
+    server: &exchange::Server,
     request: &Request<Incoming>,
 ) -> Response<ResponseBody> {
-    match exchange::response_body(node, request.uri().path()) {
-        Ok(Some(bytes)) => build_response(StatusCode::OK, bytes),
-        Ok(None) => build_response(StatusCode::NOT_FOUND, Bytes::new()),
+    match server.respond(node, request.uri().path()) {
+        Ok((status, bytes)) => build_response(status, bytes),
         Err(err) => {
             log::warn!(error:% = err; "failed to respond to a node or operator");
             build_response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
--- a/crates/lentilhitch_gateway/src/metrics.rs
+++ b/crates/lentilhitch_gateway/src/metrics.rs
@@ -6,7 +6,7 @@
 };
 
 use lentilhitch_metrics::Exposition;
-use lentilhitch_policy::rollout::StageReport;
+use lentilhitch_policy::{peer_queries::QueryResult, rollout::StageReport};
 
 /// OpenTelemetry instruments of a node.
 pub(crate) struct Metrics {
@@ -16,6 +16,7 @@
     shedding: Counter<u64>,
     store_calls: Counter<u64>,
     peer_queries: Counter<u64>,
+    peer_response_bytes: Counter<u64>,
     duty_calls: Counter<u64>,
     first_byte_ms: Histogram<f64>,
     version_requests: Counter<u64>,
@@ -32,6 +33,7 @@
             shedding: meter.u64_counter("lentilhitch_shedding").build(),
             store_calls: meter.u64_counter("lentilhitch_store_calls").build(),
             peer_queries: meter.u64_counter("lentilhitch_peer_queries").build(),
+            peer_response_bytes: meter.u64_counter("lentilhitch_peer_response_bytes").build(),
             duty_calls: meter.u64_counter("lentilhitch_duty_calls").build(),
             first_byte_ms: meter.f64_histogram("lentilhitch_first_byte_ms").build(),
             version_requests: meter.u64_counter("lentilhitch_version_requests").build(),
@@ -67,10 +69,21 @@
     }
 
     /// Records a finished query of a peer for a newer configuration or list of upstreams.
-    pub(crate) fn record_peer_query(&self, result: &'static str) {
+    pub(crate) fn record_peer_query(&self, result: QueryResult) {
+        let result = match result {
+            QueryResult::Newer => "newer",
+            QueryResult::NotNewer => "not newer",
+            QueryResult::Busy => "busy",
+            QueryResult::Failed => "failed",
+        };
         self.peer_queries.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records the size of a large response to a peer, which was sent or was not since the node is busy.
+    pub(crate) fn record_peer_response(&self, result: &'static str, n_bytes: usize) {
+        self.peer_response_bytes.add(n_bytes as u64, &[KeyValue::new("result", result)]);
+    }
+
     /// Records the result of a duty call.
     pub(crate) fn record_duty_call(&self, duty: &'static str, result: &'static str) {
         self.duty_calls.add(1, &[KeyValue::new("duty", duty), KeyValue::new("result", result)]);
--- a/crates/lentilhitch_policy/src/config_announcements.rs
+++ b/crates/lentilhitch_policy/src/config_announcements.rs
@@ -1,7 +1,8 @@
 //! Announcements of new configurations by other nodes, and whom of these to ask for one.
 //!
 //! A node that hears of a new configuration reads it from the store. If the store turns it away, it asks a node that has
-//! announced the configuration. Summaries would name another one too, but in a large deployment only seconds later.
+//! announced the configuration. Summaries would name another one too, but in a large deployment only seconds later. A node
+//! that gets a configuration from a peer announces it as well, until there are enough sources for all to choose among.
 
 use std::{collections::VecDeque, net::SocketAddr};
 
@@ -34,6 +35,17 @@
         }
     }
 
+    /// Returns whether this version or a newer one was announced.
+    pub fn is_announced(&self, version: u64) -> bool {
+        version <= self.version
+    }
+
+    /// Returns whether too few nodes have announced this version for the others to choose among.
+    pub fn needs_announcers(&self, version: u64) -> bool {
+        self.version < version
+            || (self.version == version && self.announcers.len() < ANNOUNCERS_MAX)
+    }
+
     /// Returns whether a newer version than this one was announced.
     pub fn has_newer(&self, version: u64) -> bool {
         version < self.version
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -609,6 +609,16 @@
     fn zone_state(&self, now_ms: u64) -> ZoneState {
         let n_zones = self.nodes.zones().count().max(1);
         let n_clocks_max = (CLOCKS_MAX / n_zones).clamp(1, CLOCKS_PER_ZONE_MAX);
+        let config = self.reports.config(now_ms);
+        let upstreams = self.reports.upstreams(now_ms);
+        let local = self.reports.get(self.local.node).map(|it| &it.state);
+        let has_config = local.is_some_and(|it| it.config.version == config.version);
+        let has_upstreams = local.is_some_and(|it| it.upstreams.version == upstreams.version);
+        let config_source = (!has_config)
+            .then(|| self.reports.config_source(config.version, self.number))
+            .flatten();
+        let upstreams_source =
+            (!has_upstreams).then(|| self.reports.upstreams_source(now_ms)).flatten();
         ZoneState {
             zone: self.local.zone,
             source: xxh3_64_with_seed(&self.local.node.to_le_bytes(), self.incarnation),
@@ -618,8 +628,10 @@
             n_nodes: self.nodes.n_in_zone(self.local.zone) as u32,
             n_live: self.reports.len() as u32,
             exchange: self.local.exchange,
-            config: self.reports.config(now_ms),
-            upstreams: self.reports.upstreams(now_ms),
+            config,
+            config_source,
+            upstreams,
+            upstreams_source,
             admitted: self.reports.admitted.without(None),
             clocks_ms: self.reports.clocks_ms(n_clocks_max, now_ms),
         }
--- a/crates/lentilhitch_policy/src/gossip/message.rs
+++ b/crates/lentilhitch_policy/src/gossip/message.rs
@@ -206,9 +206,15 @@
     /// Newest configuration in the zone.
     #[serde(rename = "c")]
     pub config: StoreCopy,
+    /// Exchange address of a node that has `config`, unless the delegate itself has it.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub config_source: Option<SocketAddr>,
     /// List of upstreams of the node that read it last.
     #[serde(rename = "u")]
     pub upstreams: StoreCopy,
+    /// Exchange address of the node that read `upstreams`, unless the delegate itself has the same list.
+    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+    pub upstreams_source: Option<SocketAddr>,
     #[serde(rename = "a")]
     pub admitted: Admitted,
     /// Wall-clock times of some nodes of the zone, in milliseconds since the Unix epoch.
@@ -216,6 +222,18 @@
     pub clocks_ms: Vec<u64>,
 }
 
+impl ZoneState {
+    /// Returns the exchange address of a node that has the newest configuration of the zone.
+    pub fn config_source(&self) -> SocketAddr {
+        self.config_source.unwrap_or(self.exchange)
+    }
+
+    /// Returns the exchange address of a node that has the list of upstreams which was read last in the zone.
+    pub fn upstreams_source(&self) -> SocketAddr {
+        self.upstreams_source.unwrap_or(self.exchange)
+    }
+}
+
 /// The holder of the duty lease, as last reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DutyHolder {
--- a/crates/lentilhitch_policy/src/gossip/zone.rs
+++ b/crates/lentilhitch_policy/src/gossip/zone.rs
@@ -1,6 +1,6 @@
 //! What a delegate knows of its own zone: the reports of its nodes and the totals over them.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use rustc_hash::FxHashMap;
 
@@ -102,6 +102,23 @@
         newest.unwrap_or(StoreCopy { version: 0, age_ms: u64::MAX })
     }
 
+    /// Returns the exchange address of a node that has a version of the configuration, another one for each `number`.
+    pub(super) fn config_source(&self, version: u64, number: u64) -> Option<SocketAddr> {
+        let reports = self.reports.values().map(|it| &it.report);
+        let sources = reports.filter(|it| it.state.config.version == version);
+        let mut sources: Vec<_> = sources.map(|it| it.from).collect();
+        sources.sort_unstable_by_key(|it| it.node);
+        let position = number as usize % sources.len().max(1);
+        sources.get(position).map(|it| it.exchange)
+    }
+
+    /// Returns the exchange address of the node that read the list of upstreams last.
+    pub(super) fn upstreams_source(&self, now_ms: u64) -> Option<SocketAddr> {
+        let reports = self.reports.values();
+        let newest = reports.min_by_key(|it| it.age_of(it.report.state.upstreams, now_ms).age_ms);
+        newest.map(|it| it.report.from.exchange)
+    }
+
     /// Returns the last node in the order that read the list of upstreams within the maximum age.
     pub(super) fn reader(&self, age_max_ms: u64, now_ms: u64) -> Option<u64> {
         let reads = self
--- a/crates/lentilhitch_policy/tests/gossip.rs
+++ b/crates/lentilhitch_policy/tests/gossip.rs
@@ -13,8 +13,9 @@
         message::{Evidence, Loads, LocalState, Message, NodeAddress, StoreCopy, ZoneRates},
         relay::Relay,
     },
-    peer_queries::{LocalCopies, PeerQueries, Peers, ZoneCopies},
+    peer_queries::{LocalCopies, PeerQueries, Peers, Query, QueryResult, ZoneCopies},
     placement::InProgress,
+    response_budget::{ResponseBudget, ResponseKind},
     shared_rate::{self, ClusterView, PeerReport, SharedRate},
     suspects::{
         QuarantinedRequest, Suspects,
@@ -39,8 +40,8 @@
 const QUERY_TIMEOUT_MS: u64 = 700;
 /// Link of the smallest machines: 10 Mbit/s.
 const LINK_BYTES_PER_S: f64 = 1_250_000.0;
-/// Size of the state of the cluster, with the configuration, on a deployment of 116 upstreams.
-const CLUSTER_STATE_BYTES: usize = 42_800;
+/// Size of a configuration.
+const CONFIG_BYTES: usize = 20_000;
 /// Time at which simulations start, since 0 means never.
 const START_MS: u64 = 1_000_000;
 /// Time after the start at which every size has exchanged its state.
@@ -73,6 +74,7 @@
     has_store: bool,
     queries: PeerQueries,
     next_query_ms: u64,
+    response_budget: ResponseBudget,
     bytes_sent: usize,
     bytes_received: usize,
 }
@@ -188,6 +190,7 @@
             has_store: true,
             queries: PeerQueries::default(),
             next_query_ms: self.now_ms + self.rng.random_range(0..QUERY_CHECK_INTERVAL_MS),
+            response_budget: ResponseBudget::new(LINK_BYTES_PER_S, self.now_ms),
             bytes_sent: 0,
             bytes_received: 0,
         }
@@ -336,14 +339,29 @@
             self.nodes[idx].next_query_ms = now_ms + QUERY_CHECK_INTERVAL_MS;
             let peers = self.nodes[idx].peers(now_ms);
             let local = self.nodes[idx].copies(&peers);
-            let peer = self.nodes[idx].queries.next(local, &peers, &mut self.rng, now_ms);
-            let Some(SocketAddr::V4(peer)) = peer else { continue };
+            let query = self.nodes[idx].queries.next(local, &peers, &mut self.rng, now_ms);
+            let Some(Query { peer: SocketAddr::V4(peer), .. }) = query else { continue };
             let from = (peer.ip().to_bits() - 0x7F00_0001) as usize;
-            let config_version = self.nodes[from].config_version;
-            let remaining_bytes = CLUSTER_STATE_BYTES as f64;
-            let query_ms = now_ms;
-            let response = Response { from, to: idx, query_ms, config_version, remaining_bytes };
-            self.responses.push(response);
+            let source = &mut self.nodes[from];
+            let config_version = source.config_version;
+            let kind = ResponseKind::Urgent;
+            let result = if config_version <= local.config_version {
+                QueryResult::NotNewer
+            } else if source.response_budget.try_take(CONFIG_BYTES, kind, now_ms) {
+                let remaining_bytes = CONFIG_BYTES as f64;
+                let to = idx;
+                self.responses.push(Response {
+                    from,
+                    to,
+                    query_ms: now_ms,
+                    config_version,
+                    remaining_bytes,
+                });
+                continue;
+            } else {
+                QueryResult::Busy
+            };
+            self.nodes[idx].queries.on_result(peer.into(), result, now_ms);
         }
     }
 
@@ -363,14 +381,31 @@
         let ended = self.responses.extract_if(.., |it| {
             it.remaining_bytes <= 0.0 || it.query_ms + QUERY_TIMEOUT_MS <= now_ms
         });
+        let ended: Vec<_> = ended.collect();
         for it in ended {
             if it.remaining_bytes <= 0.0 {
-                let node = &mut self.nodes[it.to];
-                node.config_version = it.config_version.max(node.config_version);
+                self.receive_config(it.to, it.config_version);
+            } else {
+                let peer = self.nodes[it.from].address.exchange;
+                self.nodes[it.to].queries.on_result(peer, QueryResult::Failed, now_ms);
             }
         }
     }
 
+    /// Lets a node have a configuration that came from a peer. It announces the configuration if few others have.
+    fn receive_config(&mut self, idx: usize, config_version: u64) {
+        let node = &mut self.nodes[idx];
+        node.config_version = config_version.max(node.config_version);
+        if !node.announcements.needs_announcers(config_version) {
+            return;
+        }
+        for to in node.gossip.zone_addresses() {
+            let SocketAddr::V4(to) = to else { continue };
+            let to = (to.ip().to_bits() - 0x7F00_0001) as usize;
+            self.announce(idx, to, config_version);
+        }
+    }
+
     /// Announces a configuration to a node, unless the announcement is lost. The node then reads it, if the store serves it.
     fn announce(&mut self, from: usize, to: usize, config_version: u64) {
         let is_lost = self.rng.random_bool(self.loss);
@@ -479,14 +514,15 @@
     /// Returns the peers that the node may query.
     fn peers(&self, now_ms: u64) -> Peers {
         let zones = self.gossip.zones().filter(|it| it.is_reachable(now_ms));
-        let zones = zones.filter(|it| it.state.exchange != self.address.exchange);
         let zones = zones.map(|it| ZoneCopies {
-            exchange: it.state.exchange,
             config_version: it.state.config.version,
+            config_source: it.state.config_source(),
             list_digest: it.state.upstreams.version,
             list_age_ms: it.state.upstreams.age_ms,
+            list_source: it.state.upstreams_source(),
         });
         Peers {
+            local: Some(self.address.exchange),
             zones: zones.collect(),
             // A node has one address in simulations.
             announcers: self.announcements.announcers(self.config_version).collect(),
@@ -857,6 +893,9 @@
 /// at the same time, none of which need have the newer one.
 #[test]
 fn new_configuration_reaches_all_nodes_while_the_store_serves_few() {
+    /// Time for the nodes that the store serves to read the configuration.
+    const STORE_READ_MS: u64 = 300;
+    const NEW_VERSION: u64 = 2;
     struct Case {
         size: (usize, usize),
         /// Bound of the users for a configuration to be in force.
@@ -868,9 +907,6 @@
         Case { size: (295, 6), bound_ms: 4_000 },
         Case { size: (340, 31), bound_ms: 4_000 },
     ];
-    /// Time for the nodes that the store serves to read the configuration.
-    const STORE_READ_MS: u64 = 300;
-    const NEW_VERSION: u64 = 2;
     for Case { size, bound_ms } in cases {
         for seed in 0..4 {
             let mut simulation = Simulation::start(size, 60 + seed);
