--- a/crates/lentilhitch/tests/edge_config.rs
+++ b/crates/lentilhitch/tests/edge_config.rs
@@ -58,6 +58,37 @@
     .unwrap();
 }
 
+/// Guards against nodes that reject requests by an older configuration, because the store turns them away and they query
+/// nodes that do not have the newer one.
+#[tokio::test]
+async fn nodes_that_the_store_turns_away_get_the_configuration_from_the_one_that_has_it() {
+    const N_NODES: usize = 4;
+    let options =
+        SiteOptions { n_nodes: N_NODES, n_refusable: N_NODES - 1, ..SiteOptions::default() };
+    let mut site = Site::start(options).await.unwrap();
+    let old_version = site.put_config(|_| {});
+    site.turn_nodes_away();
+    let version = site.put_config(|it| it["tenants"][0]["apiKeys"] = json!(["another-key"]));
+    for node in 0..N_NODES {
+        until("the old key is rejected", || async {
+            site.call(node, "k", "/book/x").await.unwrap().status == 401
+        })
+        .await
+        .unwrap();
+    }
+
+    let config_after = async |version: &str| {
+        let url = format!("http://{}/v1/config-after/{version}", site.nodes[0].exchange);
+        let response = site.http.get(url).send().await.unwrap();
+        (response.status().as_u16(), response.bytes().await.unwrap())
+    };
+    let (status, config) = config_after(&old_version.to_string()).await;
+    let config: serde_json::Value = serde_json::from_slice(&config).unwrap();
+    assert_eq!((status, &config["version"]), (200, &json!(version)));
+    assert_eq!(config_after(&version.to_string()).await.0, 204);
+    assert_eq!(config_after("newest").await.0, 400);
+}
+
 /// Guards against calls that hang one after the other on idle connections that have fallen silent.
 #[tokio::test]
 async fn one_call_at_most_hangs_after_connections_to_the_store_have_fallen_silent() {
--- a/crates/lentilhitch_standin/src/users_platform/log_store.rs
+++ b/crates/lentilhitch_standin/src/users_platform/log_store.rs
@@ -1,10 +1,18 @@
 //! The users' log store and duties API, held in memory.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use hyper::{Method, Request, Response, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
@@ -117,6 +125,30 @@
         Ok(address)
     }
 
+    /// Opens another address of the store, whose callers get status 503 while `is_refusing` is set.
+    pub async fn listen_refusing(
+        &self,
+        is_refusing: Arc<AtomicBool>,
+    ) -> std::io::Result<SocketAddr> {
+        let shared = (self.state.clone(), self.written.clone());
+        let (address, _) = serve_http(move |request| {
+            let (state, written) = shared.clone();
+            let is_refusing = is_refusing.clone();
+            async move {
+                let mut response = handle_request(&state, &written, request).await?;
+                // Also for a read that has waited since before.
+                if is_refusing.load(Ordering::Relaxed) {
+                    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                }
+                let era = state.lock().era;
+                response.headers_mut().insert("store-era", era.into());
+                Some(response)
+            }
+        })
+        .await?;
+        Ok(address)
+    }
+
     /// Appends a record of a key, as operators and upstreams do.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
         let mut content = BytesMut::new();
--- a/crates/lentilhitch_standin/src/users_platform/site.rs
+++ b/crates/lentilhitch_standin/src/users_platform/site.rs
@@ -1,6 +1,15 @@
 //! A complete deployment: store, upstreams and nodes.
 
-use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use anyhow::Context as _;
 use bytes::Bytes;
@@ -28,6 +37,8 @@
     pub n_applications: usize,
     /// Number of software versions among the upstreams of a service, which alternate in each zone.
     pub n_versions: usize,
+    /// Number of nodes, from the first on, that the store can turn away while it serves the others.
+    pub n_refusable: usize,
     /// Whether the first node reaches the upstreams over links that can be cut. It must be the only one of its zone.
     pub has_links: bool,
     /// Duration of a usage window in seconds.
@@ -45,6 +56,7 @@
             n_engines: 1,
             n_applications: 1,
             n_versions: 1,
+            n_refusable: 0,
             has_links: false,
             usage_window_s: 1.0,
             usage_delay_s: 4.0,
@@ -72,6 +84,7 @@
     /// Links of the first node to the upstreams, if it has some.
     pub links: Vec<Link>,
     pub http: reqwest::Client,
+    is_refusing: Arc<AtomicBool>,
     /// Version of the last configuration that was written.
     version: u64,
     folder: TempDir,
@@ -125,13 +138,27 @@
         let http = reqwest::Client::builder().no_proxy().build()?;
         let folder = tempfile::tempdir()?;
         let (nodes, links) = (Vec::new(), Vec::new());
-        let mut site =
-            Self { store, engines, applications, nodes, links, http, version: 0, folder };
+        let mut site = Self {
+            store,
+            engines,
+            applications,
+            nodes,
+            links,
+            http,
+            is_refusing: Arc::default(),
+            version: 0,
+            folder,
+        };
         site.put_config(|_| {});
         for idx in 0..options.n_nodes {
             let has_links = options.has_links && idx == 0;
-            let store_address =
-                if has_links { site.start_links().await? } else { site.store.address };
+            let store_address = if has_links {
+                site.start_links().await?
+            } else if idx < options.n_refusable {
+                site.store.listen_refusing(site.is_refusing.clone()).await?
+            } else {
+                site.store.address
+            };
             site.start_node(idx, &options, store_address)?;
         }
         Ok(site)
@@ -146,6 +173,11 @@
         self.version
     }
 
+    /// Lets the store turn away the first `SiteOptions::n_refusable` nodes from now on.
+    pub fn turn_nodes_away(&self) {
+        self.is_refusing.store(true, Ordering::Relaxed);
+    }
+
     /// Starts a link to each upstream. Returns the address of the store for a node that uses them.
     async fn start_links(&mut self) -> anyhow::Result<SocketAddr> {
         for it in self.engines.iter().chain(&self.applications) {
