--- a/crates/lentilhitch/tests/edge_promises.rs
+++ b/crates/lentilhitch/tests/edge_promises.rs
@@ -12,6 +12,7 @@
     n_engines: 0,
     n_applications: 0,
     n_versions: 1,
+    n_refusable: 0,
     has_links: false,
     usage_window_s: 1.0,
     usage_delay_s: 4.0,
--- a/crates/lentilhitch/tests/edge_rollouts.rs
+++ b/crates/lentilhitch/tests/edge_rollouts.rs
@@ -37,6 +37,7 @@
     n_engines: 1,
     n_applications: 4,
     n_versions: 1,
+    n_refusable: 0,
     has_links: false,
     usage_window_s: 1.0,
     usage_delay_s: 4.0,
--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -17,6 +17,7 @@
     n_engines: 8,
     n_applications: 1,
     n_versions: 2,
+    n_refusable: 0,
     has_links: false,
     usage_window_s: 1.0,
     usage_delay_s: 4.0,
