--- /dev/null
+++ b/review/standins-3/poisoned.rs
@@ -0,0 +1,264 @@
+//! A part of a prompt crashes each replica that begins to write an answer on it, while sound requests of the same route and
+//! key come: most of them alike ([`run_alike`]), or of the same session, with a lull of some seconds ([`run_session`]).
+//!
+//! LOST: "From 2 x contactMs after the fifth crash (the last, if there are fewer), while such requests still come, sound
+//! requests of their route with the same key or first part begin at the first attempt less than half as often as outside
+//! unplanned impairment (20 or more of each, at machines in touch ...)."
+
+use std::{
+    collections::HashSet,
+    io,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    Verdict,
+    http::{self, Call},
+    replica::{Options, Replica, Work},
+    site::{HOST, KEY, Site, describe},
+};
+
+const N_REPLICAS: usize = 8;
+const ZONES: [&str; 4] = ["trapani", "agrigento", "ragusa", "enna"];
+/// Parts of the prompts: the first is common to all, the second is that of a subject.
+const FIRST_PART: &str = "5c1e07a2";
+const SOUND_PART: &str = "91bd3f06";
+const CRASHING_PART: &str = "dead0bad";
+const WORK: Work = Work { n_events: 4, interval_ms: 100 };
+/// One sound request in so many differs from all others.
+const OTHER_EVERY: usize = 4;
+const BAD_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time after which a replica that has crashed is back.
+const DOWN: Duration = Duration::from_millis(2_000);
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// Times since the traffic began.
+const BAD_FROM: Duration = Duration::from_secs(10);
+const END: Duration = Duration::from_secs(50);
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// What differs between the two cases.
+#[derive(Clone, Copy)]
+struct Plan {
+    sound_interval: Duration,
+    /// Whether most of the sound requests are alike.
+    are_alike: bool,
+    /// Time in which no sound request is sent, since the traffic began.
+    lull: Option<(Duration, Duration)>,
+    /// Whether the sound requests come at the first node only, as those of one client do.
+    is_one_node: bool,
+    /// Whether the requests with the crashing part also hold the part of the session.
+    is_in_session: bool,
+}
+
+/// Many sound requests are alike.
+pub fn run_alike(site: Site, has_trouble: bool) -> io::Result<Verdict> {
+    let plan = Plan {
+        sound_interval: Duration::from_micros(12_500),
+        are_alike: true,
+        lull: None,
+        is_one_node: false,
+        is_in_session: false,
+    };
+    run(site, has_trouble, plan)
+}
+
+/// The sound requests and those with the crashing part belong to one session.
+pub fn run_session(site: Site, has_trouble: bool) -> io::Result<Verdict> {
+    let plan = Plan {
+        sound_interval: Duration::from_millis(250),
+        are_alike: false,
+        lull: Some((BAD_FROM - Duration::from_secs(3), BAD_FROM + Duration::from_secs(9))),
+        is_one_node: true,
+        is_in_session: true,
+    };
+    run(site, has_trouble, plan)
+}
+
+struct Sound {
+    at: Instant,
+    id: String,
+    is_alike: bool,
+    status: u16,
+}
+
+fn run(mut site: Site, has_trouble: bool, plan: Plan) -> io::Result<Verdict> {
+    let mut replicas = Vec::new();
+    for idx in 0..N_REPLICAS {
+        replicas.push((options(&format!("i-{idx}-0"), idx), 0));
+    }
+    let mut running: Vec<Arc<Replica>> = Vec::new();
+    for (options, _) in &replicas {
+        running.push(site.add_replica(options)?);
+    }
+    site.put_config(1, &config());
+    for zone in [0, 0, 1, 2, 3] {
+        site.add_node(zone, false)?;
+    }
+    if !site.until_ready(Duration::from_secs(15)) {
+        return Ok(Verdict::CouldNotRun);
+    }
+    thread::sleep(Duration::from_secs(10));
+    let began = Instant::now();
+    let nodes: Vec<_> = site.nodes.iter().map(|it| it.path.address).collect();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let sounds: Arc<Mutex<Vec<Sound>>> = Arc::default();
+    let sender = {
+        let (record, nodes, sounds) = (site.record.clone(), nodes.clone(), sounds.clone());
+        let is_over = is_over.clone();
+        thread::spawn(move || {
+            let mut idx = 0;
+            while !is_over.load(Ordering::SeqCst) {
+                let at = began.elapsed();
+                if let Some((_, end)) = plan.lull.filter(|it| it.0 <= at && at < it.1) {
+                    thread::sleep(end - at);
+                }
+                let is_alike = plan.are_alike && idx % OTHER_EVERY != 0;
+                let id = format!("50{idx:06x}00000001");
+                let text =
+                    if is_alike { "the same excerpt".to_owned() } else { format!("excerpt {idx}") };
+                let node = if plan.is_one_node { nodes[0] } else { nodes[idx % nodes.len()] };
+                let (record, sounds) = (record.clone(), sounds.clone());
+                thread::spawn(move || {
+                    let at = Instant::now();
+                    let answer = http::call(node, &call(&id, &[SOUND_PART], &text));
+                    record.write_at(
+                        at,
+                        &format!("sound request {id} ({text}): {}", describe(&answer)),
+                    );
+                    sounds.lock().unwrap().push(Sound { at, id, is_alike, status: answer.status });
+                });
+                idx += 1;
+                thread::sleep(plan.sound_interval);
+            }
+        })
+    };
+    let mut crashes = Vec::new();
+    let mut bad = 0;
+    let mut next_bad = began + BAD_FROM;
+    let mut n_starts = 1;
+    let mut down: Vec<(usize, Instant)> = Vec::new();
+    while Instant::now() < began + END {
+        if next_bad <= Instant::now() {
+            next_bad += BAD_INTERVAL;
+            let id = format!("b0{bad:06x}00000001");
+            let part = if has_trouble { CRASHING_PART } else { "c0ffee01" };
+            let (record, node) = (site.record.clone(), nodes[bad % nodes.len()]);
+            let text = format!("another {bad}");
+            thread::spawn(move || {
+                let parts = if plan.is_in_session { vec![part, SOUND_PART] } else { vec![part] };
+                let answer = http::call(node, &call(&id, &parts, &text));
+                record.write(&format!("request {id} with part {part}: {}", describe(&answer)));
+            });
+            bad += 1;
+        }
+        for idx in 0..running.len() {
+            let crashed_at = *running[idx].crashed_at.lock().unwrap();
+            if let Some(at) = crashed_at
+                && !down.iter().any(|it| it.0 == idx)
+            {
+                site.record.write_at(at, &format!("replica {} crashes", replicas[idx].0.id));
+                crashes.push(at);
+                down.push((idx, at));
+            }
+        }
+        if let Some(position) = down.iter().position(|it| it.1 + DOWN <= Instant::now()) {
+            let (idx, _) = down.remove(position);
+            replicas[idx].0 = options(&format!("i-{idx}-{n_starts}"), idx);
+            n_starts += 1;
+            running[idx] = site.add_replica(&replicas[idx].0)?;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    is_over.store(true, Ordering::SeqCst);
+    let _ = sender.join();
+    thread::sleep(LIMIT);
+    let begun: HashSet<String> = site.runs.lock().unwrap().iter().map(|it| it.id.clone()).collect();
+    for run in site.runs.lock().unwrap().iter() {
+        site.record.write_at(run.at, &format!("replica {} runs {}", run.replica, run.id));
+    }
+    let judged_from = match crashes.get(4).or(crashes.last()) {
+        Some(at) => *at + 2 * CONTACT,
+        None => began + BAD_FROM + 2 * CONTACT,
+    };
+    let sounds = sounds.lock().unwrap();
+    let share = |from: Instant, to: Instant, is_counted: &dyn Fn(&Sound) -> bool| {
+        let counted: Vec<_> =
+            sounds.iter().filter(|it| from <= it.at && it.at < to && is_counted(it)).collect();
+        let n_begun = counted.iter().filter(|it| begun.contains(&it.id)).count();
+        let n_500 = counted.iter().filter(|it| it.status == 500).count();
+        (counted.len(), n_begun, n_500)
+    };
+    let (before, after) = ((began, began + BAD_FROM), (judged_from, began + END));
+    let (n_before, begun_before, _) = share(before.0, before.1, &|_| true);
+    let (n_after, begun_after, n_500) = share(after.0, after.1, &|_| true);
+    let (n_others, begun_others, _) = share(after.0, after.1, &|it| !it.is_alike);
+    let text = format!(
+        "{} crashes; sound requests before: {n_before}, of which {begun_before} began; after: {n_after}, of which \
+         {begun_after} began and {n_500} got 500; of those after, {n_others} differ from all others, and \
+         {begun_others} of them began",
+        crashes.len()
+    );
+    site.record.write(&text);
+    println!("{text}");
+    if n_before < 20 || n_after < 20 || (has_trouble && crashes.is_empty()) {
+        return Ok(Verdict::CouldNotRun);
+    }
+    let share_before = begun_before as f64 / n_before as f64;
+    let share_after = begun_after as f64 / n_after as f64;
+    let is_broken = share_after < share_before / 2.0;
+    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
+}
+
+fn options(id: &str, idx: usize) -> Options {
+    Options {
+        id: id.to_owned(),
+        service: "huvo11a",
+        zone: ZONES[idx % ZONES.len()],
+        version: "v1",
+        slots: 64,
+        work: WORK,
+        short: None,
+        crashing_part: Some(CRASHING_PART),
+    }
+}
+
+fn call(id: &str, parts: &[&str], text: &str) -> Call {
+    let end = Instant::now() + LIMIT;
+    let parts: Vec<_> = parts.iter().map(|it| format!("{it}:227,")).collect();
+    Call {
+        method: "POST",
+        path: "/lohu930/2f".to_owned(),
+        headers: vec![
+            ("Host", HOST.to_owned()),
+            ("X-Attempt-Id", id.to_owned()),
+            ("X-Model", "m".to_owned()),
+            ("X-Token-Usage", "1800,20".to_owned()),
+            ("X-Prompt-Prefix", format!("{FIRST_PART}:341,{}{}:1232", parts.concat(), &id[..8])),
+            ("X-Deadline-Ms", LIMIT.as_millis().to_string()),
+            ("Authorization", format!("Bearer {KEY}")),
+        ],
+        body: text.as_bytes().to_vec(),
+        deadline: end,
+        gap: LIMIT,
+        leave_at: None,
+    }
+}
+
+fn config() -> String {
+    format!(
+        "{{\"version\":1,\"routes\":[{{\"name\":\"lohu930\",\"host\":\"{HOST}\",\"pathPrefix\":\"/lohu930/\",\
+         \"routeKind\":\"streaming\",\"timeoutMs\":3000,\"ttftTargetMs\":600,\"priority\":2,\
+         \"service\":\"huvo11a\",\"attempts\":2,\"anonymous\":false,\"sticky\":true,\"resumable\":true,\
+         \"itlTargetMs\":500}}],\
+         \"services\":[{{\"name\":\"huvo11a\",\"healthPath\":\"/health\",\"maxConns\":360,\
+         \"engine\":{{\"slots\":64,\"kvCapacity\":595208,\"moves\":false,\"backups\":false}}}}],\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
+         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{KEY}\"],\"priority\":2,\"unit\":\"token_count\",\
+         \"uncachedTokens\":200,\"ratePerS\":1000000,\"burst\":1000000}}]}}"
+    )
+}
