--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -52,6 +52,7 @@
     let site = Site::start(&program, &temporary, record)?;
     let verdict = match case {
         "alike" => poisoned::run_alike(site, has_trouble),
+        "forgotten" => poisoned::run_forgotten(site, has_trouble),
         "session" => poisoned::run_session(site, has_trouble),
         "resumed" => resumed::run(site, has_trouble),
         "herd" => resumed::run_herd(site, has_trouble),
--- a/review/standins-3/poisoned.rs
+++ b/review/standins-3/poisoned.rs
@@ -41,6 +41,16 @@
 const END: Duration = Duration::from_secs(50);
 const LIMIT: Duration = Duration::from_secs(3);
 
+/// Times of [`run_forgotten`] since the traffic began.
+const RARE_BAD_FROM: Duration = Duration::from_secs(5);
+const RARE_BAD_INTERVAL: Duration = Duration::from_millis(4_000);
+const HERD_KILL: Duration = Duration::from_millis(28_500);
+const RARE_END: Duration = Duration::from_secs(60);
+/// Time for which the killed processes are down.
+const HERD_DOWN: Duration = Duration::from_millis(1_000);
+/// Number of requests with the crashing part that may still reach replicas.
+const N_BAD_ALLOWED: usize = 3;
+
 /// What differs between the two cases.
 #[derive(Clone, Copy)]
 struct Plan {
@@ -214,6 +224,100 @@
     Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
 }
 
+/// All nodes are killed at the same moment after the part is known to crash replicas.
+pub fn run_forgotten(mut site: Site, has_trouble: bool) -> io::Result<Verdict> {
+    let mut running: Vec<(String, Arc<Replica>)> = Vec::new();
+    for idx in 0..N_REPLICAS {
+        let id = format!("i-{idx}-0");
+        running.push((id.clone(), site.add_replica(&options(&id, idx))?));
+    }
+    site.put_config(1, &config());
+    for zone in [0, 0, 1, 1, 2, 2, 3] {
+        site.add_node(zone, false)?;
+    }
+    if !site.until_ready(Duration::from_secs(15)) {
+        return Ok(Verdict::CouldNotRun);
+    }
+    thread::sleep(Duration::from_secs(10));
+    let began = Instant::now();
+    let nodes: Vec<_> = site.nodes.iter().map(|it| it.path.address).collect();
+    let mut crashes: Vec<Instant> = Vec::new();
+    let mut down: Vec<(usize, Instant)> = Vec::new();
+    let (mut n_bad, mut n_sound, mut n_starts) = (0, 0, 1);
+    let (mut killed_at, mut restarted_at) = (None, None);
+    let of_clients = site.record.clone();
+    let send = |id: String, parts: &'static [&'static str], node| {
+        let record = of_clients.clone();
+        thread::spawn(move || {
+            let answer = http::call(node, &call(&id, parts, &id));
+            record.write(&format!("request {id} with parts {parts:?}: {}", describe(&answer)));
+        });
+    };
+    while began.elapsed() < RARE_END {
+        if RARE_BAD_FROM + RARE_BAD_INTERVAL * n_bad <= began.elapsed() {
+            let node = nodes[n_bad as usize % nodes.len()];
+            send(format!("b0{n_bad:06x}00000001"), &[CRASHING_PART], node);
+            n_bad += 1;
+        }
+        if Duration::from_millis(200) * n_sound <= began.elapsed() {
+            let node = nodes[n_sound as usize % nodes.len()];
+            send(format!("50{n_sound:06x}00000001"), &[SOUND_PART], node);
+            n_sound += 1;
+        }
+        if has_trouble && killed_at.is_none() && HERD_KILL <= began.elapsed() {
+            killed_at = Some(Instant::now());
+            (0..site.nodes.len()).for_each(|idx| site.kill(idx));
+        }
+        if let Some(at) = killed_at
+            && restarted_at.is_none()
+            && at + HERD_DOWN <= Instant::now()
+        {
+            (0..site.nodes.len()).try_for_each(|idx| site.restart(idx))?;
+            restarted_at = Some(Instant::now());
+        }
+        for (idx, (id, replica)) in running.iter().enumerate() {
+            let crashed_at = *replica.crashed_at.lock().unwrap();
+            if let Some(at) = crashed_at
+                && !down.iter().any(|it| it.0 == idx)
+            {
+                site.record.write_at(at, &format!("replica {id} crashes"));
+                crashes.push(at);
+                down.push((idx, at));
+            }
+        }
+        if let Some(position) = down.iter().position(|it| it.1 + DOWN <= Instant::now()) {
+            let (idx, _) = down.remove(position);
+            let id = format!("i-{idx}-{n_starts}");
+            n_starts += 1;
+            running[idx] = (id.clone(), site.add_replica(&options(&id, idx))?);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    thread::sleep(LIMIT);
+    let runs = site.runs.lock().unwrap();
+    for run in runs.iter() {
+        site.record.write_at(run.at, &format!("replica {} runs {}", run.replica, run.id));
+    }
+    let Some(fifth) = crashes.get(4).copied().filter(|it| *it + CONTACT < began + HERD_KILL) else {
+        println!("{} crashes", crashes.len());
+        return Ok(if has_trouble { Verdict::CouldNotRun } else { Verdict::Held });
+    };
+    let is_in_touch = |at: Instant| match (killed_at, restarted_at) {
+        (Some(from), Some(to)) => at < from || to + CONTACT <= at,
+        _ => true,
+    };
+    let is_counted = |at: Instant| fifth + CONTACT <= at && is_in_touch(at);
+    let n_counted = runs.iter().filter(|it| it.id.starts_with("b0") && is_counted(it.at)).count();
+    let text = format!(
+        "{} crashes; {n_bad} requests with the crashing part sent; later than contactMs after the fifth crash, {n_counted} \
+         reached replicas from nodes in touch",
+        crashes.len()
+    );
+    site.record.write(&text);
+    println!("{text}");
+    Ok(if N_BAD_ALLOWED < n_counted { Verdict::Broken } else { Verdict::Held })
+}
+
 fn options(id: &str, idx: usize) -> Options {
     Options {
         id: id.to_owned(),
