--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -516,7 +516,9 @@
             }
         }
         for it in summary.segment_reports {
-            self.suspects.segments.on_report(it, now_ms);
+            if let Some(segment) = self.suspects.segments.on_report(it, now_ms) {
+                log::warn!(segment:% = segment; "objected to the quarantine of a prompt segment that was answered before");
+            }
         }
         self.on_limit_reports(&summary.limit_reports, now_ms);
         for it in summary.quarantined {
--- a/crates/lentilhitch_policy/src/suspects/segments.rs
+++ b/crates/lentilhitch_policy/src/suspects/segments.rs
@@ -6,6 +6,11 @@
 //! quarantined a while later, so that nodes where a request with it is answered in the meantime can object. A crash at
 //! which a quarantined request or segment was present does not count against other segments.
 //!
+//! Of the segments that crashing requests share, those that were answered before, however long ago, are suspected last.
+//! Only the nodes that have answered them know of it, so they add it to what other nodes report of a crash. A node that
+//! hears too late of such an answer may quarantine the wrong segment; a node that knows better objects to the report of
+//! this quarantine.
+//!
 //! Nodes tell each other of crashes, answers and quarantines in [`SegmentReport`]s. Quarantines are repeated, so that a
 //! node that starts or was out of reach learns of them too.
 
@@ -68,6 +73,9 @@
         /// Position of the segment in the prompt.
         #[serde(rename = "p")]
         position: u8,
+        /// Whether a request with the segment was answered before, as far as the sender knows.
+        #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
+        was_answered: bool,
     },
     /// A request with the segment was answered, although the segment was present at crashes.
     #[serde(rename = "a")]
@@ -91,6 +99,8 @@
     dismissed_crashes: FxHashSet<u64>,
     /// Last position of the segment in the prompts of these requests.
     position: u8,
+    /// Whether a request with the segment was answered at any node, however long ago.
+    was_answered: bool,
     candidate_since_ms: Option<u64>,
     answered_ms: Option<u64>,
     quarantined_ms: Option<u64>,
@@ -134,7 +144,7 @@
     insertion_order: VecDeque<SegmentId>,
     /// When a request with the segment was last answered at this node.
     answers: LruCache<SegmentId, u64, FxBuildHasher>,
-    /// Crashes at which a quarantined request or segment was present.
+    /// Crashes at which a quarantined request was present.
     explained_crashes: FxHashSet<u64>,
     /// Segments that have been quarantined since the last decision.
     newly_quarantined: Vec<SegmentId>,
@@ -166,7 +176,10 @@
     pub fn record_crash(&mut self, crash: u64, segments: &[SegmentId], now_ms: u64) {
         for (position, segment) in (0..=u8::MAX).zip(segments.iter().copied()) {
             if self.insert_crash(segment, crash, position, now_ms) {
-                self.reports.push(SegmentReport::Crash { segment, crash, position });
+                let was_answered = self.was_answered(segment);
+                self.entry(segment).was_answered = was_answered;
+                let report = SegmentReport::Crash { segment, crash, position, was_answered };
+                self.reports.push(report);
             }
         }
     }
@@ -194,22 +207,34 @@
         self.explained_crashes.insert(crash);
     }
 
-    /// Handles a report of another node.
-    pub fn on_report(&mut self, report: SegmentReport, now_ms: u64) {
+    /// Handles a report of another node. Returns the segment if this node objects to its quarantine.
+    pub fn on_report(&mut self, report: SegmentReport, now_ms: u64) -> Option<SegmentId> {
         match report {
-            SegmentReport::Crash { segment, crash, position } => {
+            SegmentReport::Crash { segment, crash, position, was_answered } => {
                 self.insert_crash(segment, crash, position, now_ms);
+                self.on_earlier_answer(segment, crash, position, was_answered);
+                None
+            }
+            SegmentReport::Answered(segment) => {
+                self.clear(segment, now_ms);
+                None
             }
-            SegmentReport::Answered(segment) => self.clear(segment, now_ms),
             SegmentReport::Quarantined { segment, age_ms } => {
                 let since_ms = now_ms.saturating_sub(age_ms);
                 let evidence = self.entry(segment);
                 let is_answered_since = evidence.answered_ms.is_some_and(|it| since_ms <= it);
                 let is_over = evidence.quarantined_ms.is_none()
                     && since_ms + self.settings.quarantine_ms <= now_ms;
-                if !is_answered_since && !is_over {
+                if is_answered_since || is_over {
+                    return None;
+                }
+                if !self.is_explained_by_unanswered(segment) {
                     self.quarantine(segment, since_ms);
+                    return None;
                 }
+                self.clear(segment, now_ms);
+                self.reports.push(SegmentReport::Answered(segment));
+                Some(segment)
             }
         }
     }
@@ -287,16 +312,50 @@
         if evidence.candidate_since_ms.is_none() && n_crashes <= n_moments {
             evidence.candidate_since_ms = Some(now_ms);
         }
-        if evidence.quarantined_ms.is_some() {
-            self.explain_crash(crash);
-        }
         true
     }
 
+    /// Handles what the report of a crash says about earlier answers. Tells the other nodes of those that only this node
+    /// knows.
+    fn on_earlier_answer(
+        &mut self,
+        segment: SegmentId,
+        crash: u64,
+        position: u8,
+        was_answered: bool,
+    ) {
+        let is_answered_here = self.answers.contains(&segment);
+        let evidence = self.entry(segment);
+        if was_answered {
+            evidence.was_answered = true;
+        } else if is_answered_here && !evidence.was_answered {
+            evidence.was_answered = true;
+            let report = SegmentReport::Crash { segment, crash, position, was_answered: true };
+            self.reports.push(report);
+        }
+    }
+
+    /// Returns whether requests with the segment were answered, and another segment, of which no answer is known, was
+    /// present at all of its crashes.
+    fn is_explained_by_unanswered(&self, segment: SegmentId) -> bool {
+        let Settings { n_crashes, moment_ms, .. } = self.settings;
+        let Some(evidence) = self.evidence.get(&segment) else { return false };
+        // Fewer crashes than lead to a quarantine may be a part of those that others know.
+        let n_moments = evidence.n_moments(&FxHashSet::default(), moment_ms);
+        if n_moments < n_crashes || !self.was_answered(segment) {
+            return false;
+        }
+        self.evidence.iter().any(|(other, it)| {
+            !self.was_answered(*other)
+                && evidence.crashes.keys().all(|crash| it.crashes.contains_key(crash))
+        })
+    }
+
     /// Clears a segment of all crashes so far, because a request with it was answered.
     fn clear(&mut self, segment: SegmentId, now_ms: u64) {
         let evidence = self.entry(segment);
         evidence.answered_ms = Some(now_ms);
+        evidence.was_answered = true;
         evidence.candidate_since_ms = None;
         evidence.quarantined_ms = None;
         for crash in std::mem::take(&mut evidence.crashes).into_keys() {
@@ -319,12 +378,14 @@
         if !candidates.iter().any(|it| is_due(it.1)) {
             return Vec::new();
         }
+        let quarantined = self.evidence.values().filter(|it| it.quarantined_ms.is_some());
         let mut explained = self.explained_crashes.clone();
+        explained.extend(quarantined.flat_map(|it| it.crashes.keys()));
         let mut due = Vec::new();
         loop {
             candidates.retain(|it| n_crashes <= it.1.n_moments(&explained, moment_ms));
             let rank = |it: &(&SegmentId, &Evidence)| {
-                (!self.is_known_answered(*it.0), it.1.n_unexplained(&explained), it.1.position)
+                (!self.was_answered(*it.0), it.1.n_unexplained(&explained), it.1.position)
             };
             let Some(rank_max) = candidates.iter().map(rank).max() else { return due };
             let (first, rest): (Vec<_>, _) =
@@ -338,10 +399,10 @@
         }
     }
 
-    fn is_known_answered(&self, segment: SegmentId) -> bool {
-        let is_answered_elsewhere =
-            self.evidence.get(&segment).is_some_and(|it| it.answered_ms.is_some());
-        is_answered_elsewhere || self.answers.contains(&segment)
+    /// Returns whether a request with the segment was answered, at this node or, as far as is known, at another.
+    fn was_answered(&self, segment: SegmentId) -> bool {
+        self.answers.contains(&segment)
+            || self.evidence.get(&segment).is_some_and(|it| it.was_answered)
     }
 
     fn quarantine(&mut self, segment: SegmentId, since_ms: u64) {
@@ -350,10 +411,6 @@
             return;
         }
         evidence.quarantined_ms = Some(since_ms);
-        let crashes: Vec<_> = evidence.crashes.keys().copied().collect();
-        for it in crashes {
-            self.explain_crash(it);
-        }
         self.newly_quarantined.push(segment);
     }
 
@@ -370,7 +427,6 @@
                 // Those kept count as different moments.
                 let n_kept = n_kept.min(crashes.len());
                 for (idx, (crash, _)) in crashes.into_iter().enumerate() {
-                    self.explained_crashes.remove(&crash);
                     if idx < n_kept {
                         it.crashes.insert(crash, idx as u64 * moment_ms);
                     } else {
--- a/crates/lentilhitch_policy/tests/segment_suspects.rs
+++ b/crates/lentilhitch_policy/tests/segment_suspects.rs
@@ -42,7 +42,7 @@
 }
 
 fn peer_crash(crash: u64) -> SegmentReport {
-    SegmentReport::Crash { segment: CRASHING, crash, position: 1 }
+    SegmentReport::Crash { segment: CRASHING, crash, position: 1, was_answered: false }
 }
 
 fn cases_of_answers() -> Vec<Case> {
@@ -164,7 +164,9 @@
                     PeerCrash(crash) => {
                         suspects.on_report(peer_crash(*crash), now_ms);
                     }
-                    PeerAnswer => suspects.on_report(SegmentReport::Answered(CRASHING), now_ms),
+                    PeerAnswer => {
+                        suspects.on_report(SegmentReport::Answered(CRASHING), now_ms);
+                    }
                     PeerQuarantine(age_ms) => {
                         let (segment, age_ms) = (CRASHING, *age_ms);
                         suspects.on_report(SegmentReport::Quarantined { segment, age_ms }, now_ms);
@@ -360,3 +362,76 @@
         assert_eq!(n_refused, 0, "seed {seed}: refused {n_refused} of {n_sent}");
     }
 }
+
+/// Segment that requests of one session share.
+const SESSION: SegmentId = SegmentId(0x5E55);
+
+/// Crashes upstreams by requests with the given segments, one at each node in turn.
+fn crash_in_turn(fleet: &mut Fleet, segments: &[SegmentId], n_crashes: usize) {
+    for idx in 0..n_crashes {
+        let node = idx % fleet.nodes.len();
+        fleet.n_crashes += 1;
+        fleet.nodes[node].record_crash(fleet.n_crashes, segments, fleet.now_ms);
+        for _ in 0..1_500 / STEP_MS {
+            fleet.step();
+        }
+    }
+}
+
+/// Guards against a segment of sound requests that is quarantined in place of the crashing one, because only one node has
+/// answered these requests, and not lately.
+#[test]
+fn segment_that_one_node_has_answered_before_a_pause_stays_in_use() {
+    for n_nodes in [2, 5, 40] {
+        let mut fleet = Fleet::new(n_nodes, 1, 0);
+        fleet.nodes[0].record_answer(&[OTHER, SESSION], START_MS);
+        fleet.now_ms += 10_000;
+        crash_in_turn(&mut fleet, &[OTHER, CRASHING, SESSION], 6);
+        for (idx, node) in fleet.nodes.iter().enumerate() {
+            assert!(node.is_quarantined(CRASHING), "{n_nodes} nodes, node {idx}");
+            assert!(!node.is_quarantined(SESSION), "{n_nodes} nodes, node {idx}");
+            assert!(!node.is_quarantined(OTHER), "{n_nodes} nodes, node {idx}");
+        }
+    }
+}
+
+/// Guards against a quarantine of the wrong segment by a node that has lost the reports of answers, which the others take
+/// over without comparing it with what they know.
+#[test]
+fn report_of_a_quarantine_is_compared_with_earlier_answers() {
+    let mut fleet = Fleet::new(3, 1, 0);
+    fleet.nodes[0].record_answer(&[OTHER, SESSION], START_MS);
+    let mut uninformed = SegmentSuspects::new(SETTINGS);
+    fleet.now_ms += 10_000;
+    for crash in 1..=3 {
+        let segments = [OTHER, CRASHING, SESSION];
+        uninformed.record_crash(crash, &segments, fleet.now_ms);
+        fleet.nodes[1].record_crash(crash, &segments, fleet.now_ms);
+        for _ in 0..400 / STEP_MS {
+            fleet.step();
+        }
+    }
+    (0..DELAY_MS / STEP_MS).for_each(|_| fleet.step());
+    uninformed.decide(fleet.now_ms + SETTINGS.objection_ms);
+    assert!(uninformed.is_quarantined(SESSION), "nothing tells the segments apart");
+    let report = SegmentReport::Quarantined { segment: SESSION, age_ms: 0 };
+    assert_eq!(fleet.nodes[0].on_report(report, fleet.now_ms), Some(SESSION));
+    assert!(!fleet.nodes[0].is_quarantined(SESSION));
+    for it in fleet.nodes[0].take_reports(fleet.now_ms) {
+        uninformed.on_report(it, fleet.now_ms);
+    }
+    uninformed.decide(fleet.now_ms + SETTINGS.objection_ms);
+    assert!(!uninformed.is_quarantined(SESSION), "a node that knows better objects");
+    assert!(uninformed.is_quarantined(CRASHING), "its crashes are not explained any more");
+}
+
+/// Guards against an objection by a node that knows only a part of the crashes.
+#[test]
+fn node_that_knows_too_few_crashes_does_not_object() {
+    let mut suspects = SegmentSuspects::new(SETTINGS);
+    suspects.record_answer(&[CRASHING], START_MS);
+    suspects.record_crash(1, &[CRASHING, OTHER], START_MS + 10_000);
+    let report = SegmentReport::Quarantined { segment: CRASHING, age_ms: 0 };
+    suspects.on_report(report, START_MS + 11_000);
+    assert!(suspects.is_quarantined(CRASHING));
+}
