--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -1,7 +1,10 @@
 //! Upstreams of several software versions in one service: what two versions write does not fit together, so a stream
 //! goes on only at the version that began it.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use futures_util::future::join_all;
 use lentilhitch_standin::{
@@ -331,6 +334,43 @@
     }
 }
 
+/// Guards against streams of a lost node that nobody lets go on because a second version has appeared since, although only
+/// the first one can have begun them.
+#[tokio::test]
+async fn streams_of_a_killed_node_go_on_although_a_second_version_has_appeared_since() {
+    /// Time after which nodes count each other among the holders of streams.
+    const HOLDERS_KNOWN_AFTER: Duration = Duration::from_secs(5);
+    let options = SiteOptions { n_engines: 4, n_versions: 1, ..OPTIONS };
+    let mut site = start(options).await;
+    let known_since = Instant::now();
+    until("the nodes count each other among the holders", || async {
+        HOLDERS_KNOWN_AFTER <= known_since.elapsed()
+    })
+    .await
+    .unwrap();
+    set_streams(&site, 50, None);
+    let responses = begin_streams(&site, |_| 0).await;
+    site.nodes[0].process.kill();
+    drop(responses);
+    let stream = Behavior::Stream { n_events: N_EVENTS, interval_ms: 1, break_after: None };
+    let new = Upstream::start_unlisted("engine-new", "draft", "v2", stream).await.unwrap();
+    new.write_entry(&site.store, &json!({}));
+    until("the other nodes know the new version", || async {
+        site.nodes[1..].iter().all(|it| it.process.log_text().contains("engine-new"))
+    })
+    .await
+    .unwrap();
+    set_streams(&site, 1, None);
+    for idx in 0..N_STREAMS {
+        let second = format!("t{idx}");
+        let request = site.request(1 + idx % 3, &second, "/review/x");
+        let request = request.header("resumes", format!("s{idx}")).header("last-event-id", "1");
+        let response = site.send(request).await.unwrap();
+        assert_eq!(response.status, 200, "{second}: {response:?}");
+        assert!(!new.executed().iter().any(|it| it.id == second), "{second}");
+    }
+}
+
 /// Sets the timeout of the streaming routes, and waits until all nodes apply it.
 async fn set_stream_timeout(site: &mut Site, timeout_ms: u64) {
     let version = site.put_config(|config| {
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -30,7 +30,7 @@
 
 /// Time limit for the answers of the nodes that are asked first.
 const FIRST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time limit for the answers of all nodes of the zone, which are asked next.
+/// Time limit for the answers of all nodes of the zone and all possible holders, which are asked next.
 const ZONE_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which it is checked whether the list was read.
 const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -82,6 +82,9 @@
     /// Whether the service has several versions, or had some not long ago.
     #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
     is_mixed: bool,
+    /// The node that answers, and where the stream began if it is one that this node would hold and does not.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    untold: Option<(u64, StreamOrigin)>,
 }
 
 /// What nodes have answered to a question.
@@ -90,6 +93,7 @@
     known: Option<StreamOrigin>,
     sole: Vec<StreamOrigin>,
     is_mixed: bool,
+    untold: Vec<(u64, StreamOrigin)>,
 }
 
 impl Answers {
@@ -99,6 +103,15 @@
         let first = *stated.next()?;
         (!self.is_mixed && stated.all(|it| *it == first)).then_some(first)
     }
+
+    /// Returns the version at which all streams began that no node was told of, if the nodes that state one agree and one
+    /// of them would know this stream otherwise.
+    fn untold_version(&self, key: StreamKey, nodes: &[NodeAddress]) -> Option<StreamOrigin> {
+        let first = self.untold.first()?.1;
+        let asked: Vec<_> = self.untold.iter().map(|it| it.0).collect();
+        let is_agreed = self.untold.iter().all(|it| it.1 == first);
+        (is_agreed && stream_origins::would_be_known(key, nodes, &asked)).then_some(first)
+    }
 }
 
 /// Questions of this node whose answers are awaited, by number.
@@ -145,6 +158,8 @@
     SoleVersion,
     Peer,
     SoleVersionAtPeer,
+    /// The only version before the service got several, since the holders were not told.
+    NotTold,
 }
 
 /// Finds out which version began the stream that a request resumes, and binds the request to this version and its
@@ -256,7 +271,8 @@
     /// Asks the nodes that may hold the stream, and then all nodes of the zone. If none knows it, the only version of the
     /// service is taken if there is one. The list from which it follows may lack a version at which the stream began, so
     /// either all nodes that may hold the stream have to answer, or the list has to be read again first. Nobody holds a stream
-    /// that its client does not name.
+    /// that its client does not name. If the service has several versions, and nodes that would have been told of the
+    /// stream otherwise don't know it, it began before.
     async fn ask_for_origin(
         &self,
         key: Option<StreamKey>,
@@ -282,6 +298,9 @@
                     return inferred;
                 }
             }
+            if let Some(origin) = key.and_then(|it| self.untold_origin(it, service, &answers)) {
+                return Some((origin, Source::NotTold));
+            }
         }
         // Without any version to infer, there is nothing to wait for.
         self.infer_origin(service, &answers)?;
@@ -304,6 +323,28 @@
         answers.sole_version(local).map(|it| (it, source))
     }
 
+    /// Returns the only version that a service had before it got several, if the stream began there.
+    fn untold_origin(
+        &self,
+        key: StreamKey,
+        service: u32,
+        answers: &Answers,
+    ) -> Option<StreamOrigin> {
+        let untold = answers.untold.iter().copied().chain(self.untold_answer(service)).collect();
+        let state = self.state.borrow();
+        let others = state.gossip.node_addresses().copied();
+        let nodes: Vec<_> = others.chain([state.gossip.local_address()]).collect();
+        Answers { untold, ..Answers::default() }.untold_version(key, &nodes)
+    }
+
+    /// Returns this node, and where a stream of the service began that this node would hold and does not.
+    fn untold_answer(&self, service: u32) -> Option<(u64, StreamOrigin)> {
+        let now_ms = self.now_ms();
+        let state = self.state.borrow();
+        let origin = state.stream_origins.origin_if_untold(service, now_ms)?;
+        Some((state.gossip.local_node(), origin))
+    }
+
     fn list_age_ms(&self) -> Option<u64> {
         self.state.borrow().catalog.age_ms(self.now_ms())
     }
@@ -321,7 +362,8 @@
         }
     }
 
-    /// Returns the gossip addresses of the nodes that are asked first, and of those and all others of the zone.
+    /// Returns the gossip addresses of the nodes that are asked first, and of those, all others of the zone and all that may
+    /// hold the stream.
     fn nodes_to_ask(&self, key: Option<StreamKey>) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let state = self.state.borrow();
         let (zone, others) = (state.gossip.local_zone(), state.gossip.node_addresses());
@@ -329,8 +371,13 @@
         let key = key.unwrap_or(StreamKey::of(""));
         let first = stream_origins::nodes_to_ask(key, zone, others);
         let first: Vec<_> = first.iter().map(|it: &NodeAddress| it.gossip).collect();
+        let possible = stream_origins::possible_holders(key, state.gossip.node_addresses());
         let mut all = state.gossip.zone_addresses();
-        all.extend(first.iter().filter(|it| !all.contains(it)).copied().collect::<Vec<_>>());
+        for it in possible.iter().map(|it| it.gossip).chain(first.iter().copied()) {
+            if !all.contains(&it) {
+                all.push(it);
+            }
+        }
         (first, all)
     }
 
@@ -355,6 +402,7 @@
             answers.known = answer.known;
             answers.sole.extend(answer.sole);
             answers.is_mixed |= answer.is_mixed;
+            answers.untold.extend(answer.untold);
             if answers.known.is_some() {
                 break;
             }
@@ -376,7 +424,9 @@
                 let known = key.and_then(|it| self.state.borrow().stream_origins.get(it));
                 let sole = if known.is_none() { self.sole_origin(service) } else { None };
                 let is_mixed = self.state.borrow().stream_origins.is_mixed(service, self.now_ms());
-                let answer = OriginMessage::Answer(Answer { number, known, sole, is_mixed });
+                let untold = if known.is_none() { self.untold_answer(service) } else { None };
+                let answer =
+                    OriginMessage::Answer(Answer { number, known, sole, is_mixed, untold });
                 self.send_to(&Datagram::StreamOrigin(answer), &[from], Urgency::Urgent);
             }
             OriginMessage::Answer(answer) => self.inquiries.on_answer(answer),
--- a/crates/lentilhitch_policy/src/gossip.rs
+++ b/crates/lentilhitch_policy/src/gossip.rs
@@ -424,6 +424,11 @@
         self.nodes.iter().map(|it| &it.address)
     }
 
+    /// Returns the addresses of this node.
+    pub fn local_address(&self) -> NodeAddress {
+        self.local
+    }
+
     /// Returns the hash of the name of this node's zone.
     pub fn local_zone(&self) -> u32 {
         self.local.zone
--- a/crates/lentilhitch_policy/src/stream_origins.rs
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -9,7 +9,8 @@
 //! While a service has a single version, nothing is told: nodes that have seen only this version for as long as a stream
 //! may last infer that it began the stream. Lists of upstreams differ between nodes for a moment, so a node does so only
 //! after it has asked the holders, which know of a stream of a version that is not in its own list yet. When a second version appears, a node tells the holders of all streams that it
-//! has begun. What the holders are told is kept in the store too ([`crate::stream_archive`]).
+//! has begun. A node that was lost by then can't: a stream of which the holders were not told, although they have been there
+//! since the second version appeared, began at the version that was the only one before ([`would_be_known`]). What the holders are told is kept in the store too ([`crate::stream_archive`]).
 //!
 //! A node that starts in a running deployment has not followed the versions yet. It takes over what another node knows of
 //! them ([`VersionHistory`]), so a series of planned restarts does not end with nodes of which none can tell.
@@ -130,6 +131,16 @@
     gone_ms: FxHashMap<u32, Option<u64>>,
     /// Streams that began at this node while the service had a single version.
     untold: VecDeque<StreamKey>,
+    /// The change to several versions, if this node has seen it.
+    mixing: Option<Mixing>,
+}
+
+/// The change of a service from a single version to several.
+#[derive(Clone, Copy, Debug)]
+struct Mixing {
+    /// The version that was the only one before.
+    sole_before: u32,
+    since_ms: u64,
 }
 
 impl ServiceVersions {
@@ -153,6 +164,8 @@
     lifetime: StreamLifetime,
     /// Since when this node knows the versions of the services, or `None` before the first list.
     followed: Option<Followed>,
+    /// When this node had its first list of upstreams.
+    first_list_ms: Option<u64>,
     known: FxHashMap<StreamKey, Known>,
     /// Keys in the order in which their records were inserted, which expire in about this order.
     expiring: VecDeque<(u64, StreamKey)>,
@@ -188,6 +201,10 @@
     ) {
         let followed = if is_first_start { Followed::Always } else { Followed::Since(now_ms) };
         self.followed.get_or_insert(followed);
+        self.first_list_ms.get_or_insert(now_ms);
+        let services = self.services.keys().copied().collect::<Vec<_>>();
+        let sole_before = services.into_iter().filter_map(|it| self.sole_origin(it, now_ms));
+        let sole_before: Vec<_> = sole_before.collect();
         for it in self.services.values_mut().flat_map(|it| it.gone_ms.values_mut()) {
             it.get_or_insert(now_ms);
         }
@@ -196,6 +213,12 @@
             self.services.entry(service).or_default().gone_ms.insert(version, None);
         }
         self.discard_past_versions(now_ms);
+        for StreamOrigin { service, version } in sole_before {
+            let versions = self.services.entry(service).or_default();
+            if versions.is_mixed() {
+                versions.mixing.get_or_insert(Mixing { sole_before: version, since_ms: now_ms });
+            }
+        }
     }
 
     /// Discards versions that were gone before any stream began that may still run. The holders of streams of services
@@ -207,6 +230,8 @@
             if it.is_mixed() {
                 self.due.extend(&it.untold);
                 self.unwritten.extend(it.untold.drain(..));
+            } else {
+                it.mixing = None;
             }
         }
     }
@@ -214,8 +239,10 @@
     /// Records that an upstream has written the first event of a stream which this node relays.
     pub fn on_first_event(&mut self, key: StreamKey, origin: StreamOrigin, now_ms: u64) {
         self.insert(OriginRecord { key, origin, age_ms: 0 }, now_ms);
+        let is_complete = self.is_complete(now_ms);
         let versions = self.services.entry(origin.service).or_default();
-        if versions.is_mixed() {
+        // A node that has just started may lack a version that others know of.
+        if versions.is_mixed() || !is_complete {
             self.due.push(key);
             self.unwritten.push(key);
         } else {
@@ -258,6 +285,17 @@
         }
     }
 
+    /// Returns the version at which a stream of a service began that this node would hold, and does not: the only one that
+    /// the service had before it got several. From then on this node has been told of the streams that it holds. Returns
+    /// `None` if this node has not seen that change, or started shortly before it, when others may not have known it as a
+    /// holder yet, or if streams from before are over.
+    pub fn origin_if_untold(&self, service: u32, now_ms: u64) -> Option<StreamOrigin> {
+        let Mixing { sole_before, since_ms } = self.services.get(&service)?.mixing?;
+        let known_since_ms = self.first_list_ms? + HOLDER_KNOWN_AFTER_MS;
+        let is_valid = known_since_ms <= since_ms && now_ms < since_ms + self.lifetime.ms(now_ms);
+        is_valid.then_some(StreamOrigin { service, version: sole_before })
+    }
+
     /// Returns whether a service has several versions, or had within the lifetime of a stream.
     pub fn is_mixed(&self, service: u32, now_ms: u64) -> bool {
         self.services.get(&service).is_some_and(|it| 1 < self.recent_versions(it, now_ms).count())
@@ -406,6 +444,39 @@
 /// Number of nodes of the own zone that are asked first.
 const N_ASKED_INSIDE: usize = 2;
 
+/// Time from the start of a node until all others count it among the holders.
+const HOLDER_KNOWN_AFTER_MS: u64 = 5_000;
+/// Number of nodes of each zone among which the holder inside the zone of a stream is, whichever node of it began the stream.
+const N_HOLDERS_INSIDE: usize = 2;
+
+/// Returns all nodes that may hold a stream, whichever node began it: the first nodes of each zone, in the hash order.
+pub fn possible_holders<'a>(
+    key: StreamKey,
+    nodes: impl Iterator<Item = &'a NodeAddress>,
+) -> Vec<NodeAddress> {
+    let mut n_by_zone: FxHashMap<u32, usize> = FxHashMap::default();
+    let mut order = hash_order(key, nodes);
+    order.retain(|it| {
+        let n_before = n_by_zone.entry(it.zone).or_default();
+        *n_before += 1;
+        *n_before <= N_HOLDERS_INSIDE
+    });
+    order
+}
+
+/// Returns whether at least one of the given nodes, which do not know the stream, would know it if its holders had been
+/// told, whichever of all nodes began it.
+pub fn would_be_known(key: StreamKey, nodes: &[NodeAddress], asked: &[u64]) -> bool {
+    let order = hash_order(key, nodes.iter());
+    let knows = |it: &NodeAddress| asked.contains(&it.node);
+    order.iter().all(|first| {
+        let others = || order.iter().filter(|it| it.node != first.node);
+        knows(first)
+            || others().find(|it| it.zone == first.zone).is_some_and(knows)
+            || others().find(|it| it.zone != first.zone).is_some_and(knows)
+    })
+}
+
 /// Returns the nodes in the hash order of a stream (rendezvous hashing).
 fn hash_order<'a>(
     key: StreamKey,
--- a/crates/lentilhitch_policy/tests/stream_origins.rs
+++ b/crates/lentilhitch_policy/tests/stream_origins.rs
@@ -2,7 +2,10 @@
 
 use lentilhitch_policy::{
     gossip::message::NodeAddress,
-    stream_origins::{OriginRecord, StreamKey, StreamOrigin, StreamOrigins, holders, nodes_to_ask},
+    stream_origins::{
+        OriginRecord, StreamKey, StreamOrigin, StreamOrigins, holders, nodes_to_ask,
+        possible_holders, would_be_known,
+    },
     traffic::{EntryState, UpstreamEntry},
 };
 use lentilhitch_types::SoftwareVersion;
@@ -448,3 +451,138 @@
         assert!(n_asked < 2 * n_found, "{} nodes: {n_found} of {n_asked}", size.n_nodes);
     }
 }
+
+/// Guards against streams of a node that was lost before a second version appeared, which nobody lets go on from then on
+/// although they could only have begun at the first one.
+#[test]
+fn stream_of_which_the_holders_were_not_told_began_at_the_only_version_before() {
+    struct Case {
+        name: &'static str,
+        is_first_start: bool,
+        /// Versions that have upstreams from each time on.
+        changes: &'static [(u64, &'static [&'static str])],
+        now_ms: u64,
+        untold: Option<&'static str>,
+    }
+    const RELEASE_MS: u64 = START_MS + 10_000;
+    let cases = [
+        Case {
+            name: "single version",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1"])],
+            now_ms: RELEASE_MS,
+            untold: None,
+        },
+        Case {
+            name: "second version",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1"]), (RELEASE_MS, &["v1", "v2"])],
+            now_ms: RELEASE_MS + 4_000,
+            untold: Some("v1"),
+        },
+        Case {
+            name: "second version in place of the first",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1"]), (RELEASE_MS, &["v2"])],
+            now_ms: RELEASE_MS + 4_000,
+            untold: Some("v1"),
+        },
+        Case {
+            name: "third version",
+            is_first_start: true,
+            changes: &[
+                (START_MS, &["v1"]),
+                (RELEASE_MS, &["v1", "v2"]),
+                (RELEASE_MS + 1_000, &["v2", "v3"]),
+            ],
+            now_ms: RELEASE_MS + 4_000,
+            untold: Some("v1"),
+        },
+        Case {
+            name: "streams from before are over",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1"]), (RELEASE_MS, &["v1", "v2"])],
+            now_ms: RELEASE_MS + LIFETIME_MS,
+            untold: None,
+        },
+        Case {
+            name: "two versions from the start",
+            is_first_start: true,
+            changes: &[(START_MS, &["v1", "v2"])],
+            now_ms: START_MS + 10_000,
+            untold: None,
+        },
+        Case {
+            name: "node that has started just before",
+            is_first_start: true,
+            changes: &[(RELEASE_MS - 1_000, &["v1"]), (RELEASE_MS, &["v1", "v2"])],
+            now_ms: RELEASE_MS + 4_000,
+            untold: None,
+        },
+        Case {
+            name: "node that does not know all earlier versions",
+            is_first_start: false,
+            changes: &[(START_MS, &["v1"]), (RELEASE_MS, &["v1", "v2"])],
+            now_ms: RELEASE_MS + 4_000,
+            untold: None,
+        },
+        Case {
+            name: "node that has started since",
+            is_first_start: false,
+            changes: &[(RELEASE_MS + 1_000, &["v1", "v2"])],
+            now_ms: RELEASE_MS + 4_000,
+            untold: None,
+        },
+    ];
+    for case in cases {
+        let mut origins = new_origins();
+        for (at_ms, versions) in case.changes {
+            set_versions(&mut origins, versions, case.is_first_start, *at_ms);
+        }
+        let untold = origins.origin_if_untold(origin("v1").service, case.now_ms);
+        assert_eq!(untold, case.untold.map(origin), "{}", case.name);
+    }
+}
+
+/// Guards against a node that has just started, lacks a version that others know, and tells nobody of its streams.
+#[test]
+fn node_that_does_not_know_all_versions_yet_tells_the_holders() {
+    let mut origins = new_origins();
+    set_versions(&mut origins, &["v1"], false, START_MS);
+    origins.on_first_event(StreamKey::of("s"), origin("v1"), START_MS);
+    assert_eq!(origins.take_due(START_MS).len(), 1);
+}
+
+/// Guards against a stream that is taken for an untold one because its holders are among the nodes that were lost, and
+/// against one that is rejected although a single node was lost.
+#[test]
+fn untold_streams_are_known_by_the_nodes_that_would_hold_them() {
+    for size in SIZES {
+        let nodes = nodes(&size);
+        let mut rng = SmallRng::seed_from_u64(u64::from(size.n_nodes));
+        let mut n_known = 0;
+        for idx in 0..N_STREAMS {
+            let (n_nodes, name) = (size.n_nodes, format!("stream {idx}"));
+            let key = StreamKey::of(&format!("{idx}"));
+            let share = [0.0, 0.16, 0.6, 1.0][idx % 4];
+            let lost: Vec<_> = nodes.iter().filter(|_| rng.random_bool(share)).collect();
+            let answers = |lost: &[&NodeAddress]| -> Vec<u64> {
+                let asked = possible_holders(key, nodes.iter());
+                asked.iter().filter(|it| !lost.contains(it)).map(|it| it.node).collect()
+            };
+            let answering = answers(&lost);
+            let is_known = would_be_known(key, &nodes, &answering);
+            n_known += usize::from(is_known);
+            for first in nodes.iter().step_by(nodes.len() / 8) {
+                let told = holders(key, first.zone, nodes.iter().filter(|it| *it != first));
+                let knows = |it: &NodeAddress| answering.contains(&it.node);
+                let is_told = knows(first) || told.iter().any(knows);
+                assert!(!is_known || is_told, "{n_nodes} nodes, {name}, began at {first:?}");
+            }
+            let single = nodes.iter().nth(rng.random_range(0..nodes.len())).unwrap();
+            let single_lost = would_be_known(key, &nodes, &answers(&[single]));
+            assert!(single_lost, "{n_nodes} nodes, {name}, without {single:?}");
+        }
+        assert!(N_STREAMS / 4 < n_known, "{} nodes: {n_known}", size.n_nodes);
+    }
+}
