--- a/crates/lentilhitch_gateway/src/attempts.rs
+++ b/crates/lentilhitch_gateway/src/attempts.rs
@@ -7,6 +7,7 @@
 use lentilhitch_policy::{
     catalog::Upstream,
     retry::{self, Repeatable},
+    rollout::RunKind,
     stream_origins::{StreamKey, StreamOrigin},
     traffic::{Repeat, Route, UpstreamEntry},
 };
@@ -219,6 +220,7 @@
         let params = AttemptParams {
             admitted: &admitted,
             entry,
+            run_kind: if self.origin.is_some() { RunKind::Continued } else { RunKind::New },
             head_timeout_ms,
             resume_after,
             kv_copy,
--- a/crates/lentilhitch_gateway/src/rollouts.rs
+++ b/crates/lentilhitch_gateway/src/rollouts.rs
@@ -24,7 +24,7 @@
     catalog::Catalog,
     rollout::{
         Controller, Evidence, Grant, NodeRun, NodeView, Order, Plan, RequestClass, ResponseOutcome,
-        Settings, Side, Verdict,
+        RunKind, Settings, Side, Verdict,
     },
     traffic::UpstreamEntry,
 };
@@ -203,9 +203,7 @@
     /// Returns whether an upstream may continue a stream that its version has begun.
     pub(crate) fn may_continue_at(&self, entry: &UpstreamEntry, now_ms: u64) -> bool {
         let Some(rollouts) = &self.rollouts else { return true };
-        let view = rollouts.view.borrow();
-        view.allowed(&entry.service, entry, Side::Base, now_ms)
-            || view.allowed(&entry.service, entry, Side::Target, now_ms)
+        rollouts.view.borrow().may_continue(&entry.service, entry, now_ms)
     }
 }
 
@@ -226,12 +224,13 @@
         node: &Rc<Node<P>>,
         route: &str,
         uncached_tokens: u32,
+        kind: RunKind,
         entry: &UpstreamEntry,
     ) -> Result<Option<Self>, VersionWithheld> {
         let Some(rollouts) = &node.rollouts else { return Ok(None) };
         let now_ms = node.now_ms();
         let class = RequestClass::new(route, u64::from(uncached_tokens));
-        if !rollouts.view.borrow_mut().record_sent(&entry.service, class, entry, now_ms) {
+        if !rollouts.view.borrow_mut().record_sent(&entry.service, class, kind, entry, now_ms) {
             return Err(VersionWithheld);
         }
         Ok(Some(Self {
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -13,7 +13,7 @@
     body_memory::{BodyBuffer, BodyError, Owner, Reservation},
     pauses::PAUSE_MAX_MS,
     placement::{Assignment, AttemptResult},
-    rollout::ResponseOutcome,
+    rollout::{ResponseOutcome, RunKind},
     stream_end::EndMarker,
     suspects::Suspect,
     traffic::{Repeat, UpstreamEntry},
@@ -77,9 +77,11 @@
 
     /// Counts the request for the version of the upstream, immediately before it is first sent. Fails if the version may
     /// not run it.
-    fn count_sent(&mut self, route: &str, entry: &UpstreamEntry) -> Result<(), VersionWithheld> {
+    fn count_sent(&mut self, params: &AttemptParams<'_>) -> Result<(), VersionWithheld> {
         if self.sent.is_none() {
-            self.sent = SentRequest::count(&self.node, route, self.uncached_tokens(), entry)?;
+            let AttemptParams { admitted, run_kind, entry, .. } = params;
+            let (route, tokens) = (&admitted.route.name, self.uncached_tokens());
+            self.sent = SentRequest::count(&self.node, route, tokens, *run_kind, entry)?;
         }
         Ok(())
     }
@@ -164,6 +166,7 @@
 pub(crate) struct AttemptParams<'a> {
     pub(crate) admitted: &'a AdmittedRequest,
     pub(crate) entry: UpstreamEntry,
+    pub(crate) run_kind: RunKind,
     /// Maximum time for sending the request and waiting for the response head.
     pub(crate) head_timeout_ms: u64,
     pub(crate) resume_after: Option<u64>,
@@ -198,7 +201,7 @@
             assignment.set_result(node.connect_failure_result());
             return AttemptOutcome::NotSent;
         };
-        if assignment.count_sent(&admitted.route.name, entry).is_err() {
+        if assignment.count_sent(&params).is_err() {
             node.put_pooled(&entry.id, connection, None);
             return AttemptOutcome::Withheld;
         }
--- a/crates/lentilhitch_policy/src/rollout.rs
+++ b/crates/lentilhitch_policy/src/rollout.rs
@@ -22,7 +22,7 @@
 
 pub use controller::{Controller, StageReport};
 pub use evidence::{Counts, EVIDENCE_BYTES_MAX, Evidence, LatencySample, RouteCounts};
-pub use node_view::{NodeView, RequestClass, ResponseOutcome, Side};
+pub use node_view::{NodeView, RequestClass, ResponseOutcome, RunKind, Side};
 pub use order::{Order, OrderTag};
 pub use plan::{OrderRelation, Plan, PlanEvent, Reason, RolloutState, Stage, Verdict};
 
--- a/crates/lentilhitch_policy/src/rollout/node_view.rs
+++ b/crates/lentilhitch_policy/src/rollout/node_view.rs
@@ -37,6 +37,14 @@
     Target,
 }
 
+/// Whether a request begins at an upstream or goes on there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunKind {
+    New,
+    /// A stream that an upstream of the same version has begun.
+    Continued,
+}
+
 /// Result of a request at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseOutcome {
@@ -441,6 +449,26 @@
         !is_shifted && view.is_in_use(version) && !view.is_withheld(version, now_ms)
     }
 
+    /// Returns whether an upstream may continue a stream of a service that its version has begun. The base may do so until
+    /// there is a verdict: it gets no new requests after the shift, but those that it has begun belong to the rollout.
+    pub fn may_continue(
+        &self,
+        service: &ServiceName,
+        upstream: &UpstreamEntry,
+        now_ms: u64,
+    ) -> bool {
+        let version = &upstream.version;
+        let is_base = self.services.get(service).is_some_and(|view| {
+            let plan = view.plan_in_progress();
+            plan.is_some_and(|it| it.base.contains(version) && it.order.to != *version)
+                && view.is_in_use(version)
+                && !view.is_withheld(version, now_ms)
+        });
+        is_base
+            || self.allowed(service, upstream, Side::Base, now_ms)
+            || self.allowed(service, upstream, Side::Target, now_ms)
+    }
+
     /// Counts a request immediately before it is sent. Returns `false` if it must not be sent to this upstream, because
     /// the permission has ended or been used up since the upstream was chosen.
     #[must_use]
@@ -448,10 +476,15 @@
         &mut self,
         service: &ServiceName,
         class: RequestClass,
+        kind: RunKind,
         upstream: &UpstreamEntry,
         now_ms: u64,
     ) -> bool {
-        if !self.allowed(service, upstream, Side::Target, now_ms) {
+        let is_allowed = match kind {
+            RunKind::New => self.allowed(service, upstream, Side::Target, now_ms),
+            RunKind::Continued => self.may_continue(service, upstream, now_ms),
+        };
+        if !is_allowed {
             return false;
         }
         let view = self.services.entry(service.clone()).or_default();
--- a/crates/lentilhitch_policy/tests/rollout_faults.rs
+++ b/crates/lentilhitch_policy/tests/rollout_faults.rs
@@ -8,7 +8,7 @@
 use lentilhitch_policy::{
     rollout::{
         Controller, EVIDENCE_BYTES_MAX, Evidence, Grant, NodeRun, NodeView, Order, OrderTag, Plan,
-        RequestClass, ResponseOutcome, Settings, Side, Stage, Verdict, budget,
+        RequestClass, ResponseOutcome, RunKind, Settings, Side, Stage, Verdict, budget,
     },
     traffic::{EntryState, UpstreamEntry},
 };
@@ -417,7 +417,7 @@
             let is_target = |it: &UpstreamEntry| target.as_ref() == Some(&it.version);
             let chosen = allowed.iter().find(|it| side == Side::Target && is_target(it));
             let Some(chosen) = chosen.or(allowed.first()) else { continue };
-            if !node.view.record_sent(&service(), class, chosen, now_ms) {
+            if !node.view.record_sent(&service(), class, RunKind::New, chosen, now_ms) {
                 continue;
             }
             if let (true, Some(plan)) = (is_target(chosen), known) {
@@ -488,7 +488,7 @@
     for idx in 0..20_000_usize {
         let class = RequestClass::new(&format!("route {}", idx % 20), 1 << (idx % 9));
         let upstream = upstream(usize::from(idx % 9 == 0), idx % 40);
-        if node.view.record_sent(&service(), class, &upstream, now_ms) {
+        if node.view.record_sent(&service(), class, RunKind::New, &upstream, now_ms) {
             let latency_ms = Some(100_000);
             let outcome = ResponseOutcome::Succeeded;
             node.view.record_outcome(&service(), class, &upstream, outcome, latency_ms, 0, now_ms);
@@ -513,3 +513,39 @@
         assert_eq!(plan.verdict.map(|it| it.is_completed), Some(!is_bad), "{plan:?}");
     }
 }
+
+/// Guards against streams of the earlier version that no node lets go on at the last stage of a rollout, although its
+/// upstreams serve until the verdict, and against a verdict that interrupts them.
+#[test]
+fn stream_may_go_on_at_the_base_until_the_verdict() {
+    let mut world = World::new(3);
+    (0..40).for_each(|_| world.step());
+    world.apply(&Event::Order { to: 1, is_bad: false, duration_s: 20 });
+    let base = upstream(0, 0);
+    let class = RequestClass::new("chat", 10);
+    let gets_new = |world: &World, idx: usize| {
+        let node = &world.nodes[idx];
+        node.view.allowed(&service(), &base, Side::Base, world.now_ms + node.offset_ms)
+    };
+    let verdict = |world: &World| world.store.plan.as_ref().and_then(|it| it.verdict);
+    while gets_new(&world, 1) {
+        world.step();
+    }
+    assert_eq!(verdict(&world), None);
+    let node = &mut world.nodes[1];
+    let now_ms = world.now_ms + node.offset_ms;
+    assert!(!node.view.record_sent(&service(), class, RunKind::New, &base, now_ms));
+    assert!(node.view.record_sent(&service(), class, RunKind::Continued, &base, now_ms));
+    (0..2_000 / STEP_MS).for_each(|_| world.step());
+    assert_eq!(verdict(&world), None, "the stream is still running");
+    let node = &mut world.nodes[1];
+    let now_ms = world.now_ms + node.offset_ms;
+    assert!(node.view.may_continue(&service(), &base, now_ms));
+    let outcome = ResponseOutcome::Succeeded;
+    node.view.record_outcome(&service(), class, &base, outcome, Some(20), 2_000, now_ms);
+    (0..2_000 / STEP_MS).for_each(|_| world.step());
+    assert_eq!(verdict(&world).map(|it| it.is_completed), Some(true));
+    let node = &world.nodes[1];
+    let now_ms = world.now_ms + node.offset_ms;
+    assert!(!node.view.may_continue(&service(), &base, now_ms), "its upstreams are stopped");
+}
