--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -423,6 +423,41 @@
     }
 }
 
+/// Guards against streams that the only node left rejects, since the other nodes that knew where they began were killed,
+/// although the store has their origins.
+#[tokio::test]
+async fn streams_go_on_at_their_version_after_all_nodes_but_one_were_killed() {
+    let mut site = start(OPTIONS).await;
+    set_streams(&site, 50, None);
+    let responses = begin_streams(&site, |_| 0).await;
+    until("the store has the origins of the streams", || async {
+        let written = site.nodes.iter().map(|it| n_streams_written(&it.process.log_text()));
+        N_STREAMS <= written.sum::<usize>()
+    })
+    .await
+    .unwrap();
+    for node in &mut site.nodes[..OPTIONS.n_nodes - 1] {
+        node.process.kill();
+    }
+    drop(responses);
+    set_streams(&site, 1, None);
+    let resume = |idx: usize| {
+        let request = site.request(OPTIONS.n_nodes - 1, &format!("t{idx}"), "/review/x");
+        site.send(request.header("resumes", format!("s{idx}")).header("last-event-id", "1"))
+    };
+    let responses = join_all((0..N_STREAMS).map(resume)).await;
+    for (idx, response) in responses.into_iter().enumerate() {
+        let response = response.unwrap();
+        let (first, second) = (format!("s{idx}"), format!("t{idx}"));
+        assert_eq!(response.status, 200, "{second}: {response:?}");
+        let versions = versions_of(&site, &[&first, &second]);
+        assert_eq!(versions.len(), 1, "{second} ran at {versions:?}");
+    }
+    let log = site.nodes[OPTIONS.n_nodes - 1].process.log_text();
+    let n_reads = log.matches("origins of streams read for a stream").count();
+    assert!((1..=N_STREAMS / 4).contains(&n_reads), "streams share reads: {n_reads}");
+}
+
 /// Guards against streams of a service with a single version that nobody lets go on after all nodes were killed at once,
 /// since none has followed the versions for as long as a stream may last.
 #[tokio::test]
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -50,6 +50,7 @@
     pool::{Connection, ConnectionPool},
     rollouts::Rollouts,
     settings::NodeSettings,
+    stream_archive::OriginReader,
     stream_versions::Inquiries,
     version_register::SharedRegister,
 };
@@ -97,6 +98,8 @@
     pub(crate) phase: watch::Sender<NodePhase>,
     /// Questions to other nodes about the origin of a stream.
     pub(crate) inquiries: Inquiries,
+    /// Reads of the origins of streams that the store has.
+    pub(crate) origin_reader: OriginReader,
     /// Software versions of the services in the store.
     pub(crate) version_register: SharedRegister,
     /// Notified when there are changed upstream entries to send to the peers immediately.
@@ -325,6 +328,7 @@
             n_in_flight: Rc::default(),
             phase,
             inquiries: Inquiries::default(),
+            origin_reader: OriginReader::default(),
             version_register: SharedRegister::default(),
             updates_due: Notify::new(),
             rates_due: Notify::new(),
--- a/crates/lentilhitch_gateway/src/stream_archive.rs
+++ b/crates/lentilhitch_gateway/src/stream_archive.rs
@@ -1,11 +1,15 @@
-//! Keeps the origins of streams in the store, and reads them when the node starts in a running deployment.
+//! Keeps the origins of streams in the store, and reads them when the node starts in a running deployment, and when a
+//! client takes up a stream that no other node knows.
 //!
 //! What is written, and why, is decided by [`lentilhitch_policy::stream_archive`].
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use tokio::time::sleep;
+use tokio::{
+    sync::Mutex,
+    time::{sleep, timeout},
+};
 
 use lentilhitch_policy::{
     gossip::Role, send_queue::Urgency, stream_archive::OriginBatch, stream_origins::OriginRecord,
@@ -27,6 +31,28 @@
 /// Delay after a failed read of the topic.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Minimum time between the starts of two reads for streams that are taken up, for each node of the deployment. All nodes
+/// together thus make at most a thousand reads a second.
+const READ_INTERVAL_PER_NODE_MS: u64 = 1;
+/// Minimum of this time. Batches are not written more often.
+const READ_INTERVAL_MIN_MS: u64 = 100;
+/// Time limit for a read for a stream that is taken up.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Reads of the origins by this node. At most one runs at a time.
+#[derive(Default)]
+pub(crate) struct OriginReader {
+    progress: Mutex<ReadProgress>,
+}
+
+#[derive(Default)]
+struct ReadProgress {
+    /// Position up to which the topic has been read.
+    next: LogPosition,
+    /// When the last successful read began.
+    began_ms: Option<u64>,
+}
+
 /// Passes the origins of streams that began at this node on while a service has several versions.
 pub(crate) async fn pass_on<P: Platform>(node: Rc<Node<P>>) {
     loop {
@@ -57,7 +83,8 @@
     // Decides which of the records have expired.
     version_register::read_at_start(&node).await;
     loop {
-        match node.load_origins().await {
+        let res = node.load_origins(&mut *node.origin_reader.progress.lock().await).await;
+        match res {
             Ok(n_streams) => {
                 let uptime_ms = node.clock.uptime_ms();
                 log::info!(n_streams, uptime_ms; "origins of streams read from the store");
@@ -113,9 +140,39 @@
         Ok(())
     }
 
+    /// Reads the origins of streams that the store has, unless a read that began at the given time or later has done so.
+    /// Requests that come meanwhile share one read. Returns whether the origins were read.
+    pub(crate) async fn read_origins_since(&self, since_ms: u64) -> bool {
+        let read = async {
+            let mut progress = self.origin_reader.progress.lock().await;
+            if progress.began_ms.is_some_and(|it| since_ms <= it) {
+                return true;
+            }
+            let interval_ms = READ_INTERVAL_PER_NODE_MS * self.n_nodes() as u64;
+            let interval_ms = interval_ms.max(READ_INTERVAL_MIN_MS);
+            let due_ms = progress.began_ms.map_or(0, |it| it + interval_ms);
+            sleep(Duration::from_millis(due_ms.saturating_sub(self.now_ms()))).await;
+            match self.load_origins(&mut progress).await {
+                Ok(n_streams) => {
+                    log::info!(n_streams; "origins of streams read for a stream that is taken up");
+                    true
+                }
+                Err(err) => {
+                    log::info!(error:% = err; "failed to read the origins of streams for a stream that is taken up");
+                    false
+                }
+            }
+        };
+        timeout(READ_TIMEOUT, read).await.unwrap_or(false)
+    }
+
     /// Returns the number of streams whose origins were read.
-    async fn load_origins(&self) -> Result<usize, CallError> {
-        let records = self.read_all(Topic::StreamOrigins, &mut LogPosition::default()).await?;
+    async fn load_origins(&self, progress: &mut ReadProgress) -> Result<usize, CallError> {
+        let began_ms = self.now_ms();
+        // The read may be canceled between two pages.
+        let mut next = progress.next;
+        let records = self.read_all(Topic::StreamOrigins, &mut next).await?;
+        *progress = ReadProgress { next, began_ms: Some(began_ms) };
         let (now_ms, synced_ms) = (self.now_ms(), self.synced_ms());
         let batches = records.iter().filter_map(decode);
         let origins: Vec<OriginRecord> =
--- a/crates/lentilhitch_gateway/src/stream_versions.rs
+++ b/crates/lentilhitch_gateway/src/stream_versions.rs
@@ -157,6 +157,7 @@
     Local,
     SoleVersion,
     Peer,
+    Store,
     SoleVersionAtPeer,
     /// The only version before the service got several, since the holders were not told.
     NotTold,
@@ -196,6 +197,62 @@
     Ok(())
 }
 
+impl<P: Platform> Node<P> {
+    /// Asks the nodes that may hold the stream, and then all nodes of the zone. If none knows it, the only version of the
+    /// service is taken if there is one. The list from which it follows may lack a version at which the stream began, so
+    /// either all nodes that may hold the stream have to answer, or the list has to be read again first. Nobody holds a stream
+    /// that its client does not name. If the service has several versions, the store may know the stream. If nodes that
+    /// would have been told of it otherwise don't know it, it began before.
+    async fn ask_for_origin(
+        &self,
+        key: Option<StreamKey>,
+        service: &ServiceName,
+    ) -> Option<(StreamOrigin, Source)> {
+        let service = service_hash(service);
+        let asked_ms = self.now_ms();
+        let mut answers = Answers::default();
+        let mut has_read_store = false;
+        let (first, zone) = self.nodes_to_ask(key);
+        let mut inquiry = self.inquiries.start();
+        let question = Question { number: inquiry.number, key, service };
+        for (nodes, time_limit) in [(first, FIRST_ANSWERS_TIMEOUT), (zone, ZONE_ANSWERS_TIMEOUT)] {
+            let n_silent =
+                self.ask(question, &nodes, time_limit, &mut inquiry.answers, &mut answers).await;
+            if let Some(origin) = answers.known {
+                return Some((origin, Source::Peer));
+            }
+            // No node knows a stream without a name, so answers show nothing.
+            let may_infer = n_silent == 0 && key.is_some();
+            if may_infer || self.is_list_read_since(asked_ms) {
+                let inferred = self.infer_origin(service, &answers);
+                if inferred.is_some() {
+                    return inferred;
+                }
+            }
+            let Some(key) = key else { continue };
+            let is_mixed = answers.is_mixed || self.is_mixed(service);
+            if is_mixed && !std::mem::replace(&mut has_read_store, true) {
+                self.read_origins_since(asked_ms).await;
+                if let Some(origin) = self.state.borrow().stream_origins.get(key) {
+                    return Some((origin, Source::Store));
+                }
+            }
+            if let Some(origin) = self.untold_origin(key, service, &answers) {
+                return Some((origin, Source::NotTold));
+            }
+        }
+        // Without any version to infer, there is nothing to wait for.
+        self.infer_origin(service, &answers)?;
+        let time_limit = Duration::from_millis(self.confirmation_age_max_ms());
+        let res = timeout(time_limit, self.list_read_since(asked_ms)).await;
+        if res.is_err() {
+            log::info!(service_hash = service, list_age_ms = self.list_age_ms(); "version not inferred, since the list of upstreams was not read in time");
+            return None;
+        }
+        self.infer_origin(service, &answers)
+    }
+}
+
 impl<P> Node<P> {
     /// Returns the origin of all streams of a service, if it has had a single version for long enough and this node's list of
     /// upstreams is current.
@@ -268,55 +325,10 @@
         }
     }
 
-    /// Asks the nodes that may hold the stream, and then all nodes of the zone. If none knows it, the only version of the
-    /// service is taken if there is one. The list from which it follows may lack a version at which the stream began, so
-    /// either all nodes that may hold the stream have to answer, or the list has to be read again first. Nobody holds a stream
-    /// that its client does not name. If the service has several versions, and nodes that would have been told of the
-    /// stream otherwise don't know it, it began before.
-    async fn ask_for_origin(
-        &self,
-        key: Option<StreamKey>,
-        service: &ServiceName,
-    ) -> Option<(StreamOrigin, Source)> {
-        let service = service_hash(service);
-        let asked_ms = self.now_ms();
-        let mut answers = Answers::default();
-        let (first, zone) = self.nodes_to_ask(key);
-        let mut inquiry = self.inquiries.start();
-        let question = Question { number: inquiry.number, key, service };
-        for (nodes, time_limit) in [(first, FIRST_ANSWERS_TIMEOUT), (zone, ZONE_ANSWERS_TIMEOUT)] {
-            let n_silent =
-                self.ask(question, &nodes, time_limit, &mut inquiry.answers, &mut answers).await;
-            if let Some(origin) = answers.known {
-                return Some((origin, Source::Peer));
-            }
-            // No node knows a stream without a name, so answers show nothing.
-            let may_infer = n_silent == 0 && key.is_some();
-            if may_infer || self.is_list_read_since(asked_ms) {
-                let inferred = self.infer_origin(service, &answers);
-                if inferred.is_some() {
-                    return inferred;
-                }
-            }
-            if let Some(origin) = key.and_then(|it| self.untold_origin(it, service, &answers)) {
-                return Some((origin, Source::NotTold));
-            }
-        }
-        // Without any version to infer, there is nothing to wait for.
-        self.infer_origin(service, &answers)?;
-        let time_limit = Duration::from_millis(self.confirmation_age_max_ms());
-        let res = timeout(time_limit, self.list_read_since(asked_ms)).await;
-        if res.is_err() {
-            log::info!(service_hash = service, list_age_ms = self.list_age_ms(); "version not inferred, since the list of upstreams was not read in time");
-            return None;
-        }
-        self.infer_origin(service, &answers)
-    }
-
     /// Returns the only version of a service, if this node or a node that has answered knows of one, and none of several.
     fn infer_origin(&self, service: u32, answers: &Answers) -> Option<(StreamOrigin, Source)> {
         let local = self.sole_origin(service);
-        if self.state.borrow().stream_origins.is_mixed(service, self.now_ms()) {
+        if self.is_mixed(service) {
             return None;
         }
         let source = if local.is_some() { Source::SoleVersion } else { Source::SoleVersionAtPeer };
@@ -345,6 +357,11 @@
         Some((state.gossip.local_node(), origin))
     }
 
+    /// Returns whether a service has several versions, or had some within the lifetime of a stream.
+    fn is_mixed(&self, service: u32) -> bool {
+        self.state.borrow().stream_origins.is_mixed(service, self.now_ms())
+    }
+
     fn list_age_ms(&self) -> Option<u64> {
         self.state.borrow().catalog.age_ms(self.now_ms())
     }
@@ -423,7 +440,7 @@
             OriginMessage::Question(Question { number, key, service }) => {
                 let known = key.and_then(|it| self.state.borrow().stream_origins.get(it));
                 let sole = if known.is_none() { self.sole_origin(service) } else { None };
-                let is_mixed = self.state.borrow().stream_origins.is_mixed(service, self.now_ms());
+                let is_mixed = self.is_mixed(service);
                 let untold = if known.is_none() { self.untold_answer(service) } else { None };
                 let answer =
                     OriginMessage::Answer(Answer { number, known, sole, is_mixed, untold });
