--- a/crates/lentilhitch_policy/tests/stream_origins.rs
+++ b/crates/lentilhitch_policy/tests/stream_origins.rs
@@ -579,7 +579,7 @@
                 let is_told = knows(first) || told.iter().any(knows);
                 assert!(!is_known || is_told, "{n_nodes} nodes, {name}, began at {first:?}");
             }
-            let single = nodes.iter().nth(rng.random_range(0..nodes.len())).unwrap();
+            let single = &nodes[rng.random_range(0..nodes.len())];
             let single_lost = would_be_known(key, &nodes, &answers(&[single]));
             assert!(single_lost, "{n_nodes} nodes, {name}, without {single:?}");
         }
