--- a/crates/lentilhitch_gateway/src/gossip.rs
+++ b/crates/lentilhitch_gateway/src/gossip.rs
@@ -183,7 +183,9 @@
     fn has_news_to_send(&self) -> bool {
         let now_ms = self.now_ms();
         let mut state = self.state.borrow_mut();
-        state.update_upstream_news(now_ms);
+        if state.update_upstream_news(now_ms) {
+            self.quarantine_register.on_quarantines_changed();
+        }
         state.has_urgent_news()
     }
 
--- a/crates/lentilhitch_gateway/src/node.rs
+++ b/crates/lentilhitch_gateway/src/node.rs
@@ -48,6 +48,7 @@
     outbox::Outbox,
     overload::LoadShedding,
     pool::{Connection, ConnectionPool},
+    quarantine_register::SharedQuarantines,
     rollouts::Rollouts,
     settings::NodeSettings,
     stream_archive::OriginReader,
@@ -102,6 +103,8 @@
     pub(crate) origin_reader: OriginReader,
     /// Software versions of the services in the store.
     pub(crate) version_register: SharedRegister,
+    /// Quarantines in the store.
+    pub(crate) quarantine_register: SharedQuarantines,
     /// Notified when there are changed upstream entries to send to the peers immediately.
     pub(crate) updates_due: Notify,
     /// Notified when the peers should immediately receive the cost of the requests that this node has admitted.
@@ -330,6 +333,7 @@
             inquiries: Inquiries::default(),
             origin_reader: OriginReader::default(),
             version_register: SharedRegister::default(),
+            quarantine_register: SharedQuarantines::default(),
             updates_due: Notify::new(),
             rates_due: Notify::new(),
             origins_due: Notify::new(),
@@ -503,10 +507,12 @@
     }
 
     /// Starts the quarantines of prompt segments that are due, updates the shares in limits of upstreams, and queues the
-    /// reports on both for the peers.
-    pub(crate) fn update_upstream_news(&mut self, now_ms: u64) {
+    /// reports on both for the peers. Returns whether a quarantine has begun.
+    pub(crate) fn update_upstream_news(&mut self, now_ms: u64) -> bool {
+        self.suspects.end_adopted_quarantines(now_ms);
         let segments = &mut self.suspects.segments;
-        for (segment, n_crashes) in segments.decide(now_ms) {
+        let newly_quarantined = segments.decide(now_ms);
+        for (segment, n_crashes) in &newly_quarantined {
             log::warn!(segment:% = segment, n_crashes; "prompt segment quarantined");
         }
         self.segment_reports.extend(&segments.take_reports(now_ms), now_ms);
@@ -517,6 +523,7 @@
             self.restrictions.limits.update(members, now_ms);
             self.limit_reports.extend(&self.restrictions.limits.take_reports(), now_ms);
         }
+        !newly_quarantined.is_empty()
     }
 
     /// Records the limit in requests per second that an upstream states in a response, or that it states none.
--- a/crates/lentilhitch_gateway/src/platform.rs
+++ b/crates/lentilhitch_gateway/src/platform.rs
@@ -199,6 +199,8 @@
     StreamOrigins,
     /// Software versions at which streams may have begun. One record holds those of all services.
     StreamVersions,
+    /// Quarantined requests and prompt segments. One record holds all.
+    Quarantines,
     /// Orders of rollouts, written by operators: one record for each service.
     RolloutOrders,
     /// Plans of rollouts, by service.
--- a/crates/lentilhitch_gateway/src/run.rs
+++ b/crates/lentilhitch_gateway/src/run.rs
@@ -14,9 +14,11 @@
     discovery, duties, exchange, gossip, ingress, memory_watch,
     node::{Node, NodePhase},
     platform::Platform,
+    quarantine_register::{self, Quarantines},
     rollouts,
     settings::NodeSettings,
-    stream_archive, upstream_paths, version_histories, version_register,
+    store_register, stream_archive, upstream_paths, version_histories,
+    version_register::Versions,
 };
 
 /// Time after which the load balancer sends no more clients to a stopping node. It checks readiness once a second and
@@ -64,7 +66,9 @@
     spawn_local(stream_archive::load(node.clone()));
     spawn_local(stream_archive::pass_on(node.clone()));
     spawn_local(stream_archive::write(node.clone()));
-    spawn_local(version_register::maintain(node.clone()));
+    spawn_local(store_register::maintain::<Versions, P>(node.clone()));
+    spawn_local(quarantine_register::load(node.clone()));
+    spawn_local(store_register::maintain::<Quarantines, P>(node.clone()));
     rollouts::start(&node, duty.clone());
     let has_duty = settings.has_usage_duty || settings.has_scaling_duty;
     if has_duty || settings.rollouts.is_some() {
--- a/crates/lentilhitch_gateway/src/stream_archive.rs
+++ b/crates/lentilhitch_gateway/src/stream_archive.rs
@@ -20,8 +20,9 @@
     gossip::Datagram,
     node::Node,
     platform::{CallError, Platform, Record, Topic},
+    store_register,
     stream_versions::{OriginMessage, RECORDS_PER_MESSAGE_MAX},
-    version_register,
+    version_register::Versions,
 };
 
 /// Time for which a node collects the origins of its streams before it passes them on.
@@ -81,7 +82,7 @@
         return;
     }
     // Decides which of the records have expired.
-    version_register::read_at_start(&node).await;
+    store_register::read_at_start::<Versions, P>(&node).await;
     loop {
         let res = node.load_origins(&mut *node.origin_reader.progress.lock().await).await;
         match res {
--- a/crates/lentilhitch_policy/src/lib.rs
+++ b/crates/lentilhitch_policy/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod peer_queries;
 pub mod placement;
 pub mod quarantine;
+pub mod quarantine_register;
 pub mod response_budget;
 pub mod restrictions;
 pub mod retry;
--- a/crates/lentilhitch_policy/src/suspects.rs
+++ b/crates/lentilhitch_policy/src/suspects.rs
@@ -10,7 +10,7 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use rustc_hash::{FxBuildHasher, FxHashMap, FxHashSet};
 use serde::{Deserialize, Serialize};
 
@@ -60,8 +60,9 @@
     crashed_incarnations: VecDeque<UpstreamIncarnation>,
     crashes_by_request: FxHashMap<Fingerprint, FxHashSet<u64>>,
     insertion_order: VecDeque<Fingerprint>,
-    /// Requests that are quarantined, the latest last.
-    quarantined: IndexSet<Fingerprint, FxBuildHasher>,
+    /// Requests that are quarantined, the latest last, each with the end of its quarantine if it was taken over from the
+    /// store.
+    quarantined: IndexMap<Fingerprint, Option<u64>, FxBuildHasher>,
     /// When the latest of them were last reported to the peers.
     reminded_ms: u64,
 }
@@ -143,7 +144,7 @@
         let crashes = self.crashes_by_request.entry(request).or_default();
         let is_new = crashes.insert(crash);
         if CRASHES_UNTIL_QUARANTINE <= crashes.len() {
-            quarantine(&mut self.quarantined, request);
+            quarantine(&mut self.quarantined, request, None);
             for it in crashes.iter() {
                 self.segments.explain_crash(*it);
             }
@@ -153,22 +154,41 @@
 
     /// Returns whether the request was present at so many crashes that it is no longer sent to any upstream.
     pub fn is_quarantined(&self, request: Fingerprint) -> bool {
-        self.quarantined.contains(&request)
+        self.quarantined.contains_key(&request)
     }
 
     /// Quarantines a request as a peer has reported. Returns whether it was not quarantined before.
     pub fn on_quarantined(&mut self, request: QuarantinedRequest) -> bool {
-        quarantine(&mut self.quarantined, request.0)
+        quarantine(&mut self.quarantined, request.0, None)
     }
 
-    /// Returns the reports of quarantined requests that are due: those of the latest, at an interval.
+    /// Quarantines a request until the given time, as the store has it from nodes that may all be lost. A quarantine that
+    /// this node knows of otherwise stays as it is.
+    pub fn adopt_quarantine(&mut self, request: Fingerprint, end_ms: u64) {
+        if !self.is_quarantined(request) {
+            quarantine(&mut self.quarantined, request, Some(end_ms));
+        }
+    }
+
+    /// Ends the quarantines of requests that were taken over from the store and are over.
+    pub fn end_adopted_quarantines(&mut self, now_ms: u64) {
+        self.quarantined.retain(|_, end_ms| end_ms.is_none_or(|it| now_ms < it));
+    }
+
+    /// Returns the quarantined requests, the latest last.
+    pub fn quarantined_requests(&self) -> impl DoubleEndedIterator<Item = Fingerprint> {
+        self.quarantined.keys().copied()
+    }
+
+    /// Returns the reports of quarantined requests that are due: those of the latest, at an interval. Each node takes
+    /// over from the store itself what is there, so that its end stays the same.
     pub fn take_reminders(&mut self, now_ms: u64) -> Vec<QuarantinedRequest> {
         if now_ms < self.reminded_ms + self.segments.reminder_interval_ms() {
             return Vec::new();
         }
         self.reminded_ms = now_ms;
-        let latest = self.quarantined.iter().rev().take(REMINDERS_MAX);
-        latest.copied().map(QuarantinedRequest).collect()
+        let found = self.quarantined.iter().rev().filter(|it| it.1.is_none());
+        found.take(REMINDERS_MAX).map(|it| QuarantinedRequest(*it.0)).collect()
     }
 
     /// Returns whether the request, or a segment of its prompt, is quarantined.
@@ -180,10 +200,11 @@
 
 /// Adds a quarantined request, and drops the first one if there are too many. Returns whether it was not quarantined before.
 fn quarantine(
-    quarantined: &mut IndexSet<Fingerprint, FxBuildHasher>,
+    quarantined: &mut IndexMap<Fingerprint, Option<u64>, FxBuildHasher>,
     request: Fingerprint,
+    end_ms: Option<u64>,
 ) -> bool {
-    let is_new = quarantined.insert(request);
+    let is_new = quarantined.insert(request, end_ms).is_none();
     if SUSPECTS_MAX < quarantined.len() {
         quarantined.shift_remove_index(0);
     }
--- a/crates/lentilhitch_policy/src/suspects/segments.rs
+++ b/crates/lentilhitch_policy/src/suspects/segments.rs
@@ -267,6 +267,19 @@
         reports
     }
 
+    /// Returns the quarantined segments, and since when each is, the latest first.
+    pub fn quarantines(&self) -> Vec<(SegmentId, u64)> {
+        let quarantined = self.evidence.iter().filter_map(|it| Some((*it.0, it.1.quarantined_ms?)));
+        let mut quarantined: Vec<_> = quarantined.collect();
+        quarantined.sort_unstable_by_key(|it| Reverse((it.1, it.0)));
+        quarantined
+    }
+
+    /// Returns the duration of a quarantine.
+    pub fn quarantine_ms(&self) -> u64 {
+        self.settings.quarantine_ms
+    }
+
     /// Returns the interval at which quarantines are reported again.
     pub(super) fn reminder_interval_ms(&self) -> u64 {
         self.settings.reminder_interval_ms
@@ -274,11 +287,10 @@
 
     /// Returns reports of the quarantines that began last.
     fn reminders(&self, now_ms: u64) -> impl Iterator<Item = SegmentReport> + use<> {
-        let quarantined = self.evidence.iter().filter_map(|it| Some((it.1.quarantined_ms?, *it.0)));
-        let mut quarantined: Vec<_> = quarantined.collect();
-        quarantined.sort_unstable_by_key(|it| Reverse(*it));
-        quarantined.into_iter().take(REMINDERS_MAX).map(move |(since_ms, segment)| {
-            SegmentReport::Quarantined { segment, age_ms: now_ms.saturating_sub(since_ms) }
+        let quarantines = self.quarantines().into_iter().take(REMINDERS_MAX);
+        quarantines.map(move |(segment, since_ms)| SegmentReport::Quarantined {
+            segment,
+            age_ms: now_ms.saturating_sub(since_ms),
         })
     }
 
