--- a/crates/lentilhitch_policy/tests/quarantine_register.rs
+++ b/crates/lentilhitch_policy/tests/quarantine_register.rs
@@ -58,9 +58,9 @@
         true
     }
 
-    fn read(&mut self, store: &Option<QuarantineRecord>, elapsed_ms: u64) {
+    fn read(&mut self, store: Option<&QuarantineRecord>, elapsed_ms: u64) {
         let now = self.now(elapsed_ms);
-        self.register.on_read(store.clone(), &mut self.suspects, now);
+        self.register.on_read(store.cloned(), &mut self.suspects, now);
     }
 
     fn is_quarantined(&mut self, elapsed_ms: u64) -> (bool, bool) {
@@ -89,7 +89,7 @@
     let (_, store) = node_with_quarantines();
     for started_ms in [3_000, 100_000] {
         let mut node = Node::new(started_ms);
-        node.read(&store, started_ms);
+        node.read(store.as_ref(), started_ms);
         assert_eq!(node.is_quarantined(started_ms), (true, true), "started at {started_ms} ms");
         assert_eq!(node.due(started_ms), None, "the store has them already");
     }
@@ -102,14 +102,14 @@
     let end_ms = 2_000 + SETTINGS.quarantine_ms;
     for started_ms in [50_000, 150_000, 250_000] {
         let mut node = Node::new(started_ms);
-        node.read(&store, started_ms);
+        node.read(store.as_ref(), started_ms);
         node.write(&mut store, started_ms);
         assert_eq!(node.is_quarantined(end_ms - 1), (true, true), "started at {started_ms} ms");
         assert_eq!(node.is_quarantined(end_ms), (false, false), "started at {started_ms} ms");
     }
     assert_eq!(first.is_quarantined(end_ms), (false, true));
     let mut late = Node::new(end_ms);
-    late.read(&store, end_ms);
+    late.read(store.as_ref(), end_ms);
     assert_eq!(late.is_quarantined(end_ms), (false, false));
 }
 
@@ -118,7 +118,7 @@
 fn request_that_is_taken_over_is_not_reported_to_others() {
     let (_, store) = node_with_quarantines();
     let mut node = Node::new(10_000);
-    node.read(&store, 10_000);
+    node.read(store.as_ref(), 10_000);
     let now_ms = node.now(20_000).local_ms;
     assert_eq!(node.suspects.take_reminders(now_ms), []);
     node.suspects.on_quarantined(QuarantinedRequest(REQUEST));
@@ -133,11 +133,11 @@
     node.suspects.segments.record_answer(&[SEGMENT], node.now(5_000).local_ms);
     assert!(node.write(&mut store, 5_000));
     let mut started = Node::new(6_000);
-    started.read(&store, 6_000);
+    started.read(store.as_ref(), 6_000);
     assert_eq!(started.is_quarantined(6_000), (false, true));
 
     // The store returns from a copy that has the earlier record.
-    node.read(&old, 7_000);
+    node.read(old.as_ref(), 7_000);
     assert_eq!(node.is_quarantined(7_000), (false, true));
     let now = node.now(7_000);
     let due = node.register.due_record(&node.suspects, StoreEra(2), now);
