--- a/crates/lentilhitch/tests/edge_unframed.rs
+++ b/crates/lentilhitch/tests/edge_unframed.rs
@@ -4,8 +4,8 @@
 use lentilhitch_standin::{
     harness::until,
     users_platform::{
-        Behavior, ClientResponse, RawEnd, RawResponse, RawScript, RawUpstream, Site, SiteOptions,
-        Upstream,
+        Behavior, ClientResponse, Cut, RawEnd, RawResponse, RawScript, RawUpstream, Site,
+        SiteOptions, Upstream,
     },
 };
 use serde_json::json;
@@ -271,3 +271,98 @@
         assert_eq!(is_complete, case.is_complete, "{}", case.name);
     }
 }
+
+/// Sends a long upload to the first node, and returns the response.
+async fn upload(site: &Site, id: &str, path: &str) -> ClientResponse {
+    const UPLOAD_BYTES: usize = 3_000_000;
+    site.send(site.request(0, id, path).body(vec![b'u'; UPLOAD_BYTES])).await.unwrap()
+}
+
+/// Allows longer uploads, and waits until all nodes do.
+async fn allow_uploads(site: &mut Site) {
+    let version = site.put_config(|config| config["limits"]["maxBodyBytes"] = json!(4_000_000));
+    let text = format!("\"version\":\"{version}\",\"n_routes\"");
+    until("the nodes allow uploads", || async {
+        site.nodes.iter().all(|it| it.process.log_text().contains(&text))
+    })
+    .await
+    .unwrap();
+}
+
+/// Guards against a part of a response without length that reaches the client as complete, because the upstream reset the
+/// connection while the upload was still being written.
+#[tokio::test]
+async fn partial_response_to_an_upload_is_not_completed() {
+    for (service, path, start_text) in [
+        ("filing", "/status/x", unframed!("part")),
+        ("filing", "/book/x", unframed!("part")),
+        ("draft", "/ask/x", unframed!("id: 1\ndata: a\n\n")),
+        ("draft", "/review/x", unframed!("id: 1\ndata: a\n\n")),
+    ] {
+        let response = RawResponse { start: start_text, end: RawEnd::Reset };
+        let script = RawScript { leaves_body_unread: true, ..RawScript::new(vec![response]) };
+        let (mut site, upstream) = start(service, script).await;
+        allow_uploads(&mut site).await;
+        let first = upload(&site, "u0", path);
+        let reset = async {
+            until("the request is at the upstream", || async { 0 < upstream.n_requests() }).await?;
+            upstream.allow_resets();
+            anyhow::Ok(())
+        };
+        let (first, reset) = tokio::join!(first, reset);
+        reset.unwrap();
+        assert!(first.status != 200 || !first.is_complete, "{path}: {first:?}");
+        for idx in 1..6 {
+            let response = upload(&site, &format!("u{idx}"), path).await;
+            assert!(response.status != 200 || !response.is_complete, "{path}: {response:?}");
+        }
+    }
+}
+
+/// The same for a node that is cut off from the upstreams and sends the request through another one.
+#[tokio::test]
+async fn partial_response_to_an_upload_through_a_peer_is_not_completed() {
+    for (service, path, start_text) in [
+        ("filing", "/status/x", unframed!("part")),
+        ("draft", "/ask/x", unframed!("id: 1\ndata: a\n\n")),
+    ] {
+        let options = SiteOptions { n_nodes: 2, has_links: true, ..OPTIONS };
+        let mut site = Site::start_without_waiting(options).await.unwrap();
+        let response = RawResponse { start: start_text, end: RawEnd::Reset };
+        let script = RawScript { leaves_body_unread: true, ..RawScript::new(vec![response]) };
+        let upstream = RawUpstream::start(&site.store, "raw-0", service, script).await.unwrap();
+        site.link(&upstream).await.unwrap();
+        site.until_ready().await.unwrap();
+        allow_uploads(&mut site).await;
+        site.cut_links(Cut::RefuseNew).await.unwrap();
+        upstream.allow_resets();
+        until("a request reaches the upstream through the other node", || async {
+            let id = format!("u{}", upstream.n_requests());
+            let response = upload(&site, &id, path).await;
+            assert!(response.status != 200 || !response.is_complete, "{path}: {response:?}");
+            6 <= upstream.n_requests()
+        })
+        .await
+        .unwrap();
+    }
+}
+
+/// Guards against responses with a status that no response has, which reach the client as answers.
+#[tokio::test]
+async fn response_with_a_status_out_of_range_is_not_passed_on() {
+    const STATUSES: [u16; 7] = [0, 1, 99, 101, 199, 600, 999];
+    for (service, path) in [("filing", "/status/x"), ("filing", "/book/x"), ("draft", "/ask/x")] {
+        let responses = STATUSES.map(|status| {
+            let start = format!(
+                "HTTP/1.1 {status:03} X\r\nx-attempt-id: {{id}}\r\nx-server-stamp: s\r\n\
+                 content-length: 3\r\n\r\nend"
+            );
+            RawResponse { start: start.leak(), end: RawEnd::Close }
+        });
+        for (status, response) in STATUSES.into_iter().zip(responses) {
+            let (site, _upstream) = start(service, RawScript::new(vec![response])).await;
+            let response = site.call(0, "u1", path).await.unwrap();
+            assert_eq!(response.status, 502, "{path}, status {status:03}: {response:?}");
+        }
+    }
+}
--- a/crates/lentilhitch_gateway/src/peer_relay.rs
+++ b/crates/lentilhitch_gateway/src/peer_relay.rs
@@ -26,7 +26,9 @@
     node::{Node, NodePhase},
     platform::{Platform, ResponseKind},
     pool::{Connection, SendError, SendResult},
-    upstream_attempt::{FOREIGN_RESPONSE, end_marker, keep_alive_ms},
+    upstream_attempt::{
+        FOREIGN_RESPONSE, INVALID_STATUS, end_marker, is_final_status, keep_alive_ms,
+    },
     upstream_paths::CONNECT_TIMEOUT_MS,
 };
 
@@ -264,6 +266,9 @@
 ) -> Result<Response<ResponseBody>, Failure> {
     let (parts, body) = response.into_parts();
     node.on_upstream_heard();
+    if !is_final_status(parts.status) {
+        return Err(Failure { result: RESULT_BROKEN, reason: INVALID_STATUS });
+    }
     let head = P::decode_response(&parts);
     if !node.on_response_head(upstream, &head, request_id) {
         return Err(Failure { result: RESULT_BROKEN, reason: FOREIGN_RESPONSE });
--- a/crates/lentilhitch_gateway/src/upstream_attempt.rs
+++ b/crates/lentilhitch_gateway/src/upstream_attempt.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, header, response};
+use http::{HeaderValue, Request, StatusCode, header, response};
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -363,6 +363,12 @@
     mut assignment: AssignmentGuard<P>,
 ) -> AttemptOutcome<P> {
     let (mut parts, body) = response.into_parts();
+    if !is_final_status(parts.status) {
+        let (request, upstream) = (params.admitted.head.id.as_str(), params.entry.id.as_str());
+        log::warn!(request, upstream, status = parts.status.as_u16(); "response with a status out of range");
+        assignment.set_result(AttemptResult::Failed);
+        return AttemptOutcome::Unknown(INVALID_STATUS);
+    }
     let end_marker =
         peer_relay::take_end_marker(&mut parts).unwrap_or_else(|| end_marker(&parts, &body));
     if connection.peer.is_none() {
@@ -399,6 +405,15 @@
     outcome
 }
 
+/// Reason for which a response is not used whose status is out of range.
+pub(crate) const INVALID_STATUS: &str = "the answer has a status out of range";
+
+/// Returns whether a response may have a status as its last one. The HTTP library lets through 101, although no request
+/// asks for another protocol, and what is above the classes that HTTP has.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Reason for which a response is not used that has the id of another request or none. An upstream may send a copy of
 /// an earlier response where the response to a request is due.
 pub(crate) const FOREIGN_RESPONSE: &str = "the answer belongs to another request";
--- a/crates/lentilhitch_standin/src/users_platform/raw_upstream.rs
+++ b/crates/lentilhitch_standin/src/users_platform/raw_upstream.rs
@@ -16,6 +16,8 @@
 
 /// Maximum size of a request that the stand-in reads before it responds.
 const REQUEST_BYTES_MAX: usize = 64 * 1024;
+/// Size of the receive buffers of an upstream that leaves bodies unread, so that its peer is still writing a longer one.
+const UNREAD_BYTES_MAX: usize = 4 * 1024;
 /// Path of the request to transfer the KV cache of a run.
 const KV_TRANSFER_PATH: &str = "/lentilhitch/kv-move";
 
@@ -52,12 +54,18 @@
     pub responses: Vec<RawResponse>,
     /// Complete response to a request to transfer a KV cache.
     pub kv_transfer: &'static str,
+    /// Whether the upstream responds to the head of a request and reads nothing of its body.
+    pub leaves_body_unread: bool,
 }
 
 impl RawScript {
     /// A script for an upstream that knows no run whose KV cache it could transfer.
     pub fn new(responses: Vec<RawResponse>) -> Self {
-        Self { responses, kv_transfer: "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n" }
+        Self {
+            responses,
+            kv_transfer: "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+            leaves_body_unread: false,
+        }
     }
 }
 
@@ -92,6 +100,9 @@
         script: RawScript,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind((crate::harness::own_ip(), 0)).await?;
+        if script.leaves_body_unread {
+            SockRef::from(&listener).set_recv_buffer_size(UNREAD_BYTES_MAX)?;
+        }
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             script,
@@ -161,7 +172,8 @@
 async fn respond(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
     let mut late_copy = String::new();
     loop {
-        let Some(head) = read_request(&mut stream).await? else { return Ok(()) };
+        let request = read_request(&mut stream, shared.script.leaves_body_unread).await?;
+        let Some(head) = request else { return Ok(()) };
         if head.contains(KV_TRANSFER_PATH) {
             stream.write_all(shared.script.kv_transfer.as_bytes()).await?;
             shared.is_transfer_requested.send_replace(true);
@@ -197,8 +209,12 @@
     }
 }
 
-/// Reads a request with its body. Returns its head in lower case, or `None` if the connection ends before.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<String>> {
+/// Reads a request with its body, unless that is left unread. Returns its head in lower case, or `None` if the connection
+/// ends before.
+async fn read_request(
+    stream: &mut TcpStream,
+    leaves_body_unread: bool,
+) -> std::io::Result<Option<String>> {
     const HEAD_END: &[u8] = b"\r\n\r\n";
     let mut request = Vec::new();
     while request.len() < REQUEST_BYTES_MAX {
@@ -210,7 +226,8 @@
         };
         let head = String::from_utf8_lossy(&request[..head_bytes]).to_lowercase();
         let body_bytes = header(&head, "content-length").and_then(|it| it.parse().ok());
-        if head_bytes + HEAD_END.len() + body_bytes.unwrap_or(0) <= request.len() {
+        let request_bytes = head_bytes + HEAD_END.len() + body_bytes.unwrap_or(0);
+        if leaves_body_unread || request_bytes <= request.len() {
             return Ok(Some(head));
         }
     }
