--- a/crates/lentilhitch/tests/not_run.rs
+++ b/crates/lentilhitch/tests/not_run.rs
@@ -87,3 +87,16 @@
     assert_eq!(keyed.status(), 201);
     assert_eq!(cluster.runs(0).await.len(), 1);
 }
+
+/// Guards against responses with a status that no response has, which reach the client as answers.
+#[tokio::test]
+async fn response_with_a_status_out_of_range_is_not_passed_on() {
+    let options = Options { n_engines: 0, n_applications: 1, ..Options::default() };
+    let cluster = Cluster::start_ready(options).await.unwrap();
+    let address = cluster.applications[0].address;
+    for status in [600, 999] {
+        cluster.set_faults(address, &json!({ "answer_status": status })).await.unwrap();
+        let (_, outcome) = post(&cluster, &cluster.entries[0]).await;
+        assert_eq!(outcome.as_deref(), Some("unknown"), "status {status}");
+    }
+}
--- a/crates/lentilhitch_entry/src/application.rs
+++ b/crates/lentilhitch_entry/src/application.rs
@@ -4,7 +4,7 @@
 //! sends the call to an upstream. After a failure it sends the call to another upstream only if no byte of the call was
 //! sent before, or if the declaration of the service states that the call may be repeated.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::RangeInclusive, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -316,6 +316,9 @@
     request.header("x-team", call.team.team.as_str()).body(call.body.clone())
 }
 
+/// Statuses that a response may have as its last one.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Outcome of sending a call to one upstream and reading the response.
 enum ReadOutcome {
     Responded(FullResponse),
@@ -334,6 +337,11 @@
         SendOutcome::NotConnected(unsent_proof) => return ReadOutcome::NotConnected(unsent_proof),
     };
     let status = response.status().as_u16();
+    // The HTTP library lets through statuses above the classes that HTTP has.
+    if !FINAL_STATUSES.contains(&status) {
+        log::warn!(status; "response of an upstream with a status out of range");
+        return ReadOutcome::Interrupted;
+    }
     let header_text =
         |it: &reqwest::header::HeaderValue| String::from_utf8_lossy(it.as_bytes()).into_owned();
     let headers = response
--- a/crates/lentilhitch_standin/src/application.rs
+++ b/crates/lentilhitch_standin/src/application.rs
@@ -24,6 +24,8 @@
 pub struct Faults {
     /// Delay between the execution of a call and its response, in milliseconds.
     pub answer_delay_ms: u64,
+    /// Status of all responses.
+    pub answer_status: Option<u16>,
 }
 
 /// One call that the application executed.
@@ -71,9 +73,10 @@
             runs.push(run.clone());
             runs.len()
         };
-        let delay_ms = application.faults.lock().answer_delay_ms;
-        sleep(Duration::from_millis(delay_ms)).await;
-        let status = if request.method() == Method::Post { Status::Created } else { Status::Ok };
+        let Faults { answer_delay_ms, answer_status } = application.faults.lock().clone();
+        sleep(Duration::from_millis(answer_delay_ms)).await;
+        let usual = if request.method() == Method::Post { Status::Created } else { Status::Ok };
+        let status = answer_status.map_or(usual, Status::new);
         let response = serde_json::json!({ "run": run_number, "path": run.path, "body": run.body });
         Outcome::from(request, (status, Json(response)))
     }
