Remember the last change to several versions, not the first

A service that had several versions, then one for as long as a stream may last, and then another, kept the first change, which had expired: streams of a lost node from before the second change were rejected. The change is now replaced.

--- a/crates/lentilhitch_policy/src/stream_origins.rs
+++ b/crates/lentilhitch_policy/src/stream_origins.rs
@@ -216,7 +216,7 @@
         for StreamOrigin { service, version } in sole_before {
             let versions = self.services.entry(service).or_default();
             if versions.is_mixed() {
-                versions.mixing.get_or_insert(Mixing { sole_before: version, since_ms: now_ms });
+                versions.mixing = Some(Mixing { sole_before: version, since_ms: now_ms });
             }
         }
     }
--- a/crates/lentilhitch_policy/tests/stream_origins.rs
+++ b/crates/lentilhitch_policy/tests/stream_origins.rs
@@ -498,6 +498,18 @@
             now_ms: RELEASE_MS + 4_000,
             untold: Some("v1"),
         },
+        Case {
+            name: "second version long after another release",
+            is_first_start: true,
+            changes: &[
+                (START_MS, &["v1"]),
+                (RELEASE_MS, &["v1", "v2"]),
+                (RELEASE_MS + 1_000, &["v2"]),
+                (RELEASE_MS + 1_000 + LIFETIME_MS, &["v2", "v3"]),
+            ],
+            now_ms: RELEASE_MS + 4_000 + LIFETIME_MS,
+            untold: Some("v2"),
+        },
         Case {
             name: "streams from before are over",
             is_first_start: true,
