Count the time until a read of origins may begin apart from its limit

With more than 700 nodes the interval between reads is longer than the time limit of a read, so that streams that wait for the next one would always give up. No test: the sites have fewer nodes.

--- a/crates/lentilhitch_gateway/src/stream_archive.rs
+++ b/crates/lentilhitch_gateway/src/stream_archive.rs
@@ -37,7 +37,7 @@
 const READ_INTERVAL_PER_NODE_MS: u64 = 1;
 /// Minimum of this time. Batches are not written more often.
 const READ_INTERVAL_MIN_MS: u64 = 100;
-/// Time limit for a read for a stream that is taken up.
+/// Time limit for a read for a stream that is taken up, beside the time until it may begin.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Reads of the origins by this node. At most one runs at a time.
@@ -144,15 +144,15 @@
     /// Reads the origins of streams that the store has, unless a read that began at the given time or later has done so.
     /// Requests that come meanwhile share one read. Returns whether the origins were read.
     pub(crate) async fn read_origins_since(&self, since_ms: u64) -> bool {
+        let interval_ms = READ_INTERVAL_PER_NODE_MS * self.n_nodes() as u64;
+        let interval = Duration::from_millis(interval_ms.max(READ_INTERVAL_MIN_MS));
         let read = async {
             let mut progress = self.origin_reader.progress.lock().await;
             if progress.began_ms.is_some_and(|it| since_ms <= it) {
                 return true;
             }
-            let interval_ms = READ_INTERVAL_PER_NODE_MS * self.n_nodes() as u64;
-            let interval_ms = interval_ms.max(READ_INTERVAL_MIN_MS);
-            let due_ms = progress.began_ms.map_or(0, |it| it + interval_ms);
-            sleep(Duration::from_millis(due_ms.saturating_sub(self.now_ms()))).await;
+            let since_last_ms = progress.began_ms.map_or(u64::MAX, |it| self.now_ms() - it);
+            sleep(interval.saturating_sub(Duration::from_millis(since_last_ms))).await;
             match self.load_origins(&mut progress).await {
                 Ok(n_streams) => {
                     log::info!(n_streams; "origins of streams read for a stream that is taken up");
@@ -164,7 +164,7 @@
                 }
             }
         };
-        timeout(READ_TIMEOUT, read).await.unwrap_or(false)
+        timeout(interval + READ_TIMEOUT, read).await.unwrap_or(false)
     }
 
     /// Returns the number of streams whose origins were read.
