--- a/crates/lentilhitch/tests/edge_unframed.rs
+++ b/crates/lentilhitch/tests/edge_unframed.rs
@@ -366,3 +366,32 @@
         }
     }
 }
+
+/// The same for a node that is cut off from the upstreams and sends the request through another one.
+#[tokio::test]
+async fn response_with_a_status_out_of_range_through_a_peer_is_not_passed_on() {
+    const STATUSES: [u16; 4] = [0, 101, 600, 999];
+    for status in STATUSES {
+        let options = SiteOptions { n_nodes: 2, has_links: true, ..OPTIONS };
+        let mut site = Site::start_without_waiting(options).await.unwrap();
+        let start = format!(
+            "HTTP/1.1 {status:03} X\r\nx-attempt-id: {{id}}\r\nx-server-stamp: s\r\n\
+             content-length: 3\r\n\r\nend"
+        );
+        let response = RawResponse { start: start.leak(), end: RawEnd::Close };
+        let script = RawScript::new(vec![response]);
+        let upstream = RawUpstream::start(&site.store, "raw-0", "filing", script).await.unwrap();
+        site.link(&upstream).await.unwrap();
+        site.until_ready().await.unwrap();
+        site.cut_links(Cut::RefuseNew).await.unwrap();
+        until("a request reaches the upstream through the other node", || async {
+            let id = format!("u{}", upstream.n_requests());
+            let response = site.call(0, &id, "/book/x").await.unwrap();
+            let is_own = [502, 503].contains(&response.status);
+            assert!(is_own, "status {status:03}: {response:?}");
+            3 <= upstream.n_requests()
+        })
+        .await
+        .unwrap();
+    }
+}
