Wait for the node's log in the test of the only node that is left

All 16 streams had gone on, and the log that the failed test printed names the store as their source ("source":"Store"). The node writes its log with a delay, and the test counted the reads before. It now waits until all streams are logged, each of which follows its read, and counts then. The bounds are the same.

--- a/crates/lentilhitch/tests/edge_versions.rs
+++ b/crates/lentilhitch/tests/edge_versions.rs
@@ -453,8 +453,15 @@
         let versions = versions_of(&site, &[&first, &second]);
         assert_eq!(versions.len(), 1, "{second} ran at {versions:?}");
     }
-    let log = site.nodes[OPTIONS.n_nodes - 1].process.log_text();
-    let n_reads = log.matches("origins of streams read for a stream").count();
+    // The node writes its log with a delay. Each stream is logged after the read that found it.
+    let n_logged =
+        |text: &str| site.nodes[OPTIONS.n_nodes - 1].process.log_text().matches(text).count();
+    until("the node has logged all streams", || async {
+        n_logged("version that began the stream is known") == N_STREAMS
+    })
+    .await
+    .unwrap();
+    let n_reads = n_logged("origins of streams read for a stream");
     assert!((1..=N_STREAMS / 4).contains(&n_reads), "streams share reads: {n_reads}");
 }
 
